--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Copyright Contributors to the reachlead project.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Drives CMake. `make demo` and `make test` do all set-up on a fresh machine.
+
+PRESET ?= release
+BUILD = build/$(PRESET)
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build demo test unit whole asan tsan format check-format lint bench clean
+
+all: build
+
+deps:
+	@./src/build-scripts/install-deps.bash
+
+build: deps
+	@cmake --preset $(PRESET) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	@BIN=$(CURDIR)/$(BUILD)/bin ./src/build-scripts/demo.bash
+
+test: unit whole
+
+unit: build
+	@$(BUILD)/bin/reachlead-tests
+
+whole: build
+	@BIN=$(CURDIR)/$(BUILD)/bin ./testsuite/run-all
+
+asan:
+	@$(MAKE) PRESET=asan unit
+
+tsan:
+	@$(MAKE) PRESET=tsan unit
+
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h')
+
+format: deps
+	@clang-format-19 -i $(SOURCES)
+
+check-format: deps
+	@clang-format-19 --dry-run -Werror $(SOURCES)
+
+lint: build
+	@./src/build-scripts/lint.bash $(BUILD)
+
+bench: build
+	@BIN=$(CURDIR)/$(BUILD)/bin ./src/build-scripts/bench.bash
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/src/build-scripts/fleet.bash
@@ -0,0 +1,166 @@
+# Copyright Contributors to the reachlead project.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Starts and stops small fleets of real processes on loopback. Sourced by the demo, the
+# whole-program tests and the benches; needs BIN (the folder of the programs).
+#
+# Every port comes from the kernel; every process is ended by its own id.
+
+set -euo pipefail
+
+FLEET_DIR=$(mktemp -d)
+FLEET_PIDS=()
+MEMBERS=()
+declare -A PORT PID
+
+fail() {
+    echo "FAILED: $*" >&2
+    exit 1
+}
+
+# end_fleet: ends what is left, by id, and removes the folder.
+end_fleet() {
+    local it
+    for it in "${FLEET_PIDS[@]}"; do
+        kill -CONT "$it" 2>/dev/null || true
+        kill -KILL "$it" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    rm -rf "$FLEET_DIR"
+}
+trap end_fleet EXIT
+
+# launch NAME PROGRAM ARGS...: starts a process; its first line of output names its ports.
+launch() {
+    local name=$1 n
+    shift
+    "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
+    PID[$name]=$!
+    FLEET_PIDS+=("$!")
+    for ((n = 0; n < 400; ++n)); do
+        [ -s "$FLEET_DIR/$name.out" ] && return 0
+        kill -0 "${PID[$name]}" 2>/dev/null || break
+        sleep 0.025
+    done
+    cat "$FLEET_DIR/$name.log" >&2
+    fail "$name did not start"
+}
+
+# port_of NAME KEY: a port that the process printed.
+port_of() {
+    sed -n "s/.*\b$2=\([0-9]*\).*/\1/p" "$FLEET_DIR/$1.out" | head -1
+}
+
+start_platform() {
+    launch platform "$BIN/reachlead-standin" platform
+    PORT[platform]=$(port_of platform listening)
+    PLATFORM=http://127.0.0.1:${PORT[platform]}
+}
+
+# put_settings PATH FILE: writes one node of the tree, new or changed.
+put_settings() {
+    local version
+    version=$(curl -s "$PLATFORM/objects?key=settings/$1" | sed -n 's/.*"objects":\[{.*"version":\([0-9]*\),"value".*/\1/p')
+    curl -sf -X PUT --data-binary "@$2" \
+        "$PLATFORM/objects?key=settings/$1&expected=${version:-0}" >/dev/null
+}
+
+# start_engine NAME MODEL ZONE [engine options...]: an engine and the agent beside it.
+start_engine() {
+    local name=$1 model=$2 zone=$3
+    shift 3
+    launch "$name-engine" "$BIN/reachlead-standin" engine "$@"
+    PORT[$name-engine]=$(port_of "$name-engine" listening)
+    start_agent "$name" "model = $model" "$zone" "${PORT[$name-engine]}"
+}
+
+# start_service NAME SERVICE ZONE: a plain service and the agent beside it.
+start_service() {
+    launch "$1-service" "$BIN/reachlead-standin" service --name "$2"
+    PORT[$1-service]=$(port_of "$1-service" listening)
+    start_agent "$1" "service = $2" "$3" "${PORT[$1-service]}"
+}
+
+# start_agent NAME TARGET-LINE ZONE UPSTREAM-PORT
+start_agent() {
+    cat >"$FLEET_DIR/$1.ini" <<INI
+[agent]
+vm = $1
+zone = $3
+$2
+listen = 127.0.0.1:${PORT[$1]:-0}
+window_first = ${WINDOW_FIRST:-16}
+window_most = ${WINDOW_MOST:-256}
+${AGENT_EXTRA:-}
+[upstream]
+endpoint = 127.0.0.1:$4
+stall_limit = ${STALL_LIMIT:-20s}
+[platform]
+service = 127.0.0.1:${PORT[platform]}
+[operators]
+listen = 127.0.0.1:0
+write_key = $ADMIN_KEY
+INI
+    launch "$1" "$BIN/reachlead-agent" --settings "$FLEET_DIR/$1.ini"
+    PORT[$1]=$(port_of "$1" sessions)
+    PORT[$1-operators]=$(port_of "$1" operators)
+    MEMBERS+=("{\"vm\":\"$1\",\"role\":\"agent\",\"zone\":\"$3\",\"address\":\"127.0.0.1\",\"port\":${PORT[$1]},\"leaving\":false}")
+}
+
+# start_router NAME ZONE
+start_router() {
+    cat >"$FLEET_DIR/$1.ini" <<INI
+[router]
+vm = $1
+zone = $2
+stop_notice = 200ms
+[callers]
+listen = 127.0.0.1:${PORT[$1]:-0}
+[platform]
+service = 127.0.0.1:${PORT[platform]}
+member_interval = 200ms
+[operators]
+listen = 127.0.0.1:0
+write_key = $ADMIN_KEY
+[log]
+level = ${ROUTER_LOG:-info}
+INI
+    launch "$1" "$BIN/reachlead-router" --settings "$FLEET_DIR/$1.ini"
+    PORT[$1]=$(port_of "$1" callers)
+    PORT[$1-operators]=$(port_of "$1" operators)
+    MEMBERS+=("{\"vm\":\"$1\",\"role\":\"router\",\"zone\":\"$2\",\"address\":\"127.0.0.1\",\"port\":0,\"leaving\":false}")
+}
+
+publish_members() {
+    local IFS=,
+    curl -sf -X PUT --data "[${MEMBERS[*]}]" "$PLATFORM/members" >/dev/null
+}
+
+# wait_until TEXT COMMAND...: tries for up to 10 s of real time.
+wait_until() {
+    local what=$1 n
+    shift
+    for ((n = 0; n < 400; ++n)); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.025
+    done
+    fail "waited in vain: $what"
+}
+
+# agents_up ROUTER N: the router holds sessions to at least N agents.
+agents_up() {
+    [ "$(metric "$1" reachlead_sessions)" -ge "$2" ]
+}
+
+# metric NAME METRIC: one counter or gauge of a daemon, reasons as `refused_total{reason="x"}`.
+metric() {
+    curl -s "http://127.0.0.1:${PORT[$1-operators]}/metrics" | awk -v m="$2" '$1 == m { print $2 }'
+}
+
+# end_gracefully NAME: SIGTERM, and the process must end by itself with exit code 0.
+end_gracefully() {
+    kill -TERM "${PID[$1]}"
+    local code=0
+    wait "${PID[$1]}" || code=$?
+    [ "$code" -eq 0 ] || fail "$1 ended with code $code"
+}
--- /dev/null
+++ b/src/caller/callerconnection.cpp
@@ -0,0 +1,570 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "caller/callerconnection.h"
+
+#include <algorithm>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+
+#include <reachlead/apikey.h>
+#include <reachlead/log.h>
+
+#include "caller/callerserver.h"
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+constexpr std::string_view classHeader = "Reachlead-Class";
+constexpr std::string_view repeatableHeader = "Reachlead-Repeatable";
+constexpr std::string_view keyHeader = "Idempotency-Key";
+constexpr std::string_view idHeader = "Reachlead-Request-Id";
+constexpr std::string_view outcomeHeader = "Reachlead-Outcome";
+constexpr std::string_view kindHeader = "Reachlead-Kind";
+constexpr std::string_view servicesPath = "/v1/services/";
+constexpr std::size_t longestIdempotencyKey = 256;
+
+/// Headers of a service's call or answer that belong to one connection alone (RFC 9110, 7.6.1),
+/// or are secrets between the caller and this router.
+bool staysHere(std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> names{
+        "connection", "keep-alive",    "transfer-encoding", "te",     "trailer",         "upgrade",
+        "host",       "authorization", "content-length",    "expect", "proxy-connection"};
+    return std::ranges::any_of(
+        names, [&](std::string_view it) { return boost::algorithm::iequals(it, name); });
+}
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string_view headerOf(const http::fields &fields, std::string_view name)
+{
+    return view(fields[beast::string_view(name.data(), name.size())]);
+}
+
+std::string chunked(std::string_view data)
+{
+    return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(CallerServer &server, asio::ip::tcp::socket socket)
+    : m_server(server), m_socket(std::move(socket)), m_limit(m_socket.get_executor()),
+      m_signal(m_socket.get_executor())
+{
+    beast::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    ++m_server.m_connectionCount;
+    m_server.m_options.counters->shift(Gauge::OpenConnections, 1);
+}
+
+CallerConnection::~CallerConnection()
+{
+    --m_server.m_connectionCount;
+    m_server.m_options.counters->shift(Gauge::OpenConnections, -1);
+    if (!m_countedFor.empty() && --m_server.m_accountConnections[m_countedFor] <= 0)
+        m_server.m_accountConnections.erase(m_countedFor);
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_idle)
+        return;
+    beast::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void CallerConnection::setLimit(Duration limit)
+{
+    const std::uint64_t round = ++m_limitRound;
+    m_timedOut = false;
+    m_limit.expires_after(limit);
+    m_limit.async_wait([weak = weak_from_this(), round](boost::system::error_code ec) {
+        const auto self = weak.lock();
+        if (ec || !self || self->m_limitRound != round)
+            return;
+        self->m_timedOut = true;
+        beast::error_code ignored;
+        self->m_socket.cancel(ignored);
+    });
+}
+
+void CallerConnection::clearLimit()
+{
+    ++m_limitRound;
+    m_limit.cancel();
+}
+
+asio::awaitable<void> CallerConnection::run()
+{
+    const auto self = shared_from_this();
+    bool more = true;
+    while (more && !m_server.m_closing) {
+        std::optional<Request> request = co_await readRequest();
+        if (!request)
+            break;
+        more = co_await serve(std::move(*request));
+        m_idle = true;
+    }
+    clearLimit();
+    beast::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+/// Reads one request. A wrong or slow one gets its answer here, and the connection ends.
+asio::awaitable<std::optional<CallerConnection::Request>> CallerConnection::readRequest()
+{
+    if (m_buffer.size() == 0) {
+        setLimit(m_server.m_options.idleTime);
+        const auto [ec] = co_await m_socket.async_wait(asio::socket_base::wait_read, quietly);
+        if (ec || m_timedOut)
+            co_return std::nullopt;
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(m_server.m_options.largestHeader);
+    parser.body_limit(m_server.m_options.largestBody);
+    setLimit(m_server.m_options.headerTime);
+    auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, quietly);
+    if (!ec) {
+        m_idle = false;
+        if (view(parser.get()[http::field::expect]) == "100-continue"
+            && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+            co_return std::nullopt;
+        setLimit(m_server.m_options.bodyTime);
+        const auto [bodyError, m] = co_await http::async_read(m_socket, m_buffer, parser, quietly);
+        ec = bodyError;
+    }
+    clearLimit();
+    if (!ec)
+        co_return parser.release();
+    ErrorKind kind = ErrorKind::BadRequest;
+    if (m_timedOut)
+        kind = ErrorKind::SlowSender;
+    else if (ec == http::error::body_limit)
+        kind = ErrorKind::BodyTooLarge;
+    else if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+        kind = ErrorKind::HeaderTooLarge;
+    else if (ec == http::error::end_of_stream
+             || ec.category() != http::make_error_code(http::error::bad_method).category())
+        co_return std::nullopt; // the connection ended; there is nobody to tell
+    Refusal refusal{kind, ec.message()};
+    co_await refuse(std::move(refusal), false);
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> CallerConnection::serve(Request request)
+{
+    ++m_server.m_busy;
+    bool served = false;
+    bool more = co_await servePage(request, &served);
+    if (!served) {
+        Exchange taken;
+        Refusal refusal = admit(request, &taken);
+        if (refusal.kind == ErrorKind::None)
+            more = co_await exchange(std::move(taken));
+        else
+            more = co_await refuse(std::move(refusal), request.keep_alive());
+    }
+    --m_server.m_busy;
+    co_return more;
+}
+
+/// Serves the pages that need no upstream.
+asio::awaitable<bool> CallerConnection::servePage(const Request &request, bool *served)
+{
+    const std::string_view path = view(request.target());
+    *served = true;
+    if (path == "/healthz") {
+        const bool well = !m_server.m_stopping && m_server.policies();
+        std::string body = well ? "ok\n" : "stopping or without settings\n";
+        co_return co_await writeWhole(well ? 200 : 503, {}, std::move(body), request.keep_alive());
+    }
+    if (path == "/v1/models" && request.method() == http::verb::get) {
+        const PoliciesPtr policies = m_server.policies();
+        const AccountPolicy *account = nullptr;
+        Exchange ignored;
+        Refusal refusal{ErrorKind::SettingsAbsent, ""};
+        if (policies)
+            refusal = identify(request, &ignored, *policies, &account);
+        if (refusal.kind != ErrorKind::None)
+            co_return co_await refuse(std::move(refusal), request.keep_alive());
+        constexpr std::string_view prefix = "model:";
+        std::string list;
+        for (const TargetName &target : m_server.targets()) {
+            if (!target.text.starts_with(prefix))
+                continue;
+            list +=
+                fmt::format(R"({}{{"id":{},"object":"model","owned_by":"reachlead"}})",
+                            list.empty() ? "" : ",", quoteJson(target.text.substr(prefix.size())));
+        }
+        std::string body = fmt::format(R"({{"object":"list","data":[{}]}})", list);
+        std::vector<Header> headers{{"Content-Type", "application/json"}};
+        co_return co_await writeWhole(200, std::move(headers), std::move(body),
+                                      request.keep_alive());
+    }
+    *served = false;
+    co_return true;
+}
+
+// ---- admission --------------------------------------------------------------------------
+
+CallerConnection::Refusal CallerConnection::admit(const Request &request, Exchange *exchange)
+{
+    const PoliciesPtr policies = m_server.policies();
+    if (!policies)
+        return {ErrorKind::SettingsAbsent, ""};
+    if (request.version() != 11)
+        return {ErrorKind::BadRequest, "HTTP/1.1 is required"};
+    const AccountPolicy *account = nullptr;
+    if (Refusal refusal = identify(request, exchange, *policies, &account);
+        refusal.kind != ErrorKind::None)
+        return refusal;
+    if (Refusal refusal = readTarget(request, exchange); refusal.kind != ErrorKind::None)
+        return refusal;
+    const auto &allowed = account->targets;
+    if (!allowed.empty() && std::ranges::find(allowed, exchange->ask.target) == allowed.end())
+        return {ErrorKind::NotAllowed, exchange->ask.target.text};
+    if (Refusal refusal = readClass(request, exchange, *policies, *account);
+        refusal.kind != ErrorKind::None)
+        return refusal;
+    const std::string_view key = headerOf(request, keyHeader);
+    if (key.size() > longestIdempotencyKey)
+        return {ErrorKind::BadRequest, "Idempotency-Key is longer than 256 bytes"};
+    exchange->ask.idempotencyKey = key;
+    exchange->keepAlive = request.keep_alive();
+    return {};
+}
+
+CallerConnection::Refusal CallerConnection::identify(const Request &request, Exchange *exchange,
+                                                     const Policies &policies,
+                                                     const AccountPolicy **account)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    std::string_view key = headerOf(request, "Authorization");
+    if (!key.starts_with(scheme))
+        return {ErrorKind::KeyMissing, "expected Authorization: Bearer ACCOUNT:SECRET"};
+    key.remove_prefix(scheme.size());
+    *account = accountOfKey(policies, key);
+    if (!*account)
+        return {ErrorKind::KeyUnknown, ""};
+    if (!countConnection(**account))
+        return {ErrorKind::AccountConnections, ""};
+    exchange->ask.account = (*account)->name;
+    return {};
+}
+
+bool CallerConnection::countConnection(const AccountPolicy &account)
+{
+    if (m_countedFor == account.name)
+        return true;
+    std::int64_t &count = m_server.m_accountConnections[account.name];
+    if (account.limits.connections && count >= *account.limits.connections)
+        return false;
+    if (!m_countedFor.empty())
+        --m_server.m_accountConnections[m_countedFor];
+    ++count;
+    m_countedFor = account.name;
+    return true;
+}
+
+CallerConnection::Refusal CallerConnection::readTarget(const Request &request, Exchange *exchange)
+{
+    const std::string_view path = view(request.target());
+    CallerRequest &ask = exchange->ask;
+    ask.call.method = view(request.method_string());
+    ask.call.body = request.body();
+    const bool chat = path == "/v1/chat/completions";
+    if (chat || path == "/v1/completions") {
+        if (request.method() != http::verb::post)
+            return {ErrorKind::MethodNotAllowed, "expected POST"};
+        exchange->completion = chat ? CompletionKind::Chat : CompletionKind::Plain;
+        std::string reason;
+        auto parsed = parseModelAsk(ask.call.body, *exchange->completion, &reason);
+        if (!parsed)
+            return {ErrorKind::BadRequest, reason};
+        ask.target = modelTarget(parsed->model);
+        ask.call.path = path;
+        ask.prefixHash = parsed->prefixHash;
+        exchange->stream = parsed->stream;
+        exchange->model = std::move(parsed->model);
+    } else if (path.starts_with(servicesPath)) {
+        const std::string_view rest = path.substr(servicesPath.size());
+        const auto slash = std::min(rest.find('/'), rest.find('?'));
+        const std::string_view name = rest.substr(0, slash);
+        if (name.empty())
+            return {ErrorKind::PathUnknown, std::string(path)};
+        ask.model = false;
+        ask.target = serviceTarget(name);
+        ask.call.path = slash == std::string_view::npos ? "/" : rest.substr(slash);
+        if (ask.call.path.front() != '/')
+            ask.call.path.insert(0, "/");
+        for (const auto &field : request) {
+            if (!staysHere(view(field.name_string())))
+                ask.call.headers.push_back(
+                    {std::string(field.name_string()), std::string(field.value())});
+        }
+    } else {
+        return {ErrorKind::PathUnknown, std::string(path)};
+    }
+    const std::vector<TargetName> known = m_server.targets();
+    if (std::ranges::find(known, ask.target) == known.end())
+        return {ErrorKind::TargetUnknown, ask.target.text};
+    return {};
+}
+
+CallerConnection::Refusal CallerConnection::readClass(const Request &request, Exchange *exchange,
+                                                      const Policies &policies,
+                                                      const AccountPolicy &account)
+{
+    const std::string_view wanted = headerOf(request, classHeader);
+    const ClassName name = wanted.empty() ? account.defaultClass : ClassName(std::string(wanted));
+    const ClassPolicy *cls = policies.findClass(name);
+    if (!cls)
+        return {ErrorKind::ClassUnknown, name.text};
+    const auto &allowed = account.classes;
+    if (!allowed.empty() && std::ranges::find(allowed, name) == allowed.end())
+        return {ErrorKind::NotAllowed, name.text};
+    exchange->ask.cls = name;
+    exchange->tier = cls->tier;
+    const std::string_view said = headerOf(request, repeatableHeader);
+    const bool safeMethod =
+        request.method() == http::verb::get || request.method() == http::verb::head;
+    const bool byDefault = cls->repeatable && (exchange->ask.model || safeMethod);
+    if (!said.empty() && said != "yes" && said != "no")
+        return {ErrorKind::BadRequest, "Reachlead-Repeatable: expected yes or no"};
+    exchange->ask.repeatable = said.empty() ? byDefault : said == "yes";
+    if (!headerOf(request, keyHeader).empty())
+        exchange->ask.repeatable = false; // who gives a key asks for at most one run
+    return {};
+}
+
+// ---- exchange ---------------------------------------------------------------------------
+
+asio::awaitable<bool> CallerConnection::exchange(Exchange exchange)
+{
+    const RequestId id = m_server.nextId();
+    exchange.ask.id = id;
+    exchange.head = exchange.ask.call.method == "HEAD";
+    if (!m_server.takePlace(exchange.tier)) {
+        const AnswerEnd end{ErrorKind::OpenRequests, Outcome::NotRun, "", 0};
+        m_server.m_options.counters->refused(end.kind);
+        co_return co_await writeError(id, end, exchange.keepAlive);
+    }
+    const auto slot = std::make_shared<ReplySlot>(id);
+    slot->onReady = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->m_signal.cancel();
+    };
+    bool more = false;
+    if (!m_server.m_hooks.submit(exchange.tier, exchange.ask, slot)) {
+        const AnswerEnd end{ErrorKind::OpenRequests, Outcome::NotRun, "ring full", 0};
+        m_server.m_options.counters->refused(end.kind);
+        more = co_await writeError(id, end, exchange.keepAlive);
+    } else {
+        exchange.ask.call = Call(); // the copy handed over is the one that is used
+        m_gone = false;
+        watchForGone();
+        if (exchange.stream)
+            more = co_await streamAnswer(exchange, slot);
+        else
+            more = co_await wholeAnswer(exchange, slot);
+        if (m_gone && slot->gone())
+            m_server.m_hooks.look(slot);
+        beast::error_code ignored;
+        m_socket.cancel(ignored); // ends the watch
+    }
+    m_server.givePlace();
+    co_return more &&exchange.keepAlive && !m_gone && !m_server.m_closing;
+}
+
+/// Sees the caller close its connection while it has a request in progress. A caller that closes
+/// only its sending side counts as gone too.
+void CallerConnection::watchForGone()
+{
+    if (std::exchange(m_watching, true))
+        return;
+    m_socket.async_wait(asio::socket_base::wait_read,
+                        [self = shared_from_this()](boost::system::error_code ec) {
+                            self->m_watching = false;
+                            if (ec)
+                                return;
+                            char byte = 0;
+                            beast::error_code peekError;
+                            const std::size_t n = self->m_socket.receive(
+                                asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
+                            if (n > 0)
+                                return; // the next request came early; it waits
+                            self->m_gone = true;
+                            self->m_signal.cancel();
+                        });
+}
+
+asio::awaitable<std::vector<CallerEvent>> CallerConnection::nextEvents(ReplySlotPtr slot)
+{
+    for (;;) {
+        std::vector<CallerEvent> events = slot->take();
+        if (!events.empty() || m_gone)
+            co_return events;
+        m_signal.expires_at(Time::max());
+        co_await m_signal.async_wait(quietly);
+    }
+}
+
+void CallerConnection::tookTokens(const ReplySlotPtr &slot, std::uint64_t tokens)
+{
+    if (tokens > 0 && slot->took(tokens))
+        m_server.m_hooks.look(slot);
+}
+
+asio::awaitable<bool> CallerConnection::streamAnswer(const Exchange &exchange, ReplySlotPtr slot)
+{
+    const AnswerWriter writer(*exchange.completion, slot->id(), exchange.model);
+    bool begun = false;
+    for (;;) {
+        const std::vector<CallerEvent> events = co_await nextEvents(slot);
+        if (m_gone)
+            co_return false;
+        std::string out;
+        std::uint64_t tokens = 0;
+        const AnswerEnd *end = nullptr;
+        for (const CallerEvent &event : events) {
+            if (const auto *text = std::get_if<AnswerText>(&event)) {
+                out += chunked(writer.piece(text->text));
+                tokens += text->tokens;
+            } else {
+                end = std::get_if<AnswerEnd>(&event);
+            }
+        }
+        const bool whole = end && end->kind == ErrorKind::None;
+        if (end && !whole && !begun && out.empty())
+            co_return co_await writeError(slot->id(), *end, exchange.keepAlive);
+        if (whole)
+            out += chunked(writer.finish(end->tokens)) + "0\r\n\r\n";
+        else if (end) // an answer cut short: said in an event, and the last chunk never comes
+            out += chunked(fmt::format(
+                "data: {}\n\n", errorJson(end->kind, end->outcome, slot->id(), end->reason)));
+        if (!begun)
+            out.insert(0,
+                       fmt::format("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                   "Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n"
+                                   "{}: {}\r\n\r\n",
+                                   idHeader, toString(slot->id())));
+        begun = true;
+        if (!co_await write(std::move(out))) {
+            m_gone = true;
+            co_return false;
+        }
+        tookTokens(slot, tokens);
+        if (end)
+            co_return whole;
+    }
+}
+
+asio::awaitable<bool> CallerConnection::wholeAnswer(const Exchange &exchange, ReplySlotPtr slot)
+{
+    std::string text;
+    std::optional<AnswerWhole> whole;
+    std::optional<AnswerEnd> end;
+    while (!end) {
+        const std::vector<CallerEvent> events = co_await nextEvents(slot);
+        if (m_gone)
+            co_return false;
+        std::uint64_t tokens = 0;
+        for (const CallerEvent &event : events) {
+            if (const auto *piece = std::get_if<AnswerText>(&event)) {
+                text += piece->text;
+                tokens += piece->tokens;
+            } else if (const auto *answer = std::get_if<AnswerWhole>(&event)) {
+                whole = *answer;
+            } else {
+                end = std::get<AnswerEnd>(event);
+            }
+        }
+        tookTokens(slot, tokens);
+    }
+    if (end->kind != ErrorKind::None)
+        co_return co_await writeError(slot->id(), *end, exchange.keepAlive);
+    std::vector<Header> headers{{std::string(idHeader), toString(slot->id())},
+                                {std::string(outcomeHeader), std::string(toString(end->outcome))}};
+    if (exchange.completion) {
+        const AnswerWriter writer(*exchange.completion, slot->id(), exchange.model);
+        headers.push_back({"Content-Type", "application/json"});
+        co_return co_await writeWhole(200, std::move(headers), writer.whole(text, end->tokens),
+                                      exchange.keepAlive);
+    }
+    std::ranges::copy_if(whole->headers, std::back_inserter(headers),
+                         [](const Header &header) { return !staysHere(header.name); });
+    co_return co_await writeWhole(whole->status, std::move(headers), std::move(whole->body),
+                                  exchange.keepAlive, exchange.head);
+}
+
+// ---- writing ----------------------------------------------------------------------------
+
+asio::awaitable<bool> CallerConnection::write(std::string bytes)
+{
+    setLimit(m_server.m_options.writeTime);
+    const auto [ec, n] = co_await asio::async_write(m_socket, asio::buffer(bytes), quietly);
+    clearLimit();
+    co_return !ec;
+}
+
+asio::awaitable<bool> CallerConnection::writeWhole(unsigned status, std::vector<Header> headers,
+                                                   std::string body, bool keepAlive, bool head)
+{
+    const bool keep = keepAlive && !m_server.m_closing;
+    const auto reason = view(http::obsolete_reason(static_cast<http::status>(status)));
+    std::string out = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
+    for (const Header &header : headers)
+        out += fmt::format("{}: {}\r\n", header.name, header.value);
+    out += fmt::format("Content-Length: {}\r\nConnection: {}\r\n\r\n", body.size(),
+                       keep ? "keep-alive" : "close");
+    if (!head)
+        out += body;
+    const bool written = co_await write(std::move(out));
+    co_return written &&keep;
+}
+
+asio::awaitable<bool> CallerConnection::writeError(const RequestId &id, const AnswerEnd &end,
+                                                   bool keepAlive)
+{
+    const ErrorRow &row = errorRow(end.kind);
+    std::vector<Header> headers{{"Content-Type", "application/json"},
+                                {std::string(idHeader), toString(id)},
+                                {std::string(outcomeHeader), std::string(toString(end.outcome))},
+                                {std::string(kindHeader), std::string(row.name)}};
+    if (row.retryAfter)
+        headers.push_back({"Retry-After", std::to_string(row.retryAfter->count())});
+    LogLine(LogLevel::Info, "request-refused")
+        .with("request", toString(id))
+        .with("kind", row.name)
+        .with("outcome", toString(end.outcome))
+        .with("reason", end.reason);
+    std::string body = errorJson(end.kind, end.outcome, id, end.reason);
+    co_return co_await writeWhole(row.status, std::move(headers), std::move(body), keepAlive);
+}
+
+asio::awaitable<bool> CallerConnection::refuse(Refusal refusal, bool keepAlive)
+{
+    m_server.m_options.counters->refused(refusal.kind);
+    const AnswerEnd end{refusal.kind, Outcome::NotRun, std::move(refusal.reason), 0};
+    co_return co_await writeError(m_server.nextId(), end, keepAlive);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/caller/callerserver.cpp
@@ -0,0 +1,148 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "caller/callerserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <reachlead/log.h>
+
+#include "caller/callerconnection.h"
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+CallerServer::CallerServer(Options options, CallerHooks hooks)
+    : m_options(std::move(options)), m_hooks(std::move(hooks)), m_work(m_io.get_executor()),
+      m_acceptor(
+          m_io,
+          tcp::endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port)),
+      m_port(m_acceptor.local_endpoint().port()),
+      m_ready(m_options.mostOpen * 2, [this] { asio::post(m_io, [this] { takeReady(); }); })
+{
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    m_thread = std::thread([this] { run(); });
+}
+
+CallerServer::~CallerServer()
+{
+    join();
+}
+
+void CallerServer::join()
+{
+    if (!m_thread.joinable())
+        return;
+    stopAccepting();
+    asio::post(m_io, [this] { m_work.reset(); });
+    asio::post(m_io, [this] { m_io.stop(); });
+    m_thread.join();
+}
+
+void CallerServer::run()
+{
+    accept();
+    m_io.run();
+}
+
+void CallerServer::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!ec && m_connectionCount < m_options.mostConnections) {
+            const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
+            std::erase_if(m_connections, [](const auto &weak) { return weak.expired(); });
+            m_connections.push_back(connection);
+            asio::co_spawn(
+                m_io, [connection]() -> asio::awaitable<void> { co_await connection->run(); },
+                asio::detached);
+        }
+        accept();
+    });
+}
+
+void CallerServer::announce(ReplySlotPtr slot)
+{
+    if (!m_ready.push(std::move(slot)))
+        m_options.counters->add(Count::RingFull);
+}
+
+void CallerServer::takeReady()
+{
+    for (const ReplySlotPtr &slot : m_ready.drain()) {
+        if (slot->onReady)
+            slot->onReady();
+    }
+}
+
+/// Takes a place among the open requests. Each tier below the highest may fill a tenth less, so
+/// that lower tiers never hold the place a higher one needs.
+bool CallerServer::takePlace(Tier tier)
+{
+    constexpr std::size_t parts = 10;
+    const std::size_t bound = m_options.mostOpen * (parts - indexOf(tier)) / parts;
+    if (m_open >= bound)
+        return false;
+    ++m_open;
+    return true;
+}
+
+void CallerServer::givePlace()
+{
+    --m_open;
+}
+
+RequestId CallerServer::nextId()
+{
+    return {m_options.incarnation, ++m_sequence};
+}
+
+PoliciesPtr CallerServer::policies() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_policies;
+}
+
+std::vector<TargetName> CallerServer::targets() const
+{
+    std::scoped_lock lock(m_mutex);
+    return m_targets;
+}
+
+void CallerServer::setPolicies(PoliciesPtr policies)
+{
+    std::scoped_lock lock(m_mutex);
+    m_policies = std::move(policies);
+}
+
+void CallerServer::setTargets(std::vector<TargetName> targets)
+{
+    std::scoped_lock lock(m_mutex);
+    m_targets = std::move(targets);
+}
+
+void CallerServer::beginStop()
+{
+    m_stopping = true;
+}
+
+void CallerServer::stopAccepting()
+{
+    m_stopping = true;
+    asio::post(m_io, [this] {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_closing = true;
+        for (const auto &weak : m_connections) {
+            if (const auto connection = weak.lock())
+                connection->closeIfIdle();
+        }
+    });
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/caller/openai.cpp
@@ -0,0 +1,163 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "caller/openai.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace reachlead {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Bytes of the prompt that decide whether two prompts share a prefix.
+constexpr std::size_t prefixBytes = 1024;
+
+constexpr std::size_t deepestJson = 64;
+
+std::string promptOf(const json::object &root, CompletionKind kind)
+{
+    const json::value *part =
+        root.if_contains(kind == CompletionKind::Chat ? "messages" : "prompt");
+    return part ? json::serialize(*part) : std::string();
+}
+
+bool hasShape(const json::object &root, CompletionKind kind)
+{
+    if (kind == CompletionKind::Plain)
+        return root.contains("prompt");
+    const json::value *messages = root.if_contains("messages");
+    return messages && messages->is_array() && !messages->as_array().empty();
+}
+
+} // namespace
+
+std::string quoteJson(std::string_view text)
+{
+    constexpr unsigned firstPlain = 0x20;
+    std::string out = "\"";
+    out.reserve(text.size() + 2);
+    for (const char c : text) {
+        switch (c) {
+        case '"':
+            out += "\\\"";
+            break;
+        case '\\':
+            out += "\\\\";
+            break;
+        case '\n':
+            out += "\\n";
+            break;
+        default:
+            if (static_cast<unsigned char>(c) < firstPlain)
+                out += fmt::format("\\u{:04x}", static_cast<unsigned char>(c));
+            else
+                out += c;
+        }
+    }
+    out += '"';
+    return out;
+}
+
+std::optional<ModelAsk> parseModelAsk(std::string_view body, CompletionKind kind,
+                                      std::string *reason)
+{
+    json::error_code ec;
+    json::parse_options options;
+    options.max_depth = deepestJson;
+    const json::value parsed = json::parse({body.data(), body.size()}, ec, {}, options);
+    if (ec || !parsed.is_object()) {
+        *reason = "the body is not a JSON object";
+        return std::nullopt;
+    }
+    const json::object &root = parsed.get_object();
+    const json::value *model = root.if_contains("model");
+    if (!model || !model->is_string()) {
+        *reason = "'model' is missing or not a string";
+        return std::nullopt;
+    }
+    if (!hasShape(root, kind)) {
+        *reason =
+            kind == CompletionKind::Chat ? "'messages' is missing or empty" : "'prompt' is missing";
+        return std::nullopt;
+    }
+    ModelAsk ask;
+    ask.model = std::string(model->get_string());
+    const json::value *stream = root.if_contains("stream");
+    if (stream && !stream->is_bool() && !stream->is_null()) {
+        *reason = "'stream' is not a boolean";
+        return std::nullopt;
+    }
+    ask.stream = stream && stream->is_bool() && stream->get_bool();
+    const std::string prompt = promptOf(root, kind);
+    ask.prefixHash = XXH64(prompt.data(), std::min(prompt.size(), prefixBytes), 0);
+    return ask;
+}
+
+AnswerWriter::AnswerWriter(CompletionKind kind, const RequestId &id, std::string_view model)
+    : m_kind(kind), m_id(toString(id)), m_model(quoteJson(model)),
+      m_created(std::chrono::duration_cast<std::chrono::seconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count())
+{ }
+
+std::string AnswerWriter::head(std::string_view object) const
+{
+    return fmt::format(R"({{"id":"{}","object":"{}","created":{},"model":{})", m_id, object,
+                       m_created, m_model);
+}
+
+std::string AnswerWriter::piece(std::string_view text) const
+{
+    const std::string quoted = quoteJson(text);
+    if (m_kind == CompletionKind::Chat)
+        return fmt::format("data: {},\"choices\":[{{\"index\":0,\"delta\":{{\"content\":{}}},"
+                           "\"finish_reason\":null}}]}}\n\n",
+                           head("chat.completion.chunk"), quoted);
+    return fmt::format(
+        "data: {},\"choices\":[{{\"index\":0,\"text\":{},\"finish_reason\":null}}]}}\n\n",
+        head("text_completion"), quoted);
+}
+
+std::string AnswerWriter::finish(std::uint64_t tokens) const
+{
+    const bool chat = m_kind == CompletionKind::Chat;
+    return fmt::format("data: {},\"choices\":[{{\"index\":0,{},\"finish_reason\":\"stop\"}}],"
+                       "\"usage\":{{\"completion_tokens\":{}}}}}\n\ndata: [DONE]\n\n",
+                       head(chat ? "chat.completion.chunk" : "text_completion"),
+                       chat ? "\"delta\":{}" : "\"text\":\"\"", tokens);
+}
+
+std::string AnswerWriter::whole(std::string_view text, std::uint64_t tokens) const
+{
+    const std::string quoted = quoteJson(text);
+    const bool chat = m_kind == CompletionKind::Chat;
+    const std::string choice = chat
+        ? fmt::format(R"("message":{{"role":"assistant","content":{}}})", quoted)
+        : fmt::format(R"("text":{})", quoted);
+    return fmt::format(R"({},"choices":[{{"index":0,{},"finish_reason":"stop"}}],)"
+                       R"("usage":{{"completion_tokens":{}}}}})",
+                       head(chat ? "chat.completion" : "text_completion"), choice, tokens);
+}
+
+std::string errorJson(ErrorKind kind, Outcome outcome, const RequestId &id, std::string_view reason)
+{
+    const ErrorRow &row = errorRow(kind);
+    std::string json = fmt::format(
+        R"({{"error":{{"kind":"{}","code":"{}","type":"reachlead","message":{},"outcome":"{}",)"
+        R"("request_id":"{}")",
+        row.name, row.name, quoteJson(row.text), toString(outcome), toString(id));
+    if (!reason.empty())
+        json += fmt::format(R"(,"reason":{})", quoteJson(reason));
+    if (row.retryAfter)
+        json += fmt::format(R"(,"retry_after":{})", row.retryAfter->count());
+    return json + "}}";
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/cmake/pch.cpp
@@ -0,0 +1,2 @@
+// SPDX-License-Identifier: Apache-2.0
+// Owns the shared precompiled header; holds no code.
--- /dev/null
+++ b/src/cmake/targets.cmake
@@ -0,0 +1,40 @@
+# Copyright Contributors to the reachlead project.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Helpers that every folder under src/ uses to declare its target.
+
+add_library(reachlead_options INTERFACE)
+target_compile_options(reachlead_options INTERFACE -Wall -Wextra -Werror)
+target_compile_definitions(reachlead_options INTERFACE
+    BOOST_ASIO_NO_DEPRECATED BOOST_BIND_GLOBAL_PLACEHOLDERS
+    REACHLEAD_VERSION="${PROJECT_VERSION}")
+target_include_directories(reachlead_options INTERFACE ${PROJECT_SOURCE_DIR}/src/include
+    ${PROJECT_SOURCE_DIR}/src)
+target_link_libraries(reachlead_options INTERFACE Boost::json Boost::program_options fmt::fmt
+    OpenSSL::SSL OpenSSL::Crypto Threads::Threads PkgConfig::XXHASH)
+if(REACHLEAD_SANITIZE)
+    # Sanitizer builds instrument the standard headers too, where GCC 12 warns in error.
+    target_compile_options(reachlead_options INTERFACE -fsanitize=${REACHLEAD_SANITIZE}
+        -fno-omit-frame-pointer -g1 -Wno-maybe-uninitialized -Wno-tsan)
+    target_link_options(reachlead_options INTERFACE -fsanitize=${REACHLEAD_SANITIZE})
+endif()
+
+# The precompiled header all packages share.
+add_library(reachlead_pch OBJECT ${CMAKE_CURRENT_LIST_DIR}/pch.cpp)
+target_link_libraries(reachlead_pch PUBLIC reachlead_options)
+target_precompile_headers(reachlead_pch PRIVATE ${CMAKE_CURRENT_LIST_DIR}/pch.h)
+
+# reachlead_package(name sources...): one package of the library.
+function(reachlead_package name)
+    add_library(${name} STATIC ${ARGN})
+    target_link_libraries(${name} PUBLIC reachlead_options)
+    target_precompile_headers(${name} REUSE_FROM reachlead_pch)
+endfunction()
+
+# reachlead_program(name sources...): one thin program over all packages.
+function(reachlead_program name)
+    add_executable(${name} ${ARGN})
+    target_link_libraries(${name} PRIVATE reachlead_caller reachlead_upstream reachlead_peer
+        reachlead_operators reachlead_platform reachlead_core reachlead_options)
+    target_precompile_headers(${name} REUSE_FROM reachlead_pch)
+endfunction()
--- /dev/null
+++ b/src/include/reachlead/admission.h
@@ -0,0 +1,58 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// How many requests an engine runs at once, steered by the time between tokens it shows.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include <reachlead/clock.h>
+
+namespace reachlead {
+
+/// The admission window of one upstream. Not thread-safe.
+///
+/// Engines batch continuously: throughput grows with the batch until the time between tokens
+/// breaks the promise. The window grows by one while the measured time stays well under the
+/// tightest target of those running, and shrinks by a part when it passes the target.
+class AdmissionWindow
+{
+public:
+    struct Bounds
+    {
+        std::uint32_t least = 1;
+        std::uint32_t most = 64;
+        std::uint32_t first = 8;
+    };
+
+    explicit AdmissionWindow(Bounds bounds) : m_bounds(bounds), m_size(bounds.first) { }
+
+    /// Learns the time between two tokens of one answer.
+    void observe(Duration gap);
+
+    /// Looks at what was learned and moves the window. \p tightest is the smallest target among
+    /// the running requests, none when no request has one.
+    void steer(Time now, std::uint32_t running, std::optional<Duration> tightest);
+
+    std::uint32_t size() const { return m_size; }
+
+    /// The smoothed time between tokens; zero before the first was seen.
+    Duration gap() const { return fromSeconds(m_gapSeconds); }
+
+    static constexpr Duration interval = milliseconds(200); ///< between two moves
+    static constexpr double growBelow = 0.85; ///< part of the target under which it grows
+    static constexpr double shrinkAbove = 1.0; ///< part of the target over which it shrinks
+    static constexpr double shrinkTo = 0.85; ///< part of the size that is kept
+
+private:
+    Bounds m_bounds;
+    std::uint32_t m_size;
+    double m_gapSeconds = 0;
+    std::uint64_t m_seen = 0;
+    Time m_movedAt{};
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/circuit.h
@@ -0,0 +1,56 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The circuit breaker before one upstream: a Boost.MSM machine behind a plain face.
+
+#pragma once
+
+#include <memory>
+
+#include <reachlead/clock.h>
+
+namespace reachlead {
+
+/// Keeps requests from an upstream that fails again and again. Not thread-safe.
+///
+/// Closed: requests pass. Open: none pass until the pause ends. Half-open: one request passes as
+/// a probe; its end closes or opens the circuit.
+class Circuit
+{
+public:
+    Circuit();
+    ~Circuit();
+    Circuit(Circuit &&) noexcept;
+    Circuit &operator=(Circuit &&) noexcept;
+
+    /// True when a request may be sent now.
+    bool allows(Time now);
+
+    /// A request was sent.
+    void sent();
+
+    /// A request ended well.
+    void succeeded();
+
+    /// A request failed at the upstream.
+    void failed(Time now);
+
+    /// A request ended without word on the upstream's health, as when its caller went away.
+    void abandoned();
+
+    /// `closed`, `open` or `half-open`.
+    const char *state() const;
+
+    /// Failures in a row that open the circuit.
+    static constexpr unsigned failuresToOpen = 3;
+    /// The first pause; it doubles up to the longest.
+    static constexpr Duration firstPause = seconds(1);
+    static constexpr Duration longestPause = seconds(30);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/clock.h
@@ -0,0 +1,81 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The runtime's clock. Tests pause it and move it on by hand; daemons leave it running.
+
+#pragma once
+
+#include <atomic>
+#include <chrono>
+
+#include <boost/asio/basic_waitable_timer.hpp>
+
+namespace reachlead {
+
+/// A monotonic clock that can be paused. Thread-safe.
+class RuntimeClock
+{
+public:
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<RuntimeClock>;
+    static constexpr bool is_steady = true;
+
+    /// The time now: real, or where the pause left it.
+    static time_point now();
+
+    /// Stops the clock at the given time; advance() alone moves it from here.
+    static void pause(time_point at);
+
+    /// Moves a paused clock on by \p step.
+    static void advance(duration step);
+
+    /// Lets the clock follow real time again.
+    static void resume();
+
+    /// True between pause() and resume().
+    static bool paused();
+
+private:
+    static std::atomic<bool> s_paused;
+    static std::atomic<rep> s_pausedAt;
+};
+
+using Time = RuntimeClock::time_point;
+using Duration = RuntimeClock::duration;
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A duration in milliseconds with fraction, for logs and reports.
+inline double toMillis(Duration d)
+{
+    return std::chrono::duration<double, std::milli>(d).count();
+}
+
+/// A duration in seconds with fraction.
+inline double toSeconds(Duration d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
+/// Makes a duration from seconds with fraction.
+inline Duration fromSeconds(double s)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
+}
+
+/// Tells Asio how long to sleep for a RuntimeClock timer: a paused clock is looked at each
+/// millisecond of real time.
+struct RuntimeWaitTraits
+{
+    static Duration to_wait_duration(const Duration &d);
+    static Duration to_wait_duration(const Time &t);
+};
+
+/// An Asio timer on the runtime's clock.
+using Timer = boost::asio::basic_waitable_timer<RuntimeClock, RuntimeWaitTraits>;
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/counters.h
@@ -0,0 +1,95 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Counters and gauges of one process, and their text page in the Prometheus format.
+
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <reachlead/error.h>
+
+namespace reachlead {
+
+/// The counters that have no error kind as label.
+enum class Count : std::uint8_t {
+    RequestsAccepted,
+    RequestsCompleted,
+    Dispatched,
+    TokensDelivered,
+    TokensWasted,
+    StaleFrames,
+    HostileFrames,
+    SessionsOpened,
+    SessionsLost,
+    Queries,
+    Reattached,
+    Resumed,
+    ForbiddenTransitions,
+    HeartbeatsSent,
+    HeartbeatsHeard,
+    SettingsApplied,
+    SettingsStale,
+    ClaimWrites,
+    ClaimsMade,
+    UpstreamCancels,
+    PlatformCalls,
+    PlatformFailures,
+    RingFull,
+    OrdersTaken,
+    OrdersFenced,
+    Count_
+};
+
+/// The gauges.
+enum class Gauge : std::uint8_t {
+    OpenConnections,
+    OpenRequests,
+    Queued,
+    Running,
+    Window,
+    Sessions,
+    SettingsVersion,
+    Draining,
+    Count_
+};
+
+/// All counters of a process. Thread-safe; each call is one relaxed atomic operation.
+class Counters
+{
+public:
+    /// Adds \p n to a counter.
+    void add(Count c, std::uint64_t n = 1);
+
+    /// Counts a request refused or ended for this reason.
+    void refused(ErrorKind kind);
+
+    /// Counts a request placed again for this reason.
+    void retried(ErrorKind kind);
+
+    void set(Gauge g, std::int64_t value);
+    void shift(Gauge g, std::int64_t by);
+
+    std::uint64_t value(Count c) const;
+    std::uint64_t refusedCount(ErrorKind kind) const;
+    std::uint64_t retriedCount(ErrorKind kind) const;
+    std::int64_t value(Gauge g) const;
+
+    /// The page an operator or a collector reads, in the Prometheus text format.
+    std::string page() const;
+
+private:
+    template <class T, std::size_t n> using Cells = std::array<std::atomic<T>, n>;
+
+    Cells<std::uint64_t, static_cast<std::size_t>(Count::Count_)> m_counts{};
+    Cells<std::uint64_t, errorKindCount> m_refused{};
+    Cells<std::uint64_t, errorKindCount> m_retried{};
+    Cells<std::int64_t, static_cast<std::size_t>(Gauge::Count_)> m_gauges{};
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/admission.cpp
@@ -0,0 +1,32 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/admission.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace reachlead {
+
+void AdmissionWindow::observe(Duration gap)
+{
+    constexpr double smoothing = 0.05;
+    const double seen = toSeconds(gap);
+    m_gapSeconds = m_seen++ == 0 ? seen : m_gapSeconds + smoothing * (seen - m_gapSeconds);
+}
+
+void AdmissionWindow::steer(Time now, std::uint32_t running, std::optional<Duration> tightest)
+{
+    if (!tightest || m_seen == 0 || now - m_movedAt < interval)
+        return;
+    m_movedAt = now;
+    const double part = m_gapSeconds / toSeconds(*tightest);
+    if (part > shrinkAbove && running > 0) {
+        const double kept = std::floor(std::min(running, m_size) * shrinkTo);
+        m_size = std::max(m_bounds.least, static_cast<std::uint32_t>(kept));
+    } else if (part < growBelow && running >= m_size) {
+        m_size = std::min(m_bounds.most, m_size + 1);
+    }
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/agentcore.cpp
@@ -0,0 +1,414 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "agentcore_pvt.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <fmt/format.h>
+
+namespace reachlead {
+
+namespace {
+
+/// Load changes are told to routers no more often than this.
+constexpr Duration loadInterval = milliseconds(10);
+
+} // namespace
+
+// ---- building ---------------------------------------------------------------------------
+
+AgentCore::Builder &AgentCore::Builder::vm(VmName v)
+{
+    m_vm = std::move(v);
+    return *this;
+}
+
+AgentCore::Builder &AgentCore::Builder::zone(ZoneName z)
+{
+    m_zone = std::move(z);
+    return *this;
+}
+
+AgentCore::Builder &AgentCore::Builder::incarnation(Incarnation i)
+{
+    m_incarnation = i;
+    return *this;
+}
+
+AgentCore::Builder &AgentCore::Builder::target(TargetName t)
+{
+    m_target = std::move(t);
+    return *this;
+}
+
+AgentCore::Builder &AgentCore::Builder::tuning(AgentTuning t)
+{
+    m_tuning = t;
+    return *this;
+}
+
+AgentCore::Builder &AgentCore::Builder::counters(Counters *c)
+{
+    m_counters = c;
+    return *this;
+}
+
+std::unique_ptr<AgentCore> AgentCore::Builder::build() const
+{
+    return std::unique_ptr<AgentCore>(new AgentCore(*this));
+}
+
+AgentCore::AgentCore(const Builder &from)
+    : m_vm(from.m_vm), m_zone(from.m_zone), m_incarnation(from.m_incarnation),
+      m_target(from.m_target), m_tuning(from.m_tuning), m_counters(from.m_counters),
+      m_window(from.m_tuning.window)
+{
+    if (!m_counters) {
+        m_ownCounters = std::make_unique<Counters>();
+        m_counters = m_ownCounters.get();
+    }
+}
+
+AgentCore::~AgentCore() = default;
+
+// ---- sessions ---------------------------------------------------------------------------
+
+void AgentCore::message(SessionId session, const ToAgent &message, Time now)
+{
+    const bool greets = std::holds_alternative<Hello>(message);
+    const bool known = m_sessions.contains(session);
+    if (greets == known) {
+        // A second Hello, or a message of a session that was destroyed or never greeted: what an
+        // older session still had on its way must not be applied.
+        m_counters->add(Count::StaleFrames);
+        if (known)
+            destroySession(session, "greeted twice", now);
+        return;
+    }
+    std::visit([&](const auto &m) { handle(session, m, now); }, message);
+}
+
+void AgentCore::handle(SessionId session, const Hello &message, Time now)
+{
+    if (message.version != protocolVersion) {
+        m_actions.emplace_back(CloseSession{session, "other protocol version"});
+        return;
+    }
+    std::vector<SessionId> older;
+    for (const auto &[id, other] : m_sessions) {
+        if (other.incarnation != message.incarnation)
+            continue;
+        if (other.number >= message.session) {
+            m_actions.emplace_back(CloseSession{session, "a newer session stands"});
+            return;
+        }
+        older.push_back(id);
+    }
+    for (const SessionId id : older)
+        destroySession(id, "superseded", now);
+    m_sessions[session] =
+        Session{message.vm, message.incarnation, message.session, message.heartbeatPort};
+    m_counters->add(Count::SessionsOpened);
+    m_counters->set(Gauge::Sessions, static_cast<std::int64_t>(m_sessions.size()));
+    const Welcome welcome{protocolVersion, m_vm, m_zone, m_incarnation, m_target, load(session)};
+    m_actions.emplace_back(SendToRouter{session, welcome});
+}
+
+void AgentCore::sessionClosed(SessionId session, Time now)
+{
+    if (m_sessions.erase(session) == 0)
+        return;
+    m_counters->add(Count::SessionsLost);
+    m_counters->set(Gauge::Sessions, static_cast<std::int64_t>(m_sessions.size()));
+    detach(session, now);
+}
+
+void AgentCore::destroySession(SessionId session, const std::string &reason, Time now)
+{
+    sessionClosed(session, now);
+    m_actions.emplace_back(CloseSession{session, reason});
+}
+
+/// Leaves the session's attempts without a router for the time being. What has not left the gate
+/// is refused: its router will ask, and `never seen` is then the truth.
+void AgentCore::detach(SessionId session, Time now)
+{
+    std::vector<RequestId> waiting;
+    for (auto &[id, run] : m_runs) {
+        if (run->session != session)
+            continue;
+        run->session.reset();
+        run->detachedAt = now;
+        if (run->state == Run::State::Queued)
+            waiting.push_back(id);
+    }
+    for (const RequestId &id : waiting)
+        refuseRun(*m_runs.at(id), ErrorKind::Superseded, "session lost");
+}
+
+// ---- dispatches -------------------------------------------------------------------------
+
+void AgentCore::refuse(SessionId session, const AttemptKey &key, ErrorKind kind, std::string reason)
+{
+    m_counters->refused(kind);
+    m_actions.emplace_back(
+        SendToRouter{session, Refused{key.id, key.attempt, kind, std::move(reason)}});
+}
+
+void AgentCore::handle(SessionId session, const Dispatch &message, Time now)
+{
+    const AttemptKey key{message.id, message.attempt};
+    const auto old = m_runs.find(message.id);
+    if (old != m_runs.end()) {
+        if (old->second->dispatch->attempt >= message.attempt) {
+            m_counters->add(Count::StaleFrames);
+            return;
+        }
+        cancel(*old->second, now);
+        forget(message.id);
+    }
+    if (m_draining) {
+        refuse(session, key, ErrorKind::AgentLeaving, "draining");
+        return;
+    }
+    if (message.tier >= tierCount) {
+        refuse(session, key, ErrorKind::BadRequest, "tier out of range");
+        return;
+    }
+    if (!message.idempotencyKey.empty() && replayByKey(session, message))
+        return;
+    auto run = std::make_unique<Run>();
+    run->dispatch = std::make_shared<const Dispatch>(message);
+    run->session = session;
+    run->allowed = message.credit;
+    run->arrival = m_arrivals++;
+    Run &kept = *run;
+    m_runs[message.id] = std::move(run);
+    if (!message.idempotencyKey.empty())
+        m_byKey[{message.account, message.idempotencyKey}] = message.id;
+    enqueue(kept);
+    startQueued(now);
+    shedQueue();
+}
+
+/// Answers a repeated key from what this agent holds. True when the request needs no run.
+bool AgentCore::replayByKey(SessionId session, const Dispatch &message)
+{
+    const auto it = m_byKey.find({message.account, message.idempotencyKey});
+    if (it == m_byKey.end() || !m_runs.contains(it->second))
+        return false;
+    const Run &first = *m_runs.at(it->second);
+    const AttemptKey key{message.id, message.attempt};
+    if (first.state != Run::State::Finished) {
+        refuse(session, key, ErrorKind::KeyInUse, "first call in progress");
+        return true;
+    }
+    End end = first.end;
+    if (end.kind != ErrorKind::None || first.dispatch->stream)
+        return false; // the claim decides
+    end.id = message.id;
+    end.attempt = message.attempt;
+    m_actions.emplace_back(SendToRouter{session, Started{message.id, message.attempt}});
+    m_actions.emplace_back(SendToRouter{session, std::move(end)});
+    return true;
+}
+
+void AgentCore::enqueue(Run &run)
+{
+    run.state = Run::State::Queued;
+    m_queue.emplace(std::pair(run.dispatch->tier, run.arrival), run.dispatch->id);
+}
+
+/// Refuses what is over the bound: the lowest tier first, in it the newest.
+void AgentCore::shedQueue()
+{
+    while (m_queue.size() > m_tuning.queueBound) {
+        const RequestId victim = m_queue.rbegin()->second;
+        refuseRun(*m_runs.at(victim), ErrorKind::AgentBusy, "no room");
+    }
+}
+
+void AgentCore::startQueued(Time now)
+{
+    while (!m_queue.empty() && m_running < m_window.size()) {
+        Run &run = *m_runs.at(m_queue.begin()->second);
+        m_queue.erase(m_queue.begin());
+        ++m_running;
+        if (!run.dispatch->idempotencyKey.empty()) {
+            run.state = Run::State::Claiming;
+            m_actions.emplace_back(
+                MakeClaim{run.key(), run.dispatch->account, run.dispatch->idempotencyKey});
+        } else {
+            start(run, now);
+        }
+    }
+}
+
+void AgentCore::start(Run &run, Time now)
+{
+    run.state = Run::State::Running;
+    run.tokenAt = now;
+    m_actions.emplace_back(StartUpstream{run.key(), run.dispatch});
+    send(run, Started{run.dispatch->id, run.dispatch->attempt});
+}
+
+void AgentCore::claimEnded(const AttemptKey &key, ClaimResult result, Time now)
+{
+    Run *run = findRun(key);
+    if (!run || run->state != Run::State::Claiming) {
+        return;
+    }
+    switch (result) {
+    case ClaimResult::Granted:
+        run->claimed = true;
+        m_counters->add(Count::ClaimsMade);
+        if (run->session)
+            start(*run, now);
+        else
+            refuseRun(*run, ErrorKind::Superseded, "router away before the start");
+        break;
+    case ClaimResult::Taken:
+        refuseRun(*run, ErrorKind::KeyAnswered, "the key is claimed by another request");
+        break;
+    case ClaimResult::StoreDown:
+        refuseRun(*run, ErrorKind::ClaimStoreDown, "claim could not be written");
+        break;
+    }
+    startQueued(now);
+}
+
+void AgentCore::handle(SessionId /*session*/, const Cancel &message, Time now)
+{
+    if (Run *run = findRun({message.id, message.attempt}))
+        cancel(*run, now);
+    startQueued(now);
+}
+
+void AgentCore::handle(SessionId session, const Credit &message, Time /*now*/)
+{
+    Run *run = findRun({message.id, message.attempt});
+    if (!run || run->session != session)
+        return;
+    run->allowed += message.tokens;
+    flush(*run);
+}
+
+void AgentCore::handle(SessionId session, const Query &message, Time /*now*/)
+{
+    QueryReply reply{message.id, message.attempt, AttemptState::NeverSeen};
+    Run *run = findRun({message.id, message.attempt});
+    if (!run) {
+        const auto mark = m_forgotten.find(message.id.router.value);
+        const bool mayBeForgotten =
+            mark == m_forgotten.end() ? m_marksLost : message.id.sequence <= mark->second;
+        if (mayBeForgotten)
+            reply.state = AttemptState::Forgotten;
+        m_actions.emplace_back(SendToRouter{session, reply});
+        return;
+    }
+    reply.state = AttemptState::Held;
+    m_actions.emplace_back(SendToRouter{session, reply});
+    run->session = session;
+    const std::uint64_t before = run->dispatch->resumeFrom;
+    run->sent = message.have > before ? std::min(message.have - before, run->tokens()) : 0;
+    run->allowed = run->sent + message.credit;
+    run->endSent = false;
+    flush(*run);
+}
+
+// ---- load and time ----------------------------------------------------------------------
+
+Load AgentCore::load(std::optional<SessionId> session) const
+{
+    Load load;
+    load.sequence = m_loadSequence;
+    load.window = m_window.size();
+    load.running = static_cast<std::uint32_t>(m_running);
+    load.queued = static_cast<std::uint32_t>(m_queue.size());
+    load.tokenGapMicros = static_cast<std::uint32_t>(toSeconds(m_window.gap()) * 1e6);
+    load.leaving = m_draining;
+    if (session) {
+        load.yours = static_cast<std::uint32_t>(std::ranges::count_if(m_runs, [&](const auto &it) {
+            return it.second->session == session && it.second->state != Run::State::Finished;
+        }));
+    }
+    return load;
+}
+
+void AgentCore::reportLoad(bool atOnce, Time now)
+{
+    Load present = load(std::nullopt);
+    present.sequence = m_told.sequence;
+    if (present == m_told || (!atOnce && now - m_toldAt < loadInterval))
+        return;
+    present.sequence = ++m_loadSequence;
+    m_told = present;
+    m_toldAt = now;
+    for (const auto &[id, session] : m_sessions)
+        m_actions.emplace_back(SendToRouter{id, LoadReport{load(id)}});
+}
+
+void AgentCore::drain()
+{
+    m_draining = true;
+    m_counters->set(Gauge::Draining, 1);
+    reportLoad(true, m_toldAt);
+}
+
+void AgentCore::undrain()
+{
+    m_draining = false;
+    m_counters->set(Gauge::Draining, 0);
+    reportLoad(true, m_toldAt);
+}
+
+bool AgentCore::idle() const
+{
+    return std::ranges::all_of(m_runs, [](const auto &it) {
+        const Run &run = *it.second;
+        return run.state == Run::State::Finished && (run.endSent || !run.session);
+    });
+}
+
+std::optional<Duration> AgentCore::tightestTarget() const
+{
+    std::optional<Duration> tightest;
+    for (const auto &[id, run] : m_runs) {
+        if (run->state != Run::State::Running || run->dispatch->interTokenMicros == 0)
+            continue;
+        const Duration target = std::chrono::microseconds(run->dispatch->interTokenMicros);
+        tightest = std::min(tightest.value_or(target), target);
+    }
+    return tightest;
+}
+
+void AgentCore::tick(Time now)
+{
+    m_window.steer(now, static_cast<std::uint32_t>(m_running), tightestTarget());
+    endGrace(now);
+    forgetOld(now);
+    startQueued(now);
+    reportLoad(false, now);
+    m_counters->set(Gauge::Running, static_cast<std::int64_t>(m_running));
+    m_counters->set(Gauge::Queued, static_cast<std::int64_t>(m_queue.size()));
+    m_counters->set(Gauge::Window, m_window.size());
+}
+
+std::vector<AgentAction> AgentCore::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::vector<std::pair<SessionId, std::uint16_t>> AgentCore::heartbeatPorts() const
+{
+    std::vector<std::pair<SessionId, std::uint16_t>> ports;
+    for (const auto &[id, session] : m_sessions) {
+        if (session.heartbeatPort != 0)
+            ports.emplace_back(id, session.heartbeatPort);
+    }
+    return ports;
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/fifoqueue.h
@@ -0,0 +1,50 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The baseline queues that the tiered queue is measured against.
+
+#pragma once
+
+#include <list>
+#include <unordered_map>
+
+#include <reachlead/requestqueue.h>
+
+namespace reachlead::pvt {
+
+/// First come, first served; over all tiers mixed, or strictly tier by tier. The newest request
+/// is refused when the queue is full.
+class FifoQueue : public RequestQueue
+{
+public:
+    enum class Tiers : std::uint8_t { Mixed, Strict };
+
+    FifoQueue(PoliciesPtr policies, Tiers tiers) : m_policies(std::move(policies)), m_tiers(tiers)
+    { }
+
+    void setPolicies(const PoliciesPtr &policies) override { m_policies = policies; }
+    std::optional<ShedRequest> push(const QueuedRequest &request) override;
+    std::optional<QueuedRequest> pop() override;
+    bool remove(const RequestId &id) override;
+    void charge(const ClassName &cls, const AccountName &account, double tokens) override;
+    std::size_t size() const override { return m_places.size(); }
+    std::size_t ahead(Tier tier) const override;
+    std::size_t waiting(const ClassName &cls, const AccountName &account) const override;
+
+private:
+    struct Place
+    {
+        std::size_t row = 0;
+        std::list<QueuedRequest>::iterator it;
+    };
+
+    std::size_t rowOf(const ClassName &cls) const;
+
+    PoliciesPtr m_policies;
+    Tiers m_tiers;
+    std::array<std::list<QueuedRequest>, tierCount> m_rows;
+    std::unordered_map<RequestId, Place> m_places;
+};
+
+} // namespace reachlead::pvt
--- /dev/null
+++ b/src/libreachlead/http.cpp
@@ -0,0 +1,258 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/http.h>
+
+#include <charconv>
+#include <ranges>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largestBody = 8U << 20U;
+constexpr std::chrono::seconds idleLimit{60};
+
+int hexValue(char c)
+{
+    int value = -1;
+    std::from_chars(&c, &c + 1, value, 16);
+    return value;
+}
+
+std::string decodeQuery(std::string_view text)
+{
+    std::string out;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const bool coded = text[n] == '%' && n + 2 < text.size() && hexValue(text[n + 1]) >= 0
+            && hexValue(text[n + 2]) >= 0;
+        if (coded) {
+            out += static_cast<char>(hexValue(text[n + 1]) * 16 + hexValue(text[n + 2]));
+            n += 2;
+        } else {
+            out += text[n];
+        }
+    }
+    return out;
+}
+
+template <class Fields> std::vector<Header> headersOf(const Fields &fields)
+{
+    std::vector<Header> headers;
+    for (const auto &field : fields)
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    return headers;
+}
+
+http::response<http::string_body> toBeast(HttpReply reply, unsigned version, bool keepAlive)
+{
+    http::response<http::string_body> response(static_cast<http::status>(reply.status), version);
+    for (const Header &header : reply.headers)
+        response.set(header.name, header.value);
+    response.body() = std::move(reply.body);
+    response.keep_alive(keepAlive);
+    response.prepare_payload();
+    return response;
+}
+
+} // namespace
+
+std::optional<Endpoint> Endpoint::parse(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    Endpoint endpoint;
+    endpoint.address = text.substr(0, colon);
+    boost::system::error_code ec;
+    asio::ip::make_address(endpoint.address, ec);
+    const char *end = text.data() + text.size();
+    const auto got = std::from_chars(text.data() + colon + 1, end, endpoint.port);
+    if (ec || got.ec != std::errc() || got.ptr != end)
+        return std::nullopt;
+    return endpoint;
+}
+
+std::string Endpoint::text() const
+{
+    return fmt::format("{}:{}", address, port);
+}
+
+std::string_view HttpAsk::header(std::string_view name) const
+{
+    const auto it = std::ranges::find_if(
+        headers, [&](const Header &h) { return boost::algorithm::iequals(h.name, name); });
+    return it == headers.end() ? std::string_view() : std::string_view(it->value);
+}
+
+std::string_view HttpAsk::pathOnly() const
+{
+    return std::string_view(path).substr(0, path.find('?'));
+}
+
+std::string HttpAsk::query(std::string_view name) const
+{
+    const auto mark = path.find('?');
+    if (mark == std::string::npos)
+        return {};
+    for (const auto part : std::string_view(path).substr(mark + 1) | std::views::split('&')) {
+        const std::string_view pair(part.begin(), part.end());
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos)
+            return decodeQuery(pair.substr(equals + 1));
+    }
+    return {};
+}
+
+std::string encodeQuery(std::string_view text)
+{
+    std::string out;
+    for (const char c : text) {
+        const bool plain = (std::isalnum(static_cast<unsigned char>(c)) != 0) || c == '-'
+            || c == '_' || c == '.' || c == '/';
+        out += plain ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+    }
+    return out;
+}
+
+asio::awaitable<std::optional<HttpReply>> httpCall(Endpoint to, HttpAsk ask, Duration limit,
+                                                   std::string *reason, CallProgress *progress)
+{
+    CallProgress ignored{};
+    CallProgress &reached = progress ? *progress : ignored;
+    reached = CallProgress::NotConnected;
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(limit);
+    const tcp::endpoint endpoint(asio::ip::make_address(to.address), to.port);
+    const auto [connectError] = co_await stream.async_connect(endpoint, quietly);
+    if (connectError) {
+        *reason = connectError.message();
+        co_return std::nullopt;
+    }
+    beast::error_code ec;
+    stream.socket().set_option(tcp::no_delay(true), ec);
+
+    http::request<http::string_body> request(http::string_to_verb(ask.method), ask.path, 11);
+    request.method_string(ask.method);
+    request.set(http::field::host, to.text());
+    for (const Header &header : ask.headers)
+        request.set(header.name, header.value);
+    request.body() = std::move(ask.body);
+    request.keep_alive(false);
+    request.prepare_payload();
+    reached = CallProgress::Sent;
+    const auto [writeError, written] = co_await http::async_write(stream, request, quietly);
+    if (writeError) {
+        *reason = writeError.message();
+        co_return std::nullopt;
+    }
+    beast::flat_buffer buf;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largestBody);
+    if (ask.method == "HEAD")
+        parser.skip(true);
+    const auto [readError, read] = co_await http::async_read(stream, buf, parser, quietly);
+    if (readError) {
+        *reason = readError.message();
+        co_return std::nullopt;
+    }
+    reached = CallProgress::Answered;
+    stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    const auto &response = parser.get();
+    HttpReply reply{response.result_int(), headersOf(response), response.body()};
+    co_return reply;
+}
+
+// ---- the server -------------------------------------------------------------------------
+
+struct HttpServer::Shared
+{
+    tcp::acceptor acceptor;
+    Handler handler;
+};
+
+namespace {
+
+template <class SharedPtr> asio::awaitable<void> serveOne(SharedPtr shared, tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::error_code ec;
+    stream.socket().set_option(tcp::no_delay(true), ec);
+    beast::flat_buffer buf;
+    for (;;) {
+        stream.expires_after(idleLimit);
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(largestBody);
+        const auto [readError, read] = co_await http::async_read(stream, buf, parser, quietly);
+        if (readError)
+            break;
+        stream.expires_never();
+        const auto &request = parser.get();
+        HttpAsk ask{std::string(request.method_string()), std::string(request.target()),
+                    headersOf(request), request.body()};
+        const bool keepAlive = request.keep_alive();
+        const unsigned version = request.version();
+        HttpReply reply = co_await shared->handler(std::move(ask));
+        auto response = toBeast(std::move(reply), version, keepAlive);
+        stream.expires_after(idleLimit);
+        const auto [writeError, written] = co_await http::async_write(stream, response, quietly);
+        if (writeError || !keepAlive)
+            break;
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+template <class SharedPtr> asio::awaitable<void> acceptAll(SharedPtr shared)
+{
+    for (;;) {
+        auto [ec, socket] = co_await shared->acceptor.async_accept(quietly);
+        if (ec == asio::error::operation_aborted || !shared->acceptor.is_open())
+            co_return;
+        if (ec)
+            continue;
+        const auto executor = shared->acceptor.get_executor();
+        asio::co_spawn(executor, serveOne(shared, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context &io, const Endpoint &at, Handler handler)
+    : m_shared(std::make_shared<Shared>(Shared{
+          tcp::acceptor(io, {asio::ip::make_address(at.address), at.port}), std::move(handler)}))
+{
+    asio::co_spawn(io, acceptAll(m_shared), asio::detached);
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_shared->acceptor.local_endpoint().port();
+}
+
+void HttpServer::stop()
+{
+    boost::system::error_code ignored;
+    m_shared->acceptor.close(ignored);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/operators/adminserver.cpp
@@ -0,0 +1,79 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "operators/adminserver.h"
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+
+namespace {
+
+bool sameKey(const std::string &expected, std::string_view got)
+{
+    return expected.size() == got.size()
+        && CRYPTO_memcmp(expected.data(), got.data(), got.size()) == 0;
+}
+
+HttpReply plain(unsigned status, std::string text)
+{
+    return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
+}
+
+} // namespace
+
+AdminServer::AdminServer(Options options, std::map<std::string, Page> pages)
+    : m_options(std::move(options)), m_pages(std::move(pages))
+{
+    m_server = std::make_unique<HttpServer>(m_io, m_options.listen,
+                                            [this](HttpAsk ask) -> asio::awaitable<HttpReply> {
+                                                HttpReply reply = answer(ask);
+                                                co_return reply;
+                                            });
+    m_port = m_server->port();
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+AdminServer::~AdminServer()
+{
+    m_io.stop();
+    m_thread.join();
+}
+
+AdminRole AdminServer::roleOf(const HttpAsk &ask) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    std::string_view key = ask.header("Authorization");
+    if (key.starts_with(scheme))
+        key.remove_prefix(scheme.size());
+    if (!m_options.writeKey.empty() && sameKey(m_options.writeKey, key))
+        return AdminRole::Write;
+    if (m_options.readKey.empty() || sameKey(m_options.readKey, key))
+        return AdminRole::Read;
+    return AdminRole::None;
+}
+
+HttpReply AdminServer::answer(const HttpAsk &ask) const
+{
+    const std::string name = fmt::format("{} {}", ask.method, ask.pathOnly());
+    const AdminRole role = roleOf(ask);
+    if (name == "GET /metrics" && role >= AdminRole::Read)
+        return plain(200, m_options.counters->page());
+    const auto it = m_pages.find(name);
+    if (it == m_pages.end())
+        return plain(404, "no such page\n");
+    if (role < it->second.needs)
+        return plain(403, "this key does not allow it\n");
+    if (it->second.needs == AdminRole::Write)
+        LogLine(LogLevel::Info, "operator-order")
+            .with("order", name)
+            .with("who", ask.header("Reachlead-Operator"));
+    return it->second.serve(ask);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/agentlink.cpp
@@ -0,0 +1,160 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/agentlink.h"
+
+#include <algorithm>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+
+AgentLink::AgentLink(asio::io_context &io, const LinkContext &context, Member member)
+    : m_io(io), m_context(context), m_member(std::move(member)), m_timer(io),
+      m_random(context.incarnation.value ^ std::hash<VmName>{}(m_member.vm))
+{ }
+
+void AgentLink::start()
+{
+    dial();
+}
+
+void AgentLink::wait()
+{
+    std::uniform_int_distribution<Duration::rep> spread(0, m_pause.count());
+    m_timer.expires_after(Duration(spread(m_random)));
+    m_pause = std::min(m_pause * 2, longestPause);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec)
+            self->dial();
+    });
+}
+
+void AgentLink::dial()
+{
+    if (!m_life.apply(LinkEvent::Dial))
+        return;
+    boost::system::error_code bad;
+    const auto address = asio::ip::make_address(m_member.address, bad);
+    if (bad) {
+        broken("address is not an IP number");
+        return;
+    }
+    m_dialling = std::make_unique<asio::ip::tcp::socket>(m_io);
+    m_timer.expires_after(greetLimit);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->m_life.state() == LinkState::Connecting) {
+            boost::system::error_code ignored;
+            self->m_dialling->close(ignored);
+        }
+    });
+    m_dialling->async_connect({address, m_member.port},
+                              [self = shared_from_this()](boost::system::error_code ec) {
+                                  if (self->m_life.state() != LinkState::Connecting)
+                                      return;
+                                  if (ec)
+                                      self->broken(ec.message());
+                                  else
+                                      self->greet();
+                              });
+}
+
+void AgentLink::greet()
+{
+    m_life.apply(LinkEvent::Connected);
+    m_connection = std::make_shared<FrameConnection>(std::move(*m_dialling));
+    m_dialling.reset();
+    const auto connection = m_connection;
+    m_connection->start(
+        [self = shared_from_this()](std::string_view payload) { return self->takeFrame(payload); },
+        [self = shared_from_this(), connection](const std::string &reason) {
+            if (self->m_connection == connection)
+                self->broken(reason);
+        });
+    // A session number never used before lets the agent tell the newer of two sessions.
+    const Hello hello{protocolVersion, m_context.vm, m_context.incarnation, ++m_session,
+                      m_context.heartbeatPort};
+    m_connection->send(ToAgent(hello));
+    m_timer.expires_after(greetLimit);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->m_life.state() == LinkState::Greeting)
+            self->drop("no welcome in time");
+    });
+}
+
+bool AgentLink::takeFrame(std::string_view payload)
+{
+    std::string reason;
+    const std::optional<ToRouter> message = decodeToRouter(payload, &reason);
+    if (!message) {
+        m_context.counters->add(Count::HostileFrames);
+        LogLine(LogLevel::Warn, "bad-frame").with("agent", m_member.vm.text).with("reason", reason);
+        return false;
+    }
+    if (m_life.state() == LinkState::Greeting)
+        return takeWelcome(*message);
+    if (m_life.state() == LinkState::Up)
+        m_context.onMessage(m_member.vm, *message);
+    return true;
+}
+
+bool AgentLink::takeWelcome(const ToRouter &message)
+{
+    const auto *welcome = std::get_if<Welcome>(&message);
+    if (!welcome || welcome->version != protocolVersion || welcome->vm != m_member.vm)
+        return false;
+    m_timer.cancel();
+    m_life.apply(LinkEvent::Welcomed);
+    m_pause = firstPause;
+    LogLine(LogLevel::Info, "agent-up")
+        .with("agent", m_member.vm.text)
+        .with("target", welcome->target.text)
+        .with("session", m_session);
+    m_context.onUp(*welcome);
+    return true;
+}
+
+void AgentLink::broken(const std::string &reason)
+{
+    const bool wasUp = m_life.state() == LinkState::Up;
+    if (!m_life.apply(LinkEvent::Broken))
+        return;
+    m_timer.cancel();
+    m_dialling.reset();
+    m_connection.reset();
+    LogLine(wasUp ? LogLevel::Warn : LogLevel::Debug, "agent-down")
+        .with("agent", m_member.vm.text)
+        .with("reason", reason);
+    if (wasUp)
+        m_context.onDown(m_member.vm);
+    wait();
+}
+
+void AgentLink::drop(const std::string &reason)
+{
+    if (m_connection)
+        m_connection->close(reason);
+}
+
+void AgentLink::remove()
+{
+    m_life.apply(LinkEvent::Remove);
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    if (m_dialling)
+        m_dialling->close(ignored);
+    if (const auto connection = std::exchange(m_connection, nullptr))
+        connection->closeWhenWritten();
+}
+
+bool AgentLink::send(const ToAgent &message)
+{
+    if (m_life.state() != LinkState::Up)
+        return false;
+    m_connection->send(message);
+    return true;
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/codec.cpp
@@ -0,0 +1,89 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/codec.h"
+
+#include <bit>
+
+#include "peer/archive.h"
+
+namespace reachlead {
+
+namespace {
+
+static_assert(std::endian::native == std::endian::little,
+              "frames are little-endian; other machines would need swaps in FrameWriter");
+
+template <class Message> void append(std::string *out, const Message &message)
+{
+    const std::size_t start = out->size();
+    out->append(frameHead, '\0');
+    FrameWriter archive(out);
+    archive(message);
+    const auto size = static_cast<std::uint32_t>(out->size() - start - frameHead);
+    std::memcpy(out->data() + start, &size, sizeof size);
+}
+
+template <class Message>
+std::optional<Message> decode(std::string_view payload, std::string *reason)
+{
+    try {
+        Message message;
+        FrameReader archive(payload);
+        archive(message);
+        if (archive.left() != 0) {
+            *reason = "bytes behind the message";
+            return std::nullopt;
+        }
+        return message;
+    } catch (const std::exception &e) {
+        *reason = e.what();
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+void appendFrame(std::string *out, const ToAgent &message)
+{
+    append(out, message);
+}
+
+void appendFrame(std::string *out, const ToRouter &message)
+{
+    append(out, message);
+}
+
+std::optional<std::size_t> frameLength(std::string_view head)
+{
+    std::uint32_t size = 0;
+    std::memcpy(&size, head.data(), sizeof size);
+    if (size > largestFrame)
+        return std::nullopt;
+    return size;
+}
+
+std::optional<ToAgent> decodeToAgent(std::string_view payload, std::string *reason)
+{
+    return decode<ToAgent>(payload, reason);
+}
+
+std::optional<ToRouter> decodeToRouter(std::string_view payload, std::string *reason)
+{
+    return decode<ToRouter>(payload, reason);
+}
+
+std::string encodeHeartbeat(const Heartbeat &beat)
+{
+    std::string out;
+    FrameWriter archive(&out);
+    archive(beat);
+    return out;
+}
+
+std::optional<Heartbeat> decodeHeartbeat(std::string_view payload, std::string *reason)
+{
+    return decode<Heartbeat>(payload, reason);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/sessionserver.cpp
@@ -0,0 +1,186 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/sessionserver.h"
+
+#include <boost/asio/post.hpp>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+SessionServer::SessionServer(Options options, Outlets outlets)
+    : m_options(std::move(options)), m_outlets(std::move(outlets)), m_work(m_io.get_executor()),
+      m_acceptor(m_io, tcp::endpoint(asio::ip::make_address(m_options.address), m_options.port)),
+      m_heartbeats(m_io, udp::endpoint(asio::ip::make_address(m_options.address), 0)),
+      m_port(m_acceptor.local_endpoint().port()), m_tick(m_io)
+{
+    m_core = AgentCore::Builder()
+                 .vm(m_options.vm)
+                 .zone(m_options.zone)
+                 .target(m_options.target)
+                 .incarnation(m_options.incarnation)
+                 .tuning(m_options.tuning)
+                 .counters(m_options.counters)
+                 .build();
+    m_heartbeats.non_blocking(true);
+    m_thread = std::thread([this] { run(); });
+}
+
+SessionServer::~SessionServer()
+{
+    asio::post(m_io, [this] {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        m_tick.cancel();
+        for (auto &[id, connection] : m_connections)
+            connection->closeWhenWritten();
+        m_work.reset();
+        auto limit = std::make_shared<Timer>(m_io, milliseconds(200));
+        limit->async_wait([this, limit](boost::system::error_code) { m_io.stop(); });
+    });
+    m_thread.join();
+}
+
+void SessionServer::run()
+{
+    accept();
+    scheduleTick();
+    m_io.run();
+}
+
+void SessionServer::post(std::function<void(AgentCore &)> change)
+{
+    asio::post(m_io, [this, change = std::move(change)] {
+        change(*m_core);
+        act();
+    });
+}
+
+void SessionServer::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec)
+            serve(std::move(socket));
+        accept();
+    });
+}
+
+void SessionServer::serve(tcp::socket socket)
+{
+    const SessionId session{++m_lastSession};
+    const auto connection = std::make_shared<FrameConnection>(std::move(socket));
+    m_connections[session] = connection;
+    connection->start(
+        [this, session](std::string_view payload) { return takeFrame(session, payload); },
+        [this, session](const std::string &reason) {
+            LogLine(LogLevel::Info, "session-closed")
+                .with("session", static_cast<std::uint64_t>(session))
+                .with("reason", reason);
+            m_connections.erase(session);
+            m_core->sessionClosed(session, RuntimeClock::now());
+            act();
+        });
+}
+
+bool SessionServer::takeFrame(SessionId session, std::string_view payload)
+{
+    std::string reason;
+    const std::optional<ToAgent> message = decodeToAgent(payload, &reason);
+    if (!message) {
+        m_options.counters->add(Count::HostileFrames);
+        LogLine(LogLevel::Warn, "bad-frame")
+            .with("session", static_cast<std::uint64_t>(session))
+            .with("reason", reason);
+        return false;
+    }
+    m_core->message(session, *message, RuntimeClock::now());
+    act();
+    return true;
+}
+
+void SessionServer::act()
+{
+    for (AgentAction &action : m_core->takeActions())
+        std::visit([this](auto &a) { perform(a); }, action);
+}
+
+void SessionServer::perform(SendToRouter &action)
+{
+    const auto it = m_connections.find(action.session);
+    if (it != m_connections.end())
+        it->second->send(action.message);
+}
+
+void SessionServer::perform(CloseSession &action)
+{
+    const auto it = m_connections.find(action.session);
+    if (it != m_connections.end())
+        it->second->close(action.reason);
+}
+
+void SessionServer::perform(StartUpstream &action)
+{
+    m_outlets.start(action);
+}
+
+void SessionServer::perform(CancelUpstream &action)
+{
+    m_outlets.cancel(action);
+}
+
+void SessionServer::perform(MakeClaim &action)
+{
+    m_outlets.claim(action);
+}
+
+void SessionServer::perform(ReleaseClaim &action)
+{
+    m_outlets.release(action);
+}
+
+void SessionServer::scheduleTick()
+{
+    m_tick.expires_after(tickInterval);
+    m_tick.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        const Time now = RuntimeClock::now();
+        m_core->tick(now);
+        act();
+        if (now - m_beatAt >= beatInterval) {
+            m_beatAt = now;
+            beat();
+        }
+        scheduleTick();
+    });
+}
+
+/// Sends a datagram to each router. A full socket buffer loses it, as the network may.
+void SessionServer::beat()
+{
+    ++m_beatSequence;
+    for (const auto &[session, port] : m_core->heartbeatPorts()) {
+        const auto it = m_connections.find(session);
+        if (it == m_connections.end())
+            continue;
+        const Heartbeat beat{protocolVersion, m_options.vm, m_options.incarnation, m_beatSequence,
+                             m_core->load(session)};
+        boost::system::error_code ec;
+        const auto address = asio::ip::make_address(it->second->remoteAddress(), ec);
+        if (ec)
+            continue;
+        m_heartbeats.send_to(asio::buffer(encodeHeartbeat(beat)), udp::endpoint(address, port), 0,
+                             ec);
+        if (!ec)
+            m_options.counters->add(Count::HeartbeatsSent);
+    }
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -0,0 +1,137 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "agentdaemon.h"
+
+#include <boost/json.hpp>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds stopPoll{20};
+
+void apply(AgentCore &core, UpstreamToken &event, Time now)
+{
+    core.upstreamToken(event.key, event.text, now);
+}
+
+void apply(AgentCore &core, UpstreamDone &event, Time now)
+{
+    core.upstreamDone(event.key, now);
+}
+
+void apply(AgentCore &core, UpstreamAnswer &event, Time now)
+{
+    core.upstreamAnswer(event.key, event.reply.status, std::move(event.reply.headers),
+                        std::move(event.reply.body), now);
+}
+
+void apply(AgentCore &core, UpstreamFailure &event, Time now)
+{
+    core.upstreamFailed(event.key, event.kind, event.outcome, event.reason, now);
+}
+
+HttpReply jsonReply(std::string body)
+{
+    return {200, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+} // namespace
+
+AgentDaemon::AgentDaemon(AgentSettings settings) : m_settings(std::move(settings))
+{
+    m_settings.sessions.incarnation = makeIncarnation();
+    m_settings.sessions.counters = &m_counters;
+    m_settings.operators.counters = &m_counters;
+    m_upstream = std::make_unique<UpstreamClient>(m_settings.upstream, [this] {
+        m_sessions->post([this](AgentCore &core) { takeUpstreamEvents(core); });
+    });
+    SessionServer::Outlets outlets;
+    outlets.start = [this](const StartUpstream &call) { m_upstream->start(call); };
+    outlets.cancel = [this](const CancelUpstream &call) { m_upstream->cancel(call); };
+    outlets.claim = [this](const MakeClaim &claim) {
+        m_sessions->post([key = claim.key](AgentCore &core) {
+            core.claimEnded(key, ClaimResult::StoreDown, RuntimeClock::now());
+        });
+    };
+    outlets.release = [](const ReleaseClaim &) { };
+    m_sessions = std::make_unique<SessionServer>(m_settings.sessions, std::move(outlets));
+    m_operators = std::make_unique<AdminServer>(m_settings.operators, pages());
+    LogLine(LogLevel::Info, "started")
+        .with("vm", m_settings.sessions.vm.text)
+        .with("zone", m_settings.sessions.zone.text)
+        .with("target", m_settings.sessions.target.text)
+        .with("sessions", m_sessions->port())
+        .with("operators", m_operators->port());
+}
+
+AgentDaemon::~AgentDaemon()
+{
+    m_operators.reset();
+    // The upstream's thread posts to the gate's; it ends first.
+    m_upstream->join();
+    m_sessions.reset();
+    m_upstream.reset();
+}
+
+void AgentDaemon::takeUpstreamEvents(AgentCore &core)
+{
+    const Time now = RuntimeClock::now();
+    for (UpstreamEvent &event : m_upstream->takeEvents())
+        std::visit([&](auto &e) { apply(core, e, now); }, event);
+}
+
+void AgentDaemon::stop()
+{
+    m_sessions->post([](AgentCore &core) { core.drain(); });
+    const auto limit = std::chrono::steady_clock::now() + m_settings.stopLimit;
+    bool idle = false;
+    while (!idle && std::chrono::steady_clock::now() < limit) {
+        idle = m_sessions->ask<bool>([](AgentCore &core) { return core.idle(); }).get();
+        if (!idle)
+            std::this_thread::sleep_for(stopPoll);
+    }
+    LogLine(idle ? LogLevel::Info : LogLevel::Warn, "stopped").with("idle", idle);
+}
+
+std::map<std::string, AdminServer::Page> AgentDaemon::pages()
+{
+    const auto drains = [this](bool drain) {
+        return [this, drain](const HttpAsk &) {
+            m_sessions->post([drain](AgentCore &core) {
+                if (drain)
+                    core.drain();
+                else
+                    core.undrain();
+            });
+            return jsonReply(drain ? "{\"draining\":true}" : "{\"draining\":false}");
+        };
+    };
+    return {
+        {"GET /status", {AdminRole::Read, [this](const HttpAsk &) { return jsonReply(status()); }}},
+        {"POST /drain", {AdminRole::Write, drains(true)}},
+        {"POST /undrain", {AdminRole::Write, drains(false)}},
+    };
+}
+
+std::string AgentDaemon::status()
+{
+    const Load load =
+        m_sessions->ask<Load>([](AgentCore &core) { return core.load(std::nullopt); }).get();
+    return json::serialize(json::object{{"vm", m_settings.sessions.vm.text},
+                                        {"zone", m_settings.sessions.zone.text},
+                                        {"role", "agent"},
+                                        {"target", m_settings.sessions.target.text},
+                                        {"window", load.window},
+                                        {"running", load.running},
+                                        {"queued", load.queued},
+                                        {"token_gap_us", load.tokenGapMicros},
+                                        {"leaving", load.leaving}});
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-agent/agentsettings.h
@@ -0,0 +1,34 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The process settings of an agent, read from its INI file.
+
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <reachlead/inifile.h>
+
+#include "operators/adminserver.h"
+#include "peer/sessionserver.h"
+#include "upstream/upstreamclient.h"
+
+namespace reachlead {
+
+struct AgentSettings
+{
+    SessionServer::Options sessions;
+    UpstreamClient::Options upstream;
+    AdminServer::Options operators;
+    std::optional<Endpoint> platform; ///< none: keys cannot be claimed, and such calls are refused
+    Duration platformLimit = seconds(2);
+    Duration stopLimit = seconds(120); ///< for requests in progress at a stop
+    std::size_t logLevel = 1;
+
+    /// Fills in what the file says; the first fault, if any.
+    std::optional<std::string> read(const IniFile &file);
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-router/routersettings.h
@@ -0,0 +1,35 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The process settings of a router, read from its INI file.
+
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include <reachlead/inifile.h>
+
+#include "caller/callerserver.h"
+#include "operators/adminserver.h"
+#include "peer/dispatcher.h"
+#include "platform/follower.h"
+
+namespace reachlead {
+
+struct RouterSettings
+{
+    Dispatcher::Options dispatcher;
+    CallerServer::Options callers;
+    PlatformFollower::Options platform;
+    AdminServer::Options operators;
+    Duration stopNotice = seconds(2); ///< between a failing health page and the last accept
+    Duration stopLimit = seconds(120); ///< for requests in progress at a stop
+    std::size_t logLevel = 1;
+
+    /// Fills in what the file says; the first fault, if any.
+    std::optional<std::string> read(const IniFile &file);
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-standin/enginestandin.cpp
@@ -0,0 +1,282 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "enginestandin.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace reachlead::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t prefixBytes = 256;
+
+std::string chunk(std::string_view data)
+{
+    return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+std::string plainReply(const HttpReply &reply)
+{
+    return fmt::format("HTTP/1.1 {} X\r\nContent-Type: application/json\r\n"
+                       "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+                       reply.status, reply.body.size(), reply.body);
+}
+
+/// The text the plan is made from: the last message's content, or the plain prompt.
+std::string promptOf(const json::object &body)
+{
+    if (const json::value *prompt = body.if_contains("prompt"); prompt && prompt->is_string())
+        return std::string(prompt->get_string());
+    const json::value *messages = body.if_contains("messages");
+    if (!messages || !messages->is_array() || messages->get_array().empty())
+        return {};
+    const json::value &last = messages->get_array().back();
+    const json::value *content =
+        last.is_object() ? last.get_object().if_contains("content") : nullptr;
+    return content && content->is_string() ? std::string(content->get_string()) : std::string();
+}
+
+std::uint64_t numberOf(const json::object &body, const char *name)
+{
+    const json::value *value = body.if_contains(name);
+    return value && value->is_number() ? value->to_number<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+EngineStandin::EngineStandin(asio::io_context &io, const Endpoint &listen, EngineSpeed speed)
+    : m_io(io), m_acceptor(io, tcp::endpoint(asio::ip::make_address(listen.address), listen.port)),
+      m_speed(speed)
+{
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    asio::co_spawn(io, accept(), asio::detached);
+    asio::co_spawn(io, steps(), asio::detached);
+}
+
+asio::awaitable<void> EngineStandin::accept()
+{
+    for (;;) {
+        auto [ec, socket] = co_await m_acceptor.async_accept(quietly);
+        if (ec == asio::error::operation_aborted)
+            co_return;
+        if (!ec)
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> EngineStandin::serve(tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    boost::beast::flat_buffer buf;
+    http::request<http::string_body> request;
+    const auto [ec, n] = co_await http::async_read(socket, buf, request, quietly);
+    if (ec)
+        co_return;
+    const HttpAsk ask{
+        std::string(request.method_string()), std::string(request.target()), {}, request.body()};
+    const SequencePtr sequence = ask.path.starts_with("/v1/") ? begin(ask) : nullptr;
+    if (sequence) {
+        const bool whole = co_await stream(socket, sequence);
+        ++(whole ? m_completed : m_cancelled);
+    } else {
+        const std::string reply = plainReply(page(ask));
+        co_await asio::async_write(socket, asio::buffer(reply), quietly);
+    }
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+/// Queues a request; null when it is refused or not understood.
+EngineStandin::SequencePtr EngineStandin::begin(const HttpAsk &ask)
+{
+    json::error_code ec;
+    const json::value root = json::parse(ask.body, ec);
+    if (ec || !root.is_object() || m_faults.refuse)
+        return nullptr;
+    const json::object &body = root.get_object();
+    const std::string prompt = promptOf(body);
+    auto sequence = std::make_shared<Sequence>();
+    sequence->plan = planAnswer(prompt);
+    if (const json::value *id = body.if_contains("request_id"); id && id->is_string())
+        sequence->requestId = id->get_string();
+    sequence->made = numberOf(body, "resume_from");
+    sequence->priority = static_cast<int>(numberOf(body, "priority"));
+    sequence->arrival = m_arrivals++;
+    sequence->wake = std::make_unique<Timer>(m_io);
+    ++m_begun[sequence->requestId];
+
+    const std::uint64_t prefix = XXH64(prompt.data(), std::min(prompt.size(), prefixBytes), 0);
+    const auto cached = std::ranges::find(m_prefixes, prefix);
+    const bool hit = cached != m_prefixes.end();
+    if (hit)
+        m_prefixes.erase(cached);
+    m_prefixes.push_front(prefix);
+    if (m_prefixes.size() > m_speed.cachedPrefixes)
+        m_prefixes.pop_back();
+    sequence->readyAt = RuntimeClock::now() + (hit ? m_speed.prefill / 10 : m_speed.prefill);
+    const auto place = std::ranges::find_if(
+        m_waiting, [&](const SequencePtr &it) { return it->priority > sequence->priority; });
+    m_waiting.insert(place, sequence);
+    return sequence;
+}
+
+asio::awaitable<bool> EngineStandin::stream(tcp::socket &socket, SequencePtr sequence)
+{
+    std::string out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n";
+    bool gone = false;
+    socket.async_wait(tcp::socket::wait_read, [&gone, sequence](boost::system::error_code ec) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        gone = true;
+        sequence->wake->cancel();
+    });
+    bool whole = false;
+    while (!gone) {
+        out += std::exchange(sequence->out, {});
+        if (!out.empty()) {
+            const auto [ec, n] = co_await asio::async_write(socket, asio::buffer(out), quietly);
+            out.clear();
+            if (ec || gone)
+                break;
+            continue;
+        }
+        if (sequence->cut)
+            break;
+        if (sequence->ended) {
+            whole = true;
+            break;
+        }
+        sequence->wake->expires_at(Time::max());
+        co_await sequence->wake->async_wait(quietly);
+    }
+    m_waiting.remove(sequence);
+    m_running.remove(sequence);
+    // The handler of the wait above refers to this frame: it must have run before the frame ends.
+    boost::system::error_code ignored;
+    if (!gone) {
+        socket.cancel(ignored);
+        Timer turn(m_io, Duration::zero());
+        co_await turn.async_wait(quietly);
+    }
+    co_return whole;
+}
+
+asio::awaitable<void> EngineStandin::steps()
+{
+    Timer timer(m_io);
+    Time next = RuntimeClock::now();
+    for (;;) {
+        const auto others =
+            static_cast<Duration::rep>(std::max<std::size_t>(m_running.size(), 1) - 1);
+        const Duration length = m_speed.step + m_speed.stepPerRequest * others;
+        const auto slowed = std::chrono::duration_cast<Duration>(length * m_faults.slow);
+        next = std::max(next + slowed, RuntimeClock::now());
+        timer.expires_at(next);
+        co_await timer.async_wait(quietly);
+        if (!m_faults.stall)
+            step();
+    }
+}
+
+void EngineStandin::admit(Time now)
+{
+    auto it = m_waiting.begin();
+    while (it != m_waiting.end() && m_running.size() < m_speed.batch) {
+        if ((*it)->readyAt > now) {
+            ++it;
+            continue;
+        }
+        m_running.push_back(*it);
+        it = m_waiting.erase(it);
+    }
+}
+
+void EngineStandin::step()
+{
+    admit(RuntimeClock::now());
+    auto it = m_running.begin();
+    while (it != m_running.end()) {
+        Sequence &sequence = **it;
+        if (sequence.made < sequence.plan.tokens) {
+            const std::string token = answerToken(sequence.plan, sequence.made);
+            sequence.out += chunk(fmt::format(
+                "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n",
+                token));
+            ++sequence.made;
+            ++sequence.madeHere;
+            ++m_tokens;
+        }
+        sequence.cut = m_faults.cutAfter > 0 && sequence.madeHere >= m_faults.cutAfter;
+        sequence.ended = !sequence.cut && sequence.made >= sequence.plan.tokens;
+        if (sequence.ended)
+            sequence.out += chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+        sequence.wake->cancel();
+        if (sequence.ended || sequence.cut)
+            it = m_running.erase(it);
+        else
+            ++it;
+    }
+}
+
+HttpReply EngineStandin::page(const HttpAsk &ask)
+{
+    if (ask.path == "/stats")
+        return stats();
+    if (ask.path == "/faults")
+        return setFaults(ask);
+    return {m_faults.refuse ? 503U : 404U, {}, "{}"};
+}
+
+HttpReply EngineStandin::stats() const
+{
+    json::object begun;
+    for (const auto &[id, n] : m_begun)
+        begun[id] = n;
+    return {200,
+            {},
+            json::serialize(json::object{{"waiting", m_waiting.size()},
+                                         {"running", m_running.size()},
+                                         {"completed", m_completed},
+                                         {"cancelled", m_cancelled},
+                                         {"tokens", m_tokens},
+                                         {"begun", begun}})};
+}
+
+HttpReply EngineStandin::setFaults(const HttpAsk &ask)
+{
+    json::error_code ec;
+    const json::value root = json::parse(ask.body, ec);
+    if (ec || !root.is_object())
+        return {400, {}, "{}"};
+    const json::object &object = root.get_object();
+    if (const json::value *slow = object.if_contains("slow"))
+        m_faults.slow = slow->to_number<double>();
+    if (const json::value *stall = object.if_contains("stall"))
+        m_faults.stall = stall->as_bool();
+    if (const json::value *refuse = object.if_contains("refuse"))
+        m_faults.refuse = refuse->as_bool();
+    if (object.contains("cut_after"))
+        m_faults.cutAfter = numberOf(object, "cut_after");
+    return {200, {}, "{}"};
+}
+
+} // namespace reachlead::standin
--- /dev/null
+++ b/src/reachlead-standin/platformstandin.cpp
@@ -0,0 +1,198 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "platformstandin.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "platform/wire.h"
+
+namespace reachlead::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds watchPoll{10};
+
+std::uint64_t number(const std::string &text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+HttpReply reply(unsigned status, std::string body)
+{
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+asio::awaitable<void> sleepFor(asio::io_context &io, Duration d)
+{
+    Timer timer(io, d);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace
+
+asio::awaitable<HttpReply> PlatformStandin::serve(HttpAsk ask)
+{
+    const std::string path(ask.pathOnly());
+    ++m_calls[fmt::format("{} {}", ask.method, path)];
+    if (path == "/faults")
+        co_return setFaults(ask);
+    if (path == "/counts")
+        co_return counts();
+    if (path == "/members" && ask.method == "PUT")
+        co_return setMembers(ask);
+    if (m_faults.slowMillis > 0)
+        co_await sleepFor(m_io, milliseconds(m_faults.slowMillis));
+    if (m_faults.down)
+        co_return reply(503, "{}");
+    if (path == "/members")
+        co_return reply(200, membersToJson(m_members));
+    if (path == "/watch") {
+        HttpReply answer = co_await watch(std::move(ask));
+        co_return answer;
+    }
+    if (path != "/objects")
+        co_return reply(404, "{}");
+    if (ask.method == "GET")
+        co_return read(ask);
+    HttpReply answer = write(ask);
+    if (m_faults.loseReplies > 0) {
+        --m_faults.loseReplies;
+        answer = reply(500, ""); // the client learns nothing of what took effect
+    }
+    co_return answer;
+}
+
+std::map<std::string, PlatformObject> PlatformStandin::stateAt(std::uint64_t version) const
+{
+    std::map<std::string, PlatformObject> state;
+    for (const PlatformObject &change : m_log) {
+        if (static_cast<std::uint64_t>(change.version) > version)
+            break;
+        state[change.key] = change;
+    }
+    return state;
+}
+
+HttpReply PlatformStandin::read(const HttpAsk &ask) const
+{
+    const std::uint64_t version = m_version - std::min(m_version, m_faults.staleReads);
+    const auto state = m_faults.staleReads > 0 ? stateAt(version) : m_objects;
+    const std::string key = ask.query("key");
+    std::vector<PlatformObject> found;
+    if (!key.empty()) {
+        const auto it = state.find(key);
+        if (it == state.end() || it->second.deleted)
+            return reply(404, objectsToJson(ObjectVersion{version}, {}));
+        return reply(200, objectsToJson(it->second.version, {it->second}));
+    }
+    const std::string prefix = ask.query("prefix");
+    for (const auto &[name, object] : state) {
+        if (name.starts_with(prefix) && !object.deleted)
+            found.push_back(object);
+    }
+    return reply(200, objectsToJson(ObjectVersion{version}, found));
+}
+
+HttpReply PlatformStandin::write(const HttpAsk &ask)
+{
+    const std::string key = ask.query("key");
+    const std::uint64_t expected = number(ask.query("expected"));
+    const auto it = m_objects.find(key);
+    const bool exists = it != m_objects.end() && !it->second.deleted;
+    const std::uint64_t present = exists ? static_cast<std::uint64_t>(it->second.version) : 0;
+    if (key.empty() || expected != present) {
+        std::vector<PlatformObject> now;
+        if (exists)
+            now.push_back(it->second);
+        return reply(409, objectsToJson(ObjectVersion{present}, now));
+    }
+    const bool deletes = ask.method == "DELETE";
+    const PlatformObject object{key, ObjectVersion{++m_version}, deletes ? "" : ask.body, deletes};
+    m_objects[key] = object;
+    m_log.push_back(object);
+    return reply(200, objectsToJson(object.version, {object}));
+}
+
+std::vector<PlatformObject> PlatformStandin::changesAfter(const std::string &prefix,
+                                                          std::uint64_t from) const
+{
+    std::vector<PlatformObject> changes;
+    const auto begin = std::ranges::upper_bound(m_log, from, {}, [](const PlatformObject &o) {
+        return static_cast<std::uint64_t>(o.version);
+    });
+    std::copy_if(begin, m_log.end(), std::back_inserter(changes),
+                 [&](const PlatformObject &o) { return o.key.starts_with(prefix); });
+    return changes;
+}
+
+asio::awaitable<HttpReply> PlatformStandin::watch(HttpAsk ask)
+{
+    const std::string prefix = ask.query("prefix");
+    const std::uint64_t from = number(ask.query("from"));
+    const Time until = RuntimeClock::now() + milliseconds(number(ask.query("wait_ms")));
+    ++m_waitingWatches;
+    m_mostWaiting = std::max(m_mostWaiting, m_waitingWatches);
+    std::vector<PlatformObject> changes = changesAfter(prefix, from);
+    while (changes.empty() && RuntimeClock::now() < until && !m_faults.down) {
+        co_await sleepFor(m_io, watchPoll);
+        changes = changesAfter(prefix, from);
+    }
+    --m_waitingWatches;
+    if (m_faults.down)
+        co_return reply(503, "{}");
+    co_return reply(200, objectsToJson(ObjectVersion{m_version}, changes));
+}
+
+HttpReply PlatformStandin::setFaults(const HttpAsk &ask)
+{
+    json::error_code ec;
+    const json::value root = json::parse(ask.body, ec);
+    if (ec || !root.is_object())
+        return reply(400, "{}");
+    const json::object &object = root.get_object();
+    const auto take = [&](const char *name, std::uint64_t *out) {
+        if (const json::value *value = object.if_contains(name))
+            *out = value->to_number<std::uint64_t>();
+    };
+    if (const json::value *down = object.if_contains("down"))
+        m_faults.down = down->as_bool();
+    take("lose_replies", &m_faults.loseReplies);
+    take("stale_reads", &m_faults.staleReads);
+    take("slow_ms", &m_faults.slowMillis);
+    return reply(200, "{}");
+}
+
+HttpReply PlatformStandin::setMembers(const HttpAsk &ask)
+{
+    auto members = membersFromJson(ask.body);
+    if (!members)
+        return reply(400, "{}");
+    m_members = std::move(*members);
+    return reply(200, "{}");
+}
+
+HttpReply PlatformStandin::counts() const
+{
+    json::object calls;
+    for (const auto &[name, n] : m_calls)
+        calls[name] = n;
+    return reply(200,
+                 json::serialize(json::object{{"calls", calls},
+                                              {"version", m_version},
+                                              {"waiting_watches", m_waitingWatches},
+                                              {"most_waiting_watches", m_mostWaiting}}));
+}
+
+} // namespace reachlead::standin
--- /dev/null
+++ b/src/reachlead-standin/servicestandin.h
@@ -0,0 +1,39 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A small stand-in for a plain service, which alone knows what really ran.
+
+#pragma once
+
+#include <map>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <reachlead/http.h>
+
+namespace reachlead::standin {
+
+class ServiceStandin
+{
+public:
+    ServiceStandin(boost::asio::io_context &io, std::string name)
+        : m_io(io), m_name(std::move(name))
+    { }
+
+    /// The handler for an HttpServer on the same io_context. Any path is a call that runs; beside
+    /// them `POST /faults` (`slow_ms`, `refuse`) and `GET /runs`.
+    boost::asio::awaitable<HttpReply> serve(HttpAsk ask);
+
+private:
+    boost::asio::io_context &m_io;
+    std::string m_name;
+    std::uint64_t m_total = 0;
+    std::map<std::string, std::uint64_t> m_runs; ///< by request id
+    std::map<std::string, std::uint64_t> m_byKey; ///< by idempotency key
+    std::uint64_t m_slowMillis = 0;
+    bool m_refuse = false;
+};
+
+} // namespace reachlead::standin
--- /dev/null
+++ b/src/upstream/enginecall.h
@@ -0,0 +1,32 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The JSON between an agent and a model engine.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <reachlead/messages.h>
+
+namespace reachlead {
+
+/// The body for the engine: the caller's, with streaming on, and the priority, the request id and
+/// where to resume set. Empty when the caller's body is not a JSON object.
+std::optional<std::string> engineBody(const Dispatch &dispatch);
+
+/// One event of an engine's stream.
+struct EngineEvent
+{
+    enum class Kind : std::uint8_t { Text, Nothing, Done, Broken };
+    Kind kind = Kind::Nothing;
+    std::string text;
+};
+
+/// Reads the data of one server-sent event.
+EngineEvent readEngineEvent(std::string_view data);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/upstream/upstreamclient.h
@@ -0,0 +1,92 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The upstream thread of an agent: carries calls to the one engine or plain service beside it.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <thread>
+#include <variant>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <reachlead/agentcore.h>
+#include <reachlead/http.h>
+#include <reachlead/ring.h>
+
+namespace reachlead {
+
+/// What the upstream did with an attempt.
+struct UpstreamToken
+{
+    AttemptKey key;
+    std::string text;
+};
+struct UpstreamDone
+{
+    AttemptKey key;
+};
+struct UpstreamAnswer
+{
+    AttemptKey key;
+    HttpReply reply;
+};
+struct UpstreamFailure
+{
+    AttemptKey key;
+    ErrorKind kind = ErrorKind::None;
+    Outcome outcome = Outcome::Unknown;
+    std::string reason;
+};
+using UpstreamEvent = std::variant<UpstreamToken, UpstreamDone, UpstreamAnswer, UpstreamFailure>;
+
+/// The public functions may be called from any thread.
+class UpstreamClient
+{
+public:
+    struct Options
+    {
+        Endpoint upstream;
+        Duration connectLimit = seconds(2);
+        Duration stallLimit = seconds(20); ///< silence after which a stream is given up
+        Duration serviceLimit = seconds(60); ///< for a plain service's whole answer
+        std::size_t ringSize = 8192;
+    };
+
+    /// \p wake is called when events wait; takeEvents() then gives them.
+    UpstreamClient(Options options, std::function<void()> wake);
+    ~UpstreamClient();
+
+    /// Ends the thread; calls in progress are cut. Further commands do nothing.
+    void join();
+    void start(const StartUpstream &call);
+    void cancel(const CancelUpstream &call);
+    std::vector<UpstreamEvent> takeEvents() { return m_events.drain(); }
+
+private:
+    using Command = std::variant<StartUpstream, CancelUpstream>;
+    using Awaitable = boost::asio::awaitable<void>;
+
+    void takeCommands();
+    void launch(const StartUpstream &call);
+    Awaitable callEngine(StartUpstream call);
+    Awaitable callService(StartUpstream call);
+    Awaitable emit(UpstreamEvent event);
+
+    Options m_options;
+    std::map<AttemptKey, std::unique_ptr<boost::asio::cancellation_signal>> m_running;
+    boost::asio::io_context m_io{1}; ///< ends before the signals its calls hold slots of
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    Ring<Command> m_commands;
+    Ring<UpstreamEvent> m_events;
+    std::thread m_thread;
+};
+
+} // namespace reachlead
