--- /dev/null
+++ b/src/caller/openai_test.cpp
@@ -0,0 +1,93 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <boost/json.hpp>
+
+#include "caller/openai.h"
+
+namespace reachlead {
+
+class OpenAiTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OpenAiTest);
+    CPPUNIT_TEST(readsBothKinds);
+    CPPUNIT_TEST(namesWhatIsWrong);
+    CPPUNIT_TEST(anyBytesAreTaken);
+    CPPUNIT_TEST(anyTextIsQuoted);
+    CPPUNIT_TEST(answersAreJson);
+    CPPUNIT_TEST_SUITE_END();
+
+    void readsBothKinds()
+    {
+        std::string reason;
+        const auto chat = parseModelAsk(
+            R"({"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]})",
+            CompletionKind::Chat, &reason);
+        CPPUNIT_ASSERT(chat && chat->stream && chat->model == "m" && chat->prefixHash != 0);
+        const auto plain =
+            parseModelAsk(R"({"model":"m","prompt":"x"})", CompletionKind::Plain, &reason);
+        CPPUNIT_ASSERT(plain && !plain->stream);
+    }
+
+    void namesWhatIsWrong()
+    {
+        const auto reasonOf = [](std::string_view body) {
+            std::string reason;
+            CPPUNIT_ASSERT(!parseModelAsk(body, CompletionKind::Chat, &reason));
+            return reason;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("the body is not a JSON object"), reasonOf("[1]"));
+        CPPUNIT_ASSERT_EQUAL(std::string("'model' is missing or not a string"),
+                             reasonOf(R"({"model":1})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("'messages' is missing or empty"),
+                             reasonOf(R"({"model":"m","messages":[]})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("'stream' is not a boolean"),
+                             reasonOf(R"({"model":"m","messages":[1],"stream":"y"})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("the body is not a JSON object"),
+                             reasonOf(std::string(100000, '[')));
+    }
+
+    void anyBytesAreTaken()
+    {
+        const bool good = rc::check("any bytes", [](const std::string &bytes) {
+            std::string reason;
+            (void)parseModelAsk(bytes, CompletionKind::Chat, &reason);
+        });
+        CPPUNIT_ASSERT(good);
+    }
+
+    void anyTextIsQuoted()
+    {
+        const bool good = rc::check("quoted text comes back", [] {
+            const auto text = *rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
+            RC_ASSERT(boost::json::parse(quoteJson(text)).as_string() == text);
+        });
+        CPPUNIT_ASSERT(good);
+    }
+
+    void answersAreJson()
+    {
+        const RequestId id{Incarnation{1}, 2};
+        for (const auto kind : {CompletionKind::Chat, CompletionKind::Plain}) {
+            const AnswerWriter writer(kind, id, "m\"x");
+            const auto whole = boost::json::parse(writer.whole("a\nb", 2));
+            CPPUNIT_ASSERT(whole.at("usage").at("completion_tokens") == 2);
+            const std::string piece = writer.piece("t");
+            CPPUNIT_ASSERT(piece.starts_with("data: {") && piece.ends_with("}\n\n"));
+            boost::json::parse(piece.substr(6));
+            CPPUNIT_ASSERT(writer.finish(2).ends_with("data: [DONE]\n\n"));
+        }
+        const auto error = boost::json::parse(
+            errorJson(ErrorKind::PredictedLate, Outcome::NotRun, id, "why \"so\""));
+        CPPUNIT_ASSERT(error.at("error").at("kind") == "predicted-late");
+        CPPUNIT_ASSERT(error.at("error").at("outcome") == "not-run");
+        CPPUNIT_ASSERT(error.at("error").at("retry_after") == 5);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OpenAiTest);
+
+} // namespace reachlead
--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -148,7 +148,8 @@
 
     // ---- the rest ----
 
-    /// Refuses new work from now on, and tells every router at once.
+    /// Refuses new work from now on, and tells every router at once. What has not reached the
+    /// upstream yet is given back to its router as not run.
     void drain();
     /// Takes work again.
     void undrain();
@@ -183,6 +184,7 @@
     void handle(SessionId session, const Cancel &message, Time now);
     void handle(SessionId session, const Credit &message, Time now);
     void handle(SessionId session, const Query &message, Time now);
+    void handle(SessionId session, const Leaving &message, Time now);
     void detach(SessionId session, Time now);
     void destroySession(SessionId session, const std::string &reason, Time now);
     void refuse(SessionId session, const AttemptKey &key, ErrorKind kind, std::string reason);
@@ -190,7 +192,9 @@
     void enqueue(Run &run);
     void shedQueue();
     void startQueued(Time now);
+    bool wokeJustNow(Time now);
     void start(Run &run, Time now);
+    void applyDrain();
     void reportLoad(bool atOnce, Time now);
     std::optional<Duration> tightestTarget() const;
 
@@ -214,7 +218,9 @@
     Counters *m_counters;
     std::unique_ptr<Counters> m_ownCounters;
     AdmissionWindow m_window;
-    bool m_draining = false;
+    bool m_draining = false; ///< what the two flags below come to
+    bool m_toldToDrain = false; ///< by an operator or a signal
+    bool m_leavingByList = false; ///< by a router that read the membership list
 
     std::map<SessionId, Session> m_sessions;
     std::unordered_map<RequestId, RunPtr> m_runs;
@@ -228,6 +234,8 @@
     std::uint64_t m_loadSequence = 0;
     Load m_told; ///< last load told
     Time m_toldAt{};
+    std::optional<Time> m_tickedAt;
+    Time m_holdUntil{}; ///< nothing starts before, as the process has just woken
     Time m_forgotAt{};
     std::vector<AgentAction> m_actions;
 };
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -133,7 +133,15 @@
     template <class Archive> void serialize(Archive &ar) { ar(id, attempt, have, credit); }
 };
 
-using ToAgent = std::variant<Hello, Dispatch, Cancel, Credit, Query>;
+/// Tells an agent that the membership list has it as leaving: it may not have been told itself.
+struct Leaving
+{
+    bool leaving = true;
+
+    template <class Archive> void serialize(Archive &ar) { ar(leaving); }
+};
+
+using ToAgent = std::variant<Hello, Dispatch, Cancel, Credit, Query, Leaving>;
 
 // ---- agent → router ---------------------------------------------------------------------
 
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -223,6 +223,7 @@
     bool placeNext(Target &target, Time now);
     void place(Request &request, Agent &agent);
     std::vector<Candidate> candidates(const Target &target, Time now, std::vector<Agent *> *agents);
+    static Agent *agentOfKey(const CallerRequest &ask, const std::vector<Agent *> &agents);
     std::string ruledOut(Agent &agent, Time now) const;
     double medianGap(const Target &target) const;
     void expire(Time now);
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -15,6 +15,12 @@
 /// Load changes are told to routers no more often than this.
 constexpr Duration loadInterval = milliseconds(10);
 
+/// A gap between two ticks that means the process stood still.
+constexpr Duration pauseLimit = milliseconds(500);
+
+/// After standing still, nothing starts for so long, while what came meanwhile is read.
+constexpr Duration wakeHold = milliseconds(50);
+
 } // namespace
 
 // ---- building ---------------------------------------------------------------------------
@@ -230,8 +236,19 @@
     }
 }
 
+/// True while the process cannot know yet what it missed: it stood still for long, and what came
+/// meanwhile (a cancel, an order to leave, a newer session) may still be unread.
+bool AgentCore::wokeJustNow(Time now)
+{
+    if (m_tickedAt && now - *m_tickedAt > pauseLimit)
+        m_holdUntil = now + wakeHold;
+    return now < m_holdUntil;
+}
+
 void AgentCore::startQueued(Time now)
 {
+    if (wokeJustNow(now))
+        return;
     while (!m_queue.empty() && m_running < m_window.size()) {
         Run &run = *m_runs.at(m_queue.begin()->second);
         m_queue.erase(m_queue.begin());
@@ -264,10 +281,14 @@
     case ClaimResult::Granted:
         run->claimed = true;
         m_counters->add(Count::ClaimsMade);
-        if (run->session)
-            start(*run, now);
-        else
+        if (!run->session)
             refuseRun(*run, ErrorKind::Superseded, "router away before the start");
+        else if (m_draining)
+            refuseRun(*run, ErrorKind::AgentLeaving, "draining");
+        else if (wokeJustNow(now))
+            refuseRun(*run, ErrorKind::AgentBusy, "stood still during the claim");
+        else
+            start(*run, now);
         break;
     case ClaimResult::Taken:
         refuseRun(*run, ErrorKind::KeyAnswered, "the key is claimed by another request");
@@ -295,6 +316,12 @@
     flush(*run);
 }
 
+void AgentCore::handle(SessionId /*session*/, const Leaving &message, Time /*now*/)
+{
+    m_leavingByList = message.leaving;
+    applyDrain();
+}
+
 void AgentCore::handle(SessionId session, const Query &message, Time /*now*/)
 {
     QueryReply reply{message.id, message.attempt, AttemptState::NeverSeen};
@@ -352,15 +379,27 @@
 
 void AgentCore::drain()
 {
-    m_draining = true;
-    m_counters->set(Gauge::Draining, 1);
-    reportLoad(true, m_toldAt);
+    m_toldToDrain = true;
+    applyDrain();
 }
 
 void AgentCore::undrain()
 {
-    m_draining = false;
-    m_counters->set(Gauge::Draining, 0);
+    m_toldToDrain = false;
+    m_leavingByList = false;
+    applyDrain();
+}
+
+/// Leaves while either source says so, and tells the routers at once.
+void AgentCore::applyDrain()
+{
+    const bool leaves = m_toldToDrain || m_leavingByList;
+    if (leaves == m_draining)
+        return;
+    m_draining = leaves;
+    m_counters->set(Gauge::Draining, leaves ? 1 : 0);
+    while (leaves && !m_queue.empty())
+        refuseRun(*m_runs.at(m_queue.begin()->second), ErrorKind::AgentLeaving, "draining");
     reportLoad(true, m_toldAt);
 }
 
@@ -386,6 +425,8 @@
 
 void AgentCore::tick(Time now)
 {
+    wokeJustNow(now);
+    m_tickedAt = now;
     m_window.steer(now, static_cast<std::uint32_t>(m_running), tightestTarget());
     endGrace(now);
     forgetOld(now);
--- /dev/null
+++ b/src/libreachlead/claimbook_test.cpp
@@ -0,0 +1,345 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <fmt/format.h>
+
+#include <reachlead/claimbook.h>
+
+namespace reachlead {
+
+namespace {
+
+/// Objects with versions, as the platform keeps them.
+class Store
+{
+public:
+    PlatformReply list(const std::string &prefix) const
+    {
+        PlatformReply reply;
+        reply.status = PlatformStatus::Ok;
+        for (const auto &[key, object] : m_objects) {
+            if (key.starts_with(prefix))
+                reply.objects.push_back(object);
+        }
+        return reply;
+    }
+
+    PlatformReply put(const WriteSlot &write)
+    {
+        PlatformReply reply;
+        const auto it = m_objects.find(write.key);
+        const ObjectVersion present = it == m_objects.end() ? ObjectVersion{} : it->second.version;
+        reply.status = present == write.expected ? PlatformStatus::Ok : PlatformStatus::Conflict;
+        if (reply.ok()) {
+            reply.version = ObjectVersion{++m_version};
+            m_objects[write.key] = {write.key, reply.version, write.value, false};
+            ++writes;
+        }
+        return reply;
+    }
+
+    unsigned writes = 0;
+    std::size_t objects() const { return m_objects.size(); }
+
+private:
+    std::map<std::string, PlatformObject> m_objects;
+    std::uint64_t m_version = 0;
+};
+
+constexpr std::int64_t noon = 1'000'000;
+
+} // namespace
+
+class ClaimBookTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClaimBookTest);
+    CPPUNIT_TEST(firstClaimWins);
+    CPPUNIT_TEST(lostReplyIsReadBack);
+    CPPUNIT_TEST(lostReplyThatDidNothingIsWrittenAgain);
+    CPPUNIT_TEST(storeDownRefusesInTime);
+    CPPUNIT_TEST(refusedInDoubtIsGivenBack);
+    CPPUNIT_TEST(oldViewLosesTheConflict);
+    CPPUNIT_TEST(releasedKeyCanBeClaimed);
+    CPPUNIT_TEST(manyClaimsShareAWrite);
+    CPPUNIT_TEST(slotsAreReusedOnlyAfterTheirLife);
+    CPPUNIT_TEST(neverGrantedTwice);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// A book with the answers to its calls under the test's control.
+    struct Agent
+    {
+        Store *store;
+        ClaimBook book;
+        std::vector<ClaimAction> calls; ///< out, not answered yet
+        std::map<std::uint64_t, ClaimResult> ended; ///< by sequence of the request
+
+        explicit Agent(Store *s, std::int64_t *wall, ClaimTuning tuning = {})
+            : store(s), book(serviceTarget("yard"), tuning, [wall] { return *wall; })
+        { }
+
+        void collect()
+        {
+            for (ClaimAction &action : book.takeActions()) {
+                if (const auto *word = std::get_if<ClaimEnded>(&action))
+                    ended[word->key.id.sequence] = word->result;
+                else
+                    calls.push_back(std::move(action));
+            }
+        }
+
+        /// Carries out the oldest call at the store and gives back its reply, not yet told.
+        std::pair<ClaimCall, PlatformReply> take()
+        {
+            const ClaimAction action = std::move(calls.front());
+            calls.erase(calls.begin());
+            if (const auto *read = std::get_if<ReadSlots>(&action))
+                return {read->call, store->list(read->prefix)};
+            const auto &write = std::get<WriteSlot>(action);
+            return {write.call, store->put(write)};
+        }
+
+        void answer(ClaimCall call, const PlatformReply &reply, Time now)
+        {
+            book.answered(call, reply, now);
+            collect();
+        }
+
+        void settle(Time now)
+        {
+            collect();
+            while (!calls.empty()) {
+                const auto [call, reply] = take();
+                answer(call, reply, now);
+            }
+        }
+
+        void claim(std::uint64_t sequence, const std::string &key, Time now)
+        {
+            book.claim({{RequestId{Incarnation{1}, sequence}, 1}, AccountName("depot"), key}, now);
+            collect();
+        }
+
+        void release(std::uint64_t sequence, const std::string &key, Time now)
+        {
+            book.release({{RequestId{Incarnation{1}, sequence}, 1}, AccountName("depot"), key},
+                         now);
+            collect();
+        }
+    };
+
+    static constexpr Time start{seconds(100)};
+    static PlatformReply withStatus(PlatformStatus status)
+    {
+        PlatformReply reply;
+        reply.status = status;
+        return reply;
+    }
+
+    std::int64_t m_wall = noon;
+    Store m_store;
+
+    void firstClaimWins()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        agent.settle(start);
+        agent.claim(2, "k", start + seconds(1));
+        agent.settle(start + seconds(1));
+        CPPUNIT_ASSERT(agent.ended.at(1) == ClaimResult::Granted);
+        CPPUNIT_ASSERT(agent.ended.at(2) == ClaimResult::Taken);
+    }
+
+    void lostReplyIsReadBack()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        auto [read, slots] = agent.take();
+        agent.answer(read, slots, start);
+        auto [write, written] = agent.take();
+        CPPUNIT_ASSERT(written.ok());
+        agent.answer(write, withStatus(PlatformStatus::Lost), start);
+        CPPUNIT_ASSERT(agent.ended.empty()); // nothing is told before it was read back
+        agent.book.tick(start + seconds(1));
+        agent.settle(start + seconds(1));
+        CPPUNIT_ASSERT(agent.ended.at(1) == ClaimResult::Granted);
+        CPPUNIT_ASSERT_EQUAL(1U, m_store.writes);
+    }
+
+    void lostReplyThatDidNothingIsWrittenAgain()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        auto [read, slots] = agent.take();
+        agent.answer(read, slots, start);
+        const auto &write = std::get<WriteSlot>(agent.calls.front());
+        const ClaimCall call = write.call;
+        agent.calls.clear(); // never reached the store
+        agent.answer(call, withStatus(PlatformStatus::Lost), start);
+        agent.book.tick(start + seconds(1));
+        agent.settle(start + seconds(1));
+        CPPUNIT_ASSERT(agent.ended.at(1) == ClaimResult::Granted);
+        CPPUNIT_ASSERT_EQUAL(1U, m_store.writes);
+    }
+
+    void storeDownRefusesInTime()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        for (Time now = start; now < start + seconds(3); now += milliseconds(100)) {
+            agent.book.tick(now);
+            agent.collect();
+            while (!agent.calls.empty()) {
+                const auto call = std::get<ReadSlots>(agent.calls.front()).call;
+                agent.calls.clear();
+                agent.answer(call, withStatus(PlatformStatus::Down), now);
+            }
+        }
+        CPPUNIT_ASSERT(agent.ended.at(1) == ClaimResult::StoreDown);
+    }
+
+    void refusedInDoubtIsGivenBack()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        auto [read, slots] = agent.take();
+        agent.answer(read, slots, start);
+        auto [write, written] = agent.take();
+        agent.answer(write, withStatus(PlatformStatus::Lost), start);
+        const Time late = start + seconds(3); // the store could not be read in time
+        agent.book.tick(late);
+        agent.collect();
+        CPPUNIT_ASSERT(agent.ended.at(1) == ClaimResult::StoreDown);
+        agent.settle(late);
+        agent.claim(2, "k", late + seconds(1));
+        agent.book.tick(late + seconds(1));
+        agent.settle(late + seconds(1));
+        CPPUNIT_ASSERT(agent.ended.at(2) == ClaimResult::Granted);
+    }
+
+    /// An agent that stood still after its read writes over nothing.
+    void oldViewLosesTheConflict()
+    {
+        Agent slow(&m_store, &m_wall);
+        Agent fast(&m_store, &m_wall);
+        slow.claim(1, "k", start);
+        auto [read, slots] = slow.take();
+        fast.claim(2, "k", start);
+        fast.settle(start);
+        CPPUNIT_ASSERT(fast.ended.at(2) == ClaimResult::Granted);
+        slow.answer(read, slots, start); // it wakes with what it read before
+        slow.settle(start);
+        CPPUNIT_ASSERT(slow.ended.at(1) == ClaimResult::Taken);
+    }
+
+    void releasedKeyCanBeClaimed()
+    {
+        Agent agent(&m_store, &m_wall);
+        agent.claim(1, "k", start);
+        agent.settle(start);
+        agent.release(1, "k", start + seconds(1));
+        agent.settle(start + seconds(1));
+        Agent other(&m_store, &m_wall);
+        other.claim(2, "k", start + seconds(2));
+        other.settle(start + seconds(2));
+        CPPUNIT_ASSERT(other.ended.at(2) == ClaimResult::Granted);
+    }
+
+    void manyClaimsShareAWrite()
+    {
+        Agent agent(&m_store, &m_wall);
+        for (std::uint64_t n = 0; n < 3200; ++n)
+            agent.claim(n, fmt::format("key-{}", n), start);
+        agent.settle(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3200}, agent.ended.size());
+        CPPUNIT_ASSERT_EQUAL(claimPartitions, m_store.writes);
+    }
+
+    void slotsAreReusedOnlyAfterTheirLife()
+    {
+        ClaimTuning tuning;
+        tuning.slots = 3;
+        tuning.slotBytes = 1; // each write closes its slot
+        Agent agent(&m_store, &m_wall, tuning);
+        Time now = start;
+        std::vector<ClaimResult> results;
+        // The same partition each time: the same key with its request given back before.
+        for (std::uint64_t n = 0; n < 4; ++n) {
+            now += seconds(1);
+            agent.claim(n, "k", now);
+            agent.settle(now);
+            results.push_back(agent.ended.at(n));
+        }
+        CPPUNIT_ASSERT(results[0] == ClaimResult::Granted);
+        CPPUNIT_ASSERT(results[1] == ClaimResult::Taken);
+        // Fill the ring with releases, then with nothing left to write over.
+        for (std::uint64_t n = 10; n < 14; ++n) {
+            now += seconds(1);
+            agent.release(n == 10 ? 0 : n, "k", now);
+            agent.settle(now);
+        }
+        now += seconds(1);
+        agent.claim(20, "k", now);
+        agent.settle(now);
+        CPPUNIT_ASSERT(agent.ended.at(20) == ClaimResult::StoreDown);
+        m_wall += 901; // the life of a claim is over
+        now += seconds(901);
+        agent.claim(21, "k", now);
+        agent.settle(now);
+        CPPUNIT_ASSERT(agent.ended.at(21) == ClaimResult::Granted);
+        CPPUNIT_ASSERT(m_store.objects() <= 3);
+    }
+
+    /// Two agents, random faults of the store: a key is granted at most once, unless given back.
+    void neverGrantedTwice()
+    {
+        const bool good = rc::check("a key is granted once", [] {
+            std::int64_t wall = noon;
+            Store store;
+            std::array<Agent, 2> agents{Agent(&store, &wall), Agent(&store, &wall)};
+            Time now = start;
+            std::uint64_t sequence = 0;
+            std::map<std::uint64_t, std::string> keyOf;
+            const auto steps =
+                *rc::gen::container<std::vector<unsigned>>(60, rc::gen::inRange<unsigned>(0, 60));
+            for (const unsigned step : steps) {
+                Agent &agent = agents.at(step % 2);
+                now += milliseconds(50);
+                agent.book.tick(now);
+                agent.collect();
+                const unsigned what = step / 2;
+                if (what < 6) {
+                    keyOf[++sequence] = fmt::format("k{}", what % 2);
+                    agent.claim(sequence, keyOf[sequence], now);
+                } else if (!agent.calls.empty()) {
+                    if (what % 7 == 0) { // lost before it took effect
+                        const ClaimAction action = agent.calls.front();
+                        agent.calls.erase(agent.calls.begin());
+                        const auto *read = std::get_if<ReadSlots>(&action);
+                        const ClaimCall call = read ? read->call : std::get<WriteSlot>(action).call;
+                        agent.answer(call, withStatus(PlatformStatus::Lost), now);
+                    } else {
+                        auto [call, reply] = agent.take();
+                        if (what % 7 == 1) // lost after it took effect
+                            reply = withStatus(PlatformStatus::Lost);
+                        agent.answer(call, reply, now);
+                    }
+                }
+            }
+            std::map<std::string, unsigned> granted;
+            for (const Agent &agent : agents) {
+                for (const auto &[id, result] : agent.ended)
+                    granted[keyOf.at(id)] += result == ClaimResult::Granted ? 1 : 0;
+            }
+            for (const auto &[key, times] : granted)
+                RC_ASSERT(times <= 1U);
+        });
+        CPPUNIT_ASSERT(good);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimBookTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/parts_test.cpp
@@ -0,0 +1,225 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <reachlead/accountlimiter.h>
+#include <reachlead/admission.h>
+#include <reachlead/apikey.h>
+#include <reachlead/circuit.h>
+#include <reachlead/lengthestimate.h>
+#include <reachlead/placement.h>
+#include <reachlead/requestlife.h>
+#include <reachlead/retrybudget.h>
+
+namespace reachlead {
+
+/// The small parts that decisions are made of.
+class PartsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PartsTest);
+    CPPUNIT_TEST(circuitOpensProbesAndHeals);
+    CPPUNIT_TEST(lifeAllowsOnlyItsMoves);
+    CPPUNIT_TEST(windowFollowsTheTokenTime);
+    CPPUNIT_TEST(childrenShareTheirParentsLimit);
+    CPPUNIT_TEST(partsOfALimitNeverSumAbove);
+    CPPUNIT_TEST(tokenRateMakesDebt);
+    CPPUNIT_TEST(placementPrefersNearFastAndIdle);
+    CPPUNIT_TEST(prefixNeverOutweighsLoad);
+    CPPUNIT_TEST(lengthFollowsItsQuantile);
+    CPPUNIT_TEST(budgetBoundsRetries);
+    CPPUNIT_TEST(keysAreChecked);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(100)};
+
+    void circuitOpensProbesAndHeals()
+    {
+        Circuit circuit;
+        for (unsigned n = 0; n < Circuit::failuresToOpen; ++n) {
+            CPPUNIT_ASSERT(circuit.allows(start));
+            circuit.failed(start);
+        }
+        CPPUNIT_ASSERT(!circuit.allows(start));
+        const Time later = start + Circuit::firstPause;
+        CPPUNIT_ASSERT(circuit.allows(later));
+        circuit.sent();
+        CPPUNIT_ASSERT(!circuit.allows(later)); // one probe at a time
+        circuit.failed(later);
+        CPPUNIT_ASSERT(!circuit.allows(later + Circuit::firstPause)); // the pause doubled
+        CPPUNIT_ASSERT(circuit.allows(later + 2 * Circuit::firstPause));
+        circuit.sent();
+        circuit.abandoned(); // the probe's caller went away: another may go
+        CPPUNIT_ASSERT(circuit.allows(later + 2 * Circuit::firstPause));
+        circuit.sent();
+        circuit.succeeded();
+        CPPUNIT_ASSERT_EQUAL(std::string("closed"), std::string(circuit.state()));
+    }
+
+    void lifeAllowsOnlyItsMoves()
+    {
+        RequestLife life;
+        CPPUNIT_ASSERT(life.state() == LifeState::Queued);
+        CPPUNIT_ASSERT(!life.apply(LifeEvent::Began));
+        CPPUNIT_ASSERT(life.apply(LifeEvent::Bound));
+        CPPUNIT_ASSERT(life.state() == LifeState::Sent);
+        CPPUNIT_ASSERT(life.apply(LifeEvent::Began));
+        CPPUNIT_ASSERT(life.state() == LifeState::Running);
+        CPPUNIT_ASSERT(life.apply(LifeEvent::SessionCut));
+        CPPUNIT_ASSERT(life.state() == LifeState::Recovering);
+        CPPUNIT_ASSERT(life.apply(LifeEvent::Found));
+        CPPUNIT_ASSERT(life.apply(LifeEvent::Finished));
+        CPPUNIT_ASSERT(life.state() == LifeState::Ended);
+        CPPUNIT_ASSERT(!life.apply(LifeEvent::PutBack));
+        CPPUNIT_ASSERT(!life.apply(LifeEvent::Finished)); // the final word is told once
+    }
+
+    void windowFollowsTheTokenTime()
+    {
+        AdmissionWindow window({1, 64, 8});
+        const Duration target = milliseconds(80);
+        Time now = start;
+        const auto feel = [&](Duration gap, unsigned rounds) {
+            for (unsigned n = 0; n < rounds; ++n) {
+                for (unsigned k = 0; k < 100; ++k)
+                    window.observe(gap);
+                now += AdmissionWindow::interval;
+                window.steer(now, window.size(), target);
+            }
+        };
+        feel(milliseconds(40), 10);
+        CPPUNIT_ASSERT_EQUAL(18U, window.size());
+        feel(milliseconds(75), 10);
+        CPPUNIT_ASSERT_EQUAL(18U, window.size()); // near the target it stays
+        feel(milliseconds(120), 3);
+        CPPUNIT_ASSERT(window.size() < 13);
+        feel(milliseconds(500), 100);
+        CPPUNIT_ASSERT_EQUAL(1U, window.size());
+    }
+
+    static std::shared_ptr<Policies> family()
+    {
+        auto policies = std::make_shared<Policies>();
+        for (const char *name : {"parent", "one", "two"}) {
+            AccountPolicy account;
+            account.name = AccountName(name);
+            if (account.name.text != "parent")
+                account.parent = AccountName("parent");
+            policies->accounts[account.name] = account;
+        }
+        return policies;
+    }
+
+    void childrenShareTheirParentsLimit()
+    {
+        auto policies = family();
+        policies->accounts[AccountName("parent")].limits.concurrency = 3;
+        AccountLimiter limiter(policies);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("one"), start) == ErrorKind::None);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("one"), start) == ErrorKind::None);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("two"), start) == ErrorKind::None);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("two"), start) == ErrorKind::AccountConcurrency);
+        limiter.release(AccountName("one"));
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("two"), start) == ErrorKind::None);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, limiter.inProgress(AccountName("parent")));
+    }
+
+    void partsOfALimitNeverSumAbove()
+    {
+        auto policies = family();
+        policies->accounts[AccountName("one")].limits.concurrency = 10;
+        std::size_t taken = 0;
+        for (unsigned router = 0; router < 3; ++router) {
+            AccountLimiter limiter(policies);
+            limiter.setPart(1.0 / 3);
+            while (limiter.acquire(AccountName("one"), start) == ErrorKind::None)
+                ++taken;
+        }
+        CPPUNIT_ASSERT(taken <= 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, taken);
+    }
+
+    void tokenRateMakesDebt()
+    {
+        auto policies = family();
+        policies->accounts[AccountName("one")].limits.tokensPerSecond = 100;
+        AccountLimiter limiter(policies);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("one"), start) == ErrorKind::None);
+        limiter.chargeTokens(AccountName("one"), 400, start); // two seconds' room, and two more
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("one"), start + seconds(1))
+                       == ErrorKind::AccountRate);
+        CPPUNIT_ASSERT(limiter.acquire(AccountName("one"), start + seconds(3)) == ErrorKind::None);
+    }
+
+    void placementPrefersNearFastAndIdle()
+    {
+        Random random(7);
+        const auto placement = makePlacement(PlacementRule::TwoChoices);
+        std::vector<Candidate> candidates(3);
+        candidates[0] = {VmName("far"), false, 8, 0, 1.0, 0};
+        candidates[1] = {VmName("busy"), true, 8, 7, 1.0, 0};
+        candidates[2] = {VmName("idle"), true, 8, 0, 1.0, 0};
+        std::map<std::size_t, unsigned> chosen;
+        for (unsigned n = 0; n < 400; ++n)
+            ++chosen[*placement->choose(candidates, random)];
+        CPPUNIT_ASSERT_EQUAL(0U, chosen[0]); // another zone only when the own has no room
+        CPPUNIT_ASSERT(chosen[2] > 2 * chosen[1]);
+        candidates.resize(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, *placement->choose(candidates, random));
+        CPPUNIT_ASSERT(!placement->choose({}, random));
+        const Candidate slow{VmName("slow"), true, 8, 0, 10.0, 0};
+        CPPUNIT_ASSERT(placementCost(slow) > placementCost(candidates[0]));
+    }
+
+    void prefixNeverOutweighsLoad()
+    {
+        const Candidate cached{VmName("a"), true, 8, 4, 1.0, 1.0};
+        const Candidate idle{VmName("b"), true, 8, 1, 1.0, 0.0};
+        const Candidate same{VmName("c"), true, 8, 4, 1.0, 0.0};
+        CPPUNIT_ASSERT(placementCost(idle) < placementCost(cached));
+        CPPUNIT_ASSERT(placementCost(cached) < placementCost(same));
+    }
+
+    void lengthFollowsItsQuantile()
+    {
+        LengthEstimate estimate(0.7);
+        Random random(3);
+        std::uniform_real_distribution<double> spread(0, 1000);
+        for (unsigned n = 0; n < 2000; ++n)
+            estimate.learn(spread(random));
+        CPPUNIT_ASSERT(estimate.value() > 500 && estimate.value() < 900);
+    }
+
+    void budgetBoundsRetries()
+    {
+        RetryBudget budget;
+        unsigned taken = 0;
+        while (budget.take())
+            ++taken;
+        CPPUNIT_ASSERT_EQUAL(10U, taken);
+        for (unsigned n = 0; n < 100; ++n)
+            budget.firstTry();
+        CPPUNIT_ASSERT(budget.take());
+        CPPUNIT_ASSERT(retryPause(1) == Duration(milliseconds(20)));
+        CPPUNIT_ASSERT(retryPause(100) == Duration(milliseconds(1280)));
+    }
+
+    void keysAreChecked()
+    {
+        auto policies = family();
+        AccountPolicy &one = policies->accounts[AccountName("one")];
+        one.keySalt = "salt";
+        one.keyHash = hashSecret("salt", "secret");
+        CPPUNIT_ASSERT(accountOfKey(*policies, "one:secret") == &one);
+        CPPUNIT_ASSERT(!accountOfKey(*policies, "one:other"));
+        CPPUNIT_ASSERT(!accountOfKey(*policies, "two:secret"));
+        CPPUNIT_ASSERT(!accountOfKey(*policies, "nobody:secret"));
+        CPPUNIT_ASSERT(!accountOfKey(*policies, "one"));
+        CPPUNIT_ASSERT(!accountOfKey(*policies, ""));
+        CPPUNIT_ASSERT(randomHex(8) != randomHex(8));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PartsTest);
+
+} // namespace reachlead
--- a/src/libreachlead/routercore.cpp
+++ b/src/libreachlead/routercore.cpp
@@ -3,6 +3,8 @@
 
 #include "routercore_pvt.h"
 
+#include <reachlead/claimbook.h>
+
 #include <algorithm>
 #include <numeric>
 #include <ranges>
@@ -296,8 +298,11 @@
     Request *request = findRequest(next->id);
     if (!request)
         return true;
-    const std::optional<std::size_t> chosen = target.placement->choose(open, m_random);
-    place(*request, *agents[*chosen]);
+    const std::string &key = request->ask.idempotencyKey;
+    if (key.empty())
+        place(*request, *agents[*target.placement->choose(open, m_random)]);
+    else
+        place(*request, *agentOfKey(request->ask, agents));
     return true;
 }
 
@@ -351,6 +356,17 @@
     return open;
 }
 
+/// The agent that usually writes the claims of the key's partition. Any agent would do: this only
+/// saves conflicts between writers, and finds first answers that are still held.
+RouterCore::Agent *RouterCore::agentOfKey(const CallerRequest &ask,
+                                          const std::vector<Agent *> &agents)
+{
+    const std::uint32_t partition = claimPartition(ask.account, ask.idempotencyKey);
+    return *std::ranges::max_element(agents, {}, [&](const Agent *agent) {
+        return XXH64(agent->name.text.data(), agent->name.text.size(), partition);
+    });
+}
+
 void RouterCore::place(Request &request, Agent &agent)
 {
     if (!apply(request, LifeEvent::Bound))
--- a/src/libreachlead/routercore_agents.cpp
+++ b/src/libreachlead/routercore_agents.cpp
@@ -33,6 +33,8 @@
     m_counters->add(Count::SessionsOpened);
     m_counters->shift(Gauge::Sessions, 1);
     takeLoad(*agent, welcome.load);
+    if (agent->leavingByList)
+        m_actions.emplace_back(SendToAgent{agent->name, Leaving{true}});
     recover(*agent, now);
     pump(targetOf(agent->target), now);
 }
@@ -139,6 +141,8 @@
     if (!agent || agent->leavingByList == leaving)
         return;
     agent->leavingByList = leaving;
+    if (agent->up)
+        m_actions.emplace_back(SendToAgent{name, Leaving{leaving}});
     pump(targetOf(agent->target), now);
 }
 
--- /dev/null
+++ b/src/platform/claimwriter.cpp
@@ -0,0 +1,128 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "platform/claimwriter.h"
+
+#include <chrono>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform/httpplatform.h"
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t ringSize = 4096;
+
+std::int64_t timeOfDay()
+{
+    using namespace std::chrono;
+    return duration_cast<seconds>(system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+ClaimWriter::ClaimWriter(Options options, std::function<void(const ClaimEnded &)> onEnded)
+    : m_options(std::move(options)), m_onEnded(std::move(onEnded)),
+      m_book(m_options.target, m_options.tuning, timeOfDay),
+      m_platform(std::make_unique<HttpPlatform>(m_options.service, m_options.callLimit,
+                                                m_options.counters)),
+      m_changes(ringSize, [this] { asio::post(m_io, [this] { takeChanges(); }); })
+{
+    asio::co_spawn(m_io, ticks(), asio::detached);
+    m_thread = std::thread([this] { m_io.run(); });
+}
+
+ClaimWriter::~ClaimWriter()
+{
+    join();
+}
+
+void ClaimWriter::join()
+{
+    if (!m_thread.joinable())
+        return;
+    m_io.stop();
+    m_thread.join();
+}
+
+void ClaimWriter::claim(const MakeClaim &claim)
+{
+    push(claim);
+}
+
+void ClaimWriter::release(const ReleaseClaim &release)
+{
+    push(release);
+}
+
+void ClaimWriter::push(Change change)
+{
+    if (m_changes.push(change))
+        return;
+    // A claim that finds no room is refused as not run; a release that finds none leaves its key
+    // claimed until it expires.
+    m_options.counters->add(Count::RingFull);
+    if (const auto *claim = std::get_if<MakeClaim>(&change))
+        m_onEnded({claim->key, ClaimResult::StoreDown});
+}
+
+void ClaimWriter::takeChanges()
+{
+    const Time now = RuntimeClock::now();
+    for (const Change &change : m_changes.drain()) {
+        if (const auto *claim = std::get_if<MakeClaim>(&change))
+            m_book.claim(*claim, now);
+        else
+            m_book.release(std::get<ReleaseClaim>(change), now);
+    }
+    act();
+}
+
+void ClaimWriter::act()
+{
+    for (ClaimAction &action : m_book.takeActions()) {
+        if (auto *ended = std::get_if<ClaimEnded>(&action))
+            m_onEnded(*ended);
+        else if (auto *reading = std::get_if<ReadSlots>(&action))
+            asio::co_spawn(m_io, read(std::move(*reading)), asio::detached);
+        else
+            asio::co_spawn(m_io, write(std::move(std::get<WriteSlot>(action))), asio::detached);
+    }
+}
+
+asio::awaitable<void> ClaimWriter::read(ReadSlots action)
+{
+    const PlatformReply reply = co_await m_platform->list(action.prefix);
+    m_book.answered(action.call, reply, RuntimeClock::now());
+    act();
+}
+
+asio::awaitable<void> ClaimWriter::write(WriteSlot action)
+{
+    m_options.counters->add(Count::ClaimWrites);
+    const PlatformReply reply =
+        co_await m_platform->put(action.key, std::move(action.value), action.expected);
+    m_book.answered(action.call, reply, RuntimeClock::now());
+    act();
+}
+
+asio::awaitable<void> ClaimWriter::ticks()
+{
+    Timer timer(m_io);
+    for (;;) {
+        timer.expires_after(tickInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        m_book.tick(RuntimeClock::now());
+        act();
+    }
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/platform/claimwriter.h
@@ -0,0 +1,65 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The platform thread of an agent: writes the claims that its ClaimBook decides on.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <reachlead/claimbook.h>
+#include <reachlead/counters.h>
+#include <reachlead/http.h>
+#include <reachlead/ring.h>
+
+namespace reachlead {
+
+/// The public functions may be called from any thread.
+class ClaimWriter
+{
+public:
+    struct Options
+    {
+        TargetName target;
+        Endpoint service;
+        Duration callLimit = seconds(1);
+        ClaimTuning tuning;
+        Counters *counters = nullptr;
+    };
+
+    /// \p onEnded is called on the platform thread with the word on each claim.
+    ClaimWriter(Options options, std::function<void(const ClaimEnded &)> onEnded);
+    ~ClaimWriter();
+
+    void claim(const MakeClaim &claim);
+    void release(const ReleaseClaim &release);
+    /// Ends the thread; further claims do nothing.
+    void join();
+
+private:
+    using Change = std::variant<MakeClaim, ReleaseClaim>;
+    static constexpr Duration tickInterval = milliseconds(20);
+
+    void push(Change change);
+    void takeChanges();
+    void act();
+    boost::asio::awaitable<void> read(ReadSlots action);
+    boost::asio::awaitable<void> write(WriteSlot action);
+    boost::asio::awaitable<void> ticks();
+
+    Options m_options;
+    std::function<void(const ClaimEnded &)> m_onEnded;
+    ClaimBook m_book;
+    std::unique_ptr<Platform> m_platform;
+    boost::asio::io_context m_io{1};
+    Ring<Change> m_changes;
+    std::thread m_thread;
+};
+
+} // namespace reachlead
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -54,12 +54,12 @@
     SessionServer::Outlets outlets;
     outlets.start = [this](const StartUpstream &call) { m_upstream->start(call); };
     outlets.cancel = [this](const CancelUpstream &call) { m_upstream->cancel(call); };
-    outlets.claim = [this](const MakeClaim &claim) {
-        m_sessions->post([key = claim.key](AgentCore &core) {
-            core.claimEnded(key, ClaimResult::StoreDown, RuntimeClock::now());
-        });
+    outlets.claim = [this](const MakeClaim &c) { claim(c); };
+    outlets.release = [this](const ReleaseClaim &c) {
+        if (m_claims)
+            m_claims->release(c);
     };
-    outlets.release = [](const ReleaseClaim &) { };
+    startClaims();
     m_sessions = std::make_unique<SessionServer>(m_settings.sessions, std::move(outlets));
     m_operators = std::make_unique<AdminServer>(m_settings.operators, pages());
     LogLine(LogLevel::Info, "started")
@@ -73,12 +73,41 @@
 AgentDaemon::~AgentDaemon()
 {
     m_operators.reset();
-    // The upstream's thread posts to the gate's; it ends first.
+    // The other threads post to the gate's; they end first.
     m_upstream->join();
+    if (m_claims)
+        m_claims->join();
     m_sessions.reset();
     m_upstream.reset();
 }
 
+void AgentDaemon::startClaims()
+{
+    if (!m_settings.platform)
+        return;
+    ClaimWriter::Options options;
+    options.target = m_settings.sessions.target;
+    options.service = *m_settings.platform;
+    options.callLimit = m_settings.platformLimit;
+    options.counters = &m_counters;
+    m_claims = std::make_unique<ClaimWriter>(options, [this](const ClaimEnded &ended) {
+        m_sessions->post([ended](AgentCore &core) {
+            core.claimEnded(ended.key, ended.result, RuntimeClock::now());
+        });
+    });
+}
+
+void AgentDaemon::claim(const MakeClaim &claim)
+{
+    if (m_claims) {
+        m_claims->claim(claim);
+        return;
+    }
+    m_sessions->post([key = claim.key](AgentCore &core) {
+        core.claimEnded(key, ClaimResult::StoreDown, RuntimeClock::now());
+    });
+}
+
 void AgentDaemon::takeUpstreamEvents(AgentCore &core)
 {
     const Time now = RuntimeClock::now();
--- a/src/reachlead-agent/agentdaemon.h
+++ b/src/reachlead-agent/agentdaemon.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "agentsettings.h"
+#include "platform/claimwriter.h"
 
 namespace reachlead {
 
@@ -29,12 +30,15 @@
 private:
     std::map<std::string, AdminServer::Page> pages();
     std::string status();
+    void startClaims();
+    void claim(const MakeClaim &claim);
     void takeUpstreamEvents(AgentCore &core);
 
     AgentSettings m_settings;
     Counters m_counters;
     std::unique_ptr<SessionServer> m_sessions;
     std::unique_ptr<UpstreamClient> m_upstream;
+    std::unique_ptr<ClaimWriter> m_claims; ///< null without a platform
     std::unique_ptr<AdminServer> m_operators;
 };
 
--- a/src/reachlead-agent/agentsettings.h
+++ b/src/reachlead-agent/agentsettings.h
@@ -23,7 +23,7 @@
     UpstreamClient::Options upstream;
     AdminServer::Options operators;
     std::optional<Endpoint> platform; ///< none: keys cannot be claimed, and such calls are refused
-    Duration platformLimit = seconds(2);
+    Duration platformLimit = seconds(1);
     Duration stopLimit = seconds(120); ///< for requests in progress at a stop
     std::size_t logLevel = 1;
 
--- /dev/null
+++ b/src/reachlead-load/policyrig.cpp
@@ -0,0 +1,733 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "reachlead-load/policyrig.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace reachlead::rig {
+
+// ---- records ----------------------------------------------------------------------------
+
+struct Rig::Call
+{
+    std::shared_ptr<const Dispatch> dispatch;
+    standin::AnswerPlan plan;
+    std::uint64_t next = 0; ///< index of the next token
+};
+
+struct Rig::RouterBox
+{
+    std::string name;
+    Incarnation incarnation;
+    std::unique_ptr<RouterCore> core;
+    bool alive = true;
+};
+
+struct Rig::AgentBox
+{
+    std::string name;
+    std::string zone;
+    TargetName target;
+    AgentTuning tuning;
+    UpstreamSpeed speed;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<AgentCore> core;
+    std::unique_ptr<ClaimBook> book;
+    std::map<AttemptKey, Call> calls; ///< at the upstream
+    Time pausedUntil{};
+    Time downUntil{}; ///< the upstream refuses connections
+    double slow = 1.0;
+    bool stalled = false;
+    bool muted = false;
+    std::uint64_t beats = 0;
+};
+
+struct Rig::Link
+{
+    SessionId session{};
+    std::uint64_t number = 0;
+    bool up = false; ///< the router has the agent's Welcome
+    bool connecting = false;
+    bool parted = false;
+    bool holding = false;
+    std::vector<std::pair<SessionId, ToAgent>> held;
+};
+
+Rig::Rig(std::uint64_t seed, PoliciesPtr policies)
+    : m_now(Time(seconds(1000))), m_seed(seed), m_random(seed), m_policies(std::move(policies))
+{
+    later(tickInterval, [this] { tickAll(); });
+}
+
+Rig::~Rig() = default;
+
+// ---- building ---------------------------------------------------------------------------
+
+void Rig::addRouter(const std::string &name, const std::string &zone, RouterStrategy strategy,
+                    RouterTuning tuning)
+{
+    auto box = std::make_unique<RouterBox>();
+    box->name = name;
+    box->incarnation = Incarnation{m_random() | 1U};
+    box->core = RouterCore::Builder()
+                    .zone(ZoneName(zone))
+                    .incarnation(box->incarnation)
+                    .strategy(strategy)
+                    .tuning(tuning)
+                    .seed(m_random())
+                    .counters(&counters)
+                    .policies(m_policies)
+                    .build();
+    RouterBox &kept = *box;
+    m_routers[name] = std::move(box);
+    for (auto &[agentName, agent] : m_agents)
+        connect(kept, *agent);
+    for (auto &[other, router] : m_routers)
+        router->core->setLimitPart(1.0 / static_cast<double>(m_routers.size()));
+}
+
+void Rig::addAgent(const std::string &name, const std::string &zone, const TargetName &target,
+                   AgentTuning tuning, UpstreamSpeed speed)
+{
+    auto box = std::make_unique<AgentBox>();
+    box->name = name;
+    box->zone = zone;
+    box->target = target;
+    box->tuning = tuning;
+    box->speed = speed;
+    m_agents[name] = std::move(box);
+    restartAgent(name);
+}
+
+// ---- events -----------------------------------------------------------------------------
+
+void Rig::at(Time time, std::function<void()> action)
+{
+    m_events.push({time, m_order++, std::move(action)});
+}
+
+void Rig::later(Duration delay, std::function<void()> action)
+{
+    at(m_now + delay, std::move(action));
+}
+
+/// Runs an action of the agent's process; while it is paused the action waits, in order.
+void Rig::toAgent(AgentBox &agent, std::function<void()> action)
+{
+    if (m_now >= agent.pausedUntil) {
+        action();
+        return;
+    }
+    at(agent.pausedUntil, [this, &agent, action = std::move(action)] { toAgent(agent, action); });
+}
+
+bool Rig::runUntil(const std::function<bool()> &done, Duration most)
+{
+    const Time until = m_now + most;
+    while (!done()) {
+        if (m_events.empty() || m_events.top().at > until) {
+            m_now = until;
+            return false;
+        }
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, event.at);
+        event.action();
+    }
+    return true;
+}
+
+void Rig::run(Duration length)
+{
+    runUntil([] { return false; }, length);
+}
+
+void Rig::settle(Duration most)
+{
+    const Time until = m_now + most;
+    const auto open = [this] {
+        return std::ranges::any_of(
+            callers, [](const auto &it) { return it.second.ends.empty() && !it.second.hungUp; });
+    };
+    while (m_now < until && open())
+        run(milliseconds(100));
+}
+
+void Rig::tickAll()
+{
+    constexpr std::uint64_t ticksPerBeat = 100; // 500 ms
+    for (auto &[name, router] : m_routers) {
+        if (!router->alive)
+            continue;
+        router->core->tick(m_now);
+        drain(*router);
+    }
+    for (auto &[name, box] : m_agents) {
+        AgentBox &agent = *box;
+        if (m_now < agent.pausedUntil)
+            continue;
+        agent.core->tick(m_now);
+        drain(agent);
+        agent.book->tick(m_now);
+        claims(agent);
+        if (++agent.beats % ticksPerBeat != 0 || agent.muted)
+            continue;
+        for (auto &[routerName, router] : m_routers) {
+            const Link &l = link(routerName, name);
+            if (!l.up || l.parted || !router->alive)
+                continue;
+            const Heartbeat beat{protocolVersion, VmName(name), Incarnation{agent.incarnation},
+                                 agent.beats, agent.core->load(l.session)};
+            RouterBox &to = *router;
+            later(hop, [this, &to, beat] {
+                to.core->heartbeat(beat, m_now);
+                drain(to);
+            });
+        }
+    }
+    later(tickInterval, [this] { tickAll(); });
+}
+
+// ---- links ------------------------------------------------------------------------------
+
+Rig::Link &Rig::link(const std::string &router, const std::string &agent)
+{
+    auto &entry = m_links[{router, agent}];
+    if (!entry)
+        entry = std::make_unique<Link>();
+    return *entry;
+}
+
+void Rig::connect(RouterBox &router, AgentBox &agent)
+{
+    Link &l = link(router.name, agent.name);
+    if (l.up || l.connecting || !router.alive)
+        return;
+    l.connecting = true;
+    std::uniform_int_distribution<int> pause(10, 100);
+    later(milliseconds(pause(m_random)), [this, &router, &agent, &l] {
+        l.connecting = false;
+        if (l.parted) {
+            connect(router, agent);
+            return;
+        }
+        l.session = SessionId{++m_sessions};
+        const SessionId session = l.session;
+        const Hello hello{protocolVersion, VmName(router.name), router.incarnation, ++l.number, 1};
+        toAgent(agent, [this, &agent, session, hello] {
+            agent.core->message(session, hello, m_now);
+            drain(agent);
+        });
+        // What an old socket still held is read now, after the new session was greeted.
+        for (auto &[old, message] : std::exchange(l.held, {})) {
+            toAgent(agent, [this, &agent, old = old, message = message] {
+                agent.core->message(old, message, m_now);
+                drain(agent);
+            });
+        }
+        l.holding = false;
+    });
+}
+
+void Rig::cutSession(const std::string &routerName, const std::string &agentName)
+{
+    Link &l = link(routerName, agentName);
+    if (!l.up)
+        return;
+    RouterBox &router = *m_routers.at(routerName);
+    AgentBox &agent = *m_agents.at(agentName);
+    const SessionId session = l.session;
+    l.up = false;
+    if (!l.holding) {
+        toAgent(agent, [this, &agent, session] {
+            agent.core->sessionClosed(session, m_now);
+            drain(agent);
+        });
+    }
+    if (router.alive) {
+        router.core->agentDown(VmName(agentName), m_now);
+        drain(router);
+    }
+    connect(router, agent);
+}
+
+void Rig::holdMessages(const std::string &router, const std::string &agent)
+{
+    link(router, agent).holding = true;
+}
+
+void Rig::partition(const std::string &router, const std::string &agent, bool parted)
+{
+    link(router, agent).parted = parted;
+}
+
+void Rig::killRouter(const std::string &name)
+{
+    RouterBox &router = *m_routers.at(name);
+    router.alive = false;
+    for (auto &[agentName, agent] : m_agents)
+        cutSession(name, agentName);
+    for (auto &[id, record] : callers) {
+        if (id.router == router.incarnation && record.ends.empty())
+            record.hungUp = true; // its connection is gone with the router
+    }
+}
+
+void Rig::restartAgent(const std::string &name)
+{
+    AgentBox &agent = *m_agents.at(name);
+    agent.incarnation = m_random() | 1U;
+    agent.calls.clear(); // its connections to the upstream are gone
+    agent.pausedUntil = Time{};
+    agent.core = AgentCore::Builder()
+                     .vm(VmName(name))
+                     .zone(ZoneName(agent.zone))
+                     .incarnation(Incarnation{agent.incarnation})
+                     .target(agent.target)
+                     .tuning(agent.tuning)
+                     .counters(&counters)
+                     .build();
+    agent.book = std::make_unique<ClaimBook>(agent.target, ClaimTuning{}, [this] {
+        return std::chrono::duration_cast<seconds>(m_now.time_since_epoch()).count();
+    });
+    for (auto &[routerName, router] : m_routers) {
+        cutSession(routerName, name);
+        connect(*router, agent);
+    }
+}
+
+void Rig::pauseAgent(const std::string &name, Duration length)
+{
+    m_agents.at(name)->pausedUntil = m_now + length;
+}
+
+void Rig::drainAgent(const std::string &name)
+{
+    AgentBox &agent = *m_agents.at(name);
+    drainedAt[VmName(name)] = m_now;
+    toAgent(agent, [this, &agent] {
+        agent.core->drain();
+        drain(agent);
+    });
+}
+
+void Rig::memberLeaving(const std::string &router, const std::string &agent)
+{
+    drainedAt.emplace(VmName(agent), m_now);
+    m_routers.at(router)->core->membership(VmName(agent), true, m_now);
+    drain(*m_routers.at(router));
+}
+
+void Rig::slowUpstream(const std::string &agent, double factor)
+{
+    m_agents.at(agent)->slow = factor;
+}
+
+void Rig::crashUpstream(const std::string &name, Duration downFor)
+{
+    AgentBox &agent = *m_agents.at(name);
+    agent.downUntil = m_now + downFor;
+    for (const auto &[key, call] : std::exchange(agent.calls, {})) {
+        toAgent(agent, [this, &agent, key = key] {
+            agent.core->upstreamFailed(key, ErrorKind::UpstreamLost, Outcome::Unknown, "crash",
+                                       m_now);
+            drain(agent);
+        });
+    }
+}
+
+void Rig::stallUpstream(const std::string &agent, bool stalled)
+{
+    m_agents.at(agent)->stalled = stalled;
+}
+
+void Rig::muteHeartbeats(const std::string &agent, bool muted)
+{
+    m_agents.at(agent)->muted = muted;
+}
+
+RouterCore &Rig::router(const std::string &name)
+{
+    return *m_routers.at(name)->core;
+}
+
+AgentCore &Rig::agent(const std::string &name)
+{
+    return *m_agents.at(name)->core;
+}
+
+// ---- actions of the routers -------------------------------------------------------------
+
+RequestId Rig::send(const std::string &routerName, CallerRequest ask)
+{
+    RouterBox &router = *m_routers.at(routerName);
+    ask.id = RequestId{router.incarnation, ++m_sequence};
+    CallerRecord &record = callers[ask.id];
+    record.ask = ask;
+    record.plan = standin::planAnswer(ask.call.body);
+    record.arrived = m_now;
+    const RequestId id = ask.id;
+    router.core->arrive(std::move(ask), m_now);
+    drain(router);
+    return id;
+}
+
+void Rig::hangUp(const RequestId &id)
+{
+    callers.at(id).hungUp = true;
+    for (auto &[name, router] : m_routers) {
+        if (router->incarnation != id.router || !router->alive)
+            continue;
+        router->core->callerGone(id, m_now);
+        drain(*router);
+    }
+}
+
+void Rig::drain(RouterBox &router)
+{
+    std::vector<RouterAction> actions = router.core->takeActions();
+    while (!actions.empty()) {
+        for (RouterAction &action : actions)
+            perform(router, action);
+        actions = router.core->takeActions();
+    }
+}
+
+void Rig::perform(RouterBox &router, RouterAction &action)
+{
+    if (const auto *told = std::get_if<TellCaller>(&action)) {
+        tell(*told);
+        if (const auto *text = std::get_if<AnswerText>(&told->event))
+            router.core->callerTook(told->id, text->tokens);
+    } else if (const auto *dropped = std::get_if<DropSession>(&action)) {
+        cutSession(router.name, dropped->agent.text);
+    } else {
+        const auto &sent = std::get<SendToAgent>(action);
+        Link &l = link(router.name, sent.agent.text);
+        if (!l.up || l.parted)
+            return;
+        if (l.holding) {
+            l.held.emplace_back(l.session, sent.message);
+            return;
+        }
+        AgentBox &agent = *m_agents.at(sent.agent.text);
+        const SessionId session = l.session;
+        later(hop, [this, &agent, &l, session, message = sent.message] {
+            if (l.session != session || !l.up)
+                return;
+            toAgent(agent, [this, &agent, session, message] {
+                agent.core->message(session, message, m_now);
+                drain(agent);
+            });
+        });
+    }
+}
+
+void Rig::tell(const TellCaller &told)
+{
+    CallerRecord &record = callers.at(told.id);
+    if (const auto *text = std::get_if<AnswerText>(&told.event)) {
+        record.text += text->text;
+        record.tokens += text->tokens;
+        record.lastAt = m_now;
+        if (!record.firstAt)
+            record.firstAt = m_now;
+    } else if (std::holds_alternative<AnswerWhole>(told.event)) {
+        record.whole = true;
+        record.firstAt = m_now;
+    } else {
+        record.ends.push_back(std::get<AnswerEnd>(told.event));
+        record.endedAt = m_now;
+    }
+}
+
+// ---- actions of the agents --------------------------------------------------------------
+
+void Rig::drain(AgentBox &agent)
+{
+    std::vector<AgentAction> actions = agent.core->takeActions();
+    while (!actions.empty()) {
+        for (AgentAction &action : actions)
+            perform(agent, action);
+        actions = agent.core->takeActions();
+    }
+    claims(agent);
+}
+
+void Rig::perform(AgentBox &agent, AgentAction &action)
+{
+    if (auto *sent = std::get_if<SendToRouter>(&action)) {
+        for (auto &[name, box] : m_routers) {
+            Link &l = link(name, agent.name);
+            if (l.session != sent->session || l.parted || !box->alive)
+                continue;
+            RouterBox &router = *box;
+            later(hop,
+                  [this, &router, &agent, &l, session = sent->session,
+                   message = std::move(sent->message)] {
+                      if (l.session != session || !router.alive)
+                          return;
+                      if (const auto *welcome = std::get_if<Welcome>(&message)) {
+                          l.up = true;
+                          router.core->agentUp(*welcome, m_now);
+                      } else {
+                          router.core->agentMessage(VmName(agent.name), message, m_now);
+                      }
+                      drain(router);
+                  });
+            return;
+        }
+    } else if (const auto *start = std::get_if<StartUpstream>(&action)) {
+        startCall(agent, *start);
+    } else if (const auto *cancelled = std::get_if<CancelUpstream>(&action)) {
+        agent.calls.erase(cancelled->key);
+    } else if (const auto *claim = std::get_if<MakeClaim>(&action)) {
+        agent.book->claim(*claim, m_now);
+    } else if (const auto *release = std::get_if<ReleaseClaim>(&action)) {
+        agent.book->release(*release, m_now);
+    }
+}
+
+void Rig::startCall(AgentBox &agent, const StartUpstream &start)
+{
+    const AttemptKey key = start.key;
+    const std::uint64_t incarnation = agent.incarnation;
+    if (m_now < agent.downUntil) {
+        toAgent(agent, [this, &agent, key] {
+            agent.core->upstreamFailed(key, ErrorKind::UpstreamUnreachable, Outcome::NotRun,
+                                       "connection refused", m_now);
+            drain(agent);
+        });
+        return;
+    }
+    starts[key.id].push_back({VmName(agent.name), key.attempt, m_now, false});
+    Call call{start.dispatch, standin::planAnswer(start.dispatch->call.body),
+              start.dispatch->resumeFrom};
+    agent.calls[key] = std::move(call);
+    if (start.dispatch->stream)
+        later(agent.speed.prefill, [=, this, &agent] { nextToken(agent, key, incarnation); });
+    else
+        later(agent.speed.service / 2, [=, this, &agent] { serve(agent, key, incarnation); });
+}
+
+void Rig::nextToken(AgentBox &agent, const AttemptKey &key, std::uint64_t incarnation)
+{
+    const auto it = agent.calls.find(key);
+    if (it == agent.calls.end() || agent.incarnation != incarnation)
+        return;
+    Call &call = it->second;
+    const auto others = static_cast<Duration::rep>(agent.calls.size() - 1);
+    const Duration gap = agent.speed.step + agent.speed.stepPerRequest * others;
+    const auto slowed = std::chrono::duration_cast<Duration>(gap * agent.slow);
+    if (agent.stalled) {
+        later(slowed, [=, this, &agent] { nextToken(agent, key, incarnation); });
+        return;
+    }
+    const bool ends = call.next >= call.plan.tokens;
+    const std::string text = ends ? "" : standin::answerToken(call.plan, call.next);
+    ++call.next;
+    if (ends) {
+        agent.calls.erase(it);
+    } else {
+        ++tokensMade;
+        starts[key.id].back().ran = true;
+        // The last token and the end come together, as from a real engine.
+        const bool last = call.next >= call.plan.tokens;
+        later(last ? Duration::zero() : slowed,
+              [=, this, &agent] { nextToken(agent, key, incarnation); });
+    }
+    toAgent(agent, [this, &agent, key, ends, text] {
+        if (ends)
+            agent.core->upstreamDone(key, m_now);
+        else
+            agent.core->upstreamToken(key, text, m_now);
+        drain(agent);
+    });
+}
+
+void Rig::serve(AgentBox &agent, const AttemptKey &key, std::uint64_t incarnation)
+{
+    const auto it = agent.calls.find(key);
+    if (it == agent.calls.end() || agent.incarnation != incarnation)
+        return;
+    const Dispatch &dispatch = *it->second.dispatch;
+    starts[key.id].back().ran = true;
+    if (!dispatch.idempotencyKey.empty())
+        ++runsByKey[{dispatch.account, dispatch.idempotencyKey}];
+    later(agent.speed.service / 2, [this, &agent, key, incarnation] {
+        if (agent.calls.erase(key) == 0 || agent.incarnation != incarnation)
+            return;
+        toAgent(agent, [this, &agent, key] {
+            agent.core->upstreamAnswer(key, 200, {}, "done", m_now);
+            drain(agent);
+        });
+    });
+}
+
+// ---- the fake platform ------------------------------------------------------------------
+
+void Rig::claims(AgentBox &agent)
+{
+    for (ClaimAction &action : agent.book->takeActions()) {
+        if (const auto *ended = std::get_if<ClaimEnded>(&action)) {
+            const ClaimEnded word = *ended;
+            agent.core->claimEnded(word.key, word.result, m_now);
+            drain(agent);
+        } else {
+            callPlatform(agent, std::move(action));
+        }
+    }
+}
+
+void Rig::callPlatform(AgentBox &agent, ClaimAction action)
+{
+    const std::uint64_t incarnation = agent.incarnation;
+    later(platformFaults.delay / 2, [this, &agent, incarnation, action = std::move(action)] {
+        PlatformReply reply;
+        ClaimCall call{};
+        if (const auto *read = std::get_if<ReadSlots>(&action)) {
+            call = read->call;
+            reply = readStore(read->prefix);
+        } else {
+            const auto &write = std::get<WriteSlot>(action);
+            call = write.call;
+            reply = writeStore(write);
+        }
+        later(platformFaults.delay / 2, [this, &agent, incarnation, call, reply] {
+            toAgent(agent, [this, &agent, incarnation, call, reply] {
+                if (agent.incarnation != incarnation)
+                    return;
+                agent.book->answered(call, reply, m_now);
+                claims(agent);
+            });
+        });
+    });
+}
+
+PlatformReply Rig::readStore(const std::string &prefix)
+{
+    PlatformReply reply;
+    if (platformFaults.down)
+        return reply;
+    const bool stale = platformFaults.staleReads > 0;
+    if (stale)
+        --platformFaults.staleReads;
+    reply.status = PlatformStatus::Ok;
+    for (const auto &[key, object] : stale ? m_storeBefore : m_store) {
+        if (key.starts_with(prefix))
+            reply.objects.push_back(object);
+    }
+    return reply;
+}
+
+PlatformReply Rig::writeStore(const WriteSlot &write)
+{
+    PlatformReply reply;
+    if (platformFaults.down)
+        return reply;
+    const auto it = m_store.find(write.key);
+    const ObjectVersion present = it == m_store.end() ? ObjectVersion{} : it->second.version;
+    if (present != write.expected) {
+        reply.status = PlatformStatus::Conflict;
+        return reply;
+    }
+    m_storeBefore = m_store;
+    ++platformWrites;
+    reply.version = ObjectVersion{++m_storeVersion};
+    m_store[write.key] = {write.key, reply.version, write.value, false};
+    reply.status = PlatformStatus::Ok;
+    if (platformFaults.loseReplies > 0) {
+        --platformFaults.loseReplies;
+        reply = PlatformReply{};
+        reply.status = PlatformStatus::Lost;
+    }
+    return reply;
+}
+
+// ---- promises ---------------------------------------------------------------------------
+
+std::string Rig::brokenBy(const RequestId &id, const CallerRecord &record) const
+{
+    const std::string who = toString(id);
+    if (record.ends.size() > 1)
+        return fmt::format("{}: told {} final words", who, record.ends.size());
+    if (record.ends.empty() && !record.hungUp)
+        return fmt::format("{}: never told a final word", who);
+    const std::string expected = standin::wholeAnswer(record.plan);
+    if (!expected.starts_with(record.text))
+        return fmt::format("{}: got text that is not of its own answer", who);
+    const auto it = starts.find(id);
+    const bool started = it != starts.end() && !it->second.empty();
+    if (record.ends.empty())
+        return {};
+    const AnswerEnd &end = record.ends.front();
+    if (end.kind == ErrorKind::None && record.ask.model && record.text != expected)
+        return fmt::format("{}: told whole, but it is not", who);
+    if (end.kind == ErrorKind::None && !record.ask.model && !record.whole)
+        return fmt::format("{}: told whole without an answer", who);
+    const bool ran = started
+        && std::ranges::any_of(it->second, [](const UpstreamStart &start) { return start.ran; });
+    if (end.outcome == Outcome::NotRun && ran)
+        return fmt::format("{}: told not-run, but it ran", who);
+    return {};
+}
+
+std::string Rig::brokenPromise() const
+{
+    constexpr Duration leavingLimit = seconds(2);
+    for (const auto &[id, record] : callers) {
+        std::string broken = brokenBy(id, record);
+        if (!broken.empty())
+            return broken;
+    }
+    for (const auto &[id, list] : starts) {
+        const auto ran = std::ranges::count_if(list, &UpstreamStart::ran);
+        if (!callers.at(id).ask.repeatable && ran > 1)
+            return fmt::format("{}: not repeatable, but ran {} times", toString(id), ran);
+        for (const UpstreamStart &start : list) {
+            const auto drained = drainedAt.find(start.agent);
+            if (drained != drainedAt.end() && start.at > drained->second + leavingLimit)
+                return fmt::format("{}: new work for leaving {}", toString(id), start.agent.text);
+        }
+    }
+    for (const auto &[key, runs] : runsByKey) {
+        if (runs > 1)
+            return fmt::format("key {}: ran {} times", key.second, runs);
+    }
+    return {};
+}
+
+// ---- requests ---------------------------------------------------------------------------
+
+CallerRequest modelRequest(const std::string &account, const std::string &cls,
+                           const std::string &model, std::uint64_t tokens, std::uint64_t salt)
+{
+    CallerRequest ask;
+    ask.account = AccountName(account);
+    ask.cls = ClassName(cls);
+    ask.target = modelTarget(model);
+    ask.call.method = "POST";
+    ask.call.path = "/v1/chat/completions";
+    ask.call.body = fmt::format("prompt {} #{}", salt, tokens);
+    return ask;
+}
+
+CallerRequest serviceCall(const std::string &account, const std::string &cls,
+                          const std::string &service, const std::string &key)
+{
+    CallerRequest ask;
+    ask.account = AccountName(account);
+    ask.cls = ClassName(cls);
+    ask.target = serviceTarget(service);
+    ask.model = false;
+    ask.repeatable = false;
+    ask.idempotencyKey = key;
+    ask.call.method = "POST";
+    ask.call.path = "/confirm";
+    return ask;
+}
+
+} // namespace reachlead::rig
--- /dev/null
+++ b/src/upstream/sse_test.cpp
@@ -0,0 +1,93 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include "upstream/enginecall.h"
+#include "upstream/sse.h"
+
+namespace reachlead {
+
+class SseTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SseTest);
+    CPPUNIT_TEST(piecesMakeTheSameEvents);
+    CPPUNIT_TEST(anyBytesAreTaken);
+    CPPUNIT_TEST(endlessEventIsGivenUp);
+    CPPUNIT_TEST(engineEventsAreRead);
+    CPPUNIT_TEST(engineBodySaysWhereToResume);
+    CPPUNIT_TEST_SUITE_END();
+
+    void piecesMakeTheSameEvents()
+    {
+        const std::string stream = ": note\r\ndata: one\r\n\r\ndata:two\ndata: more\n\nid: 1\n\n";
+        const bool good = rc::check("cut anywhere", [&] {
+            SseDecoder decoder;
+            std::vector<std::string> events;
+            std::string_view left = stream;
+            while (!left.empty()) {
+                const auto n = *rc::gen::inRange<std::size_t>(1, left.size() + 1);
+                const auto got = decoder.feed(left.substr(0, n));
+                RC_ASSERT(got.has_value());
+                events.insert(events.end(), got->begin(), got->end());
+                left.remove_prefix(n);
+            }
+            RC_ASSERT(events == (std::vector<std::string>{"one", "two\nmore"}));
+        });
+        CPPUNIT_ASSERT(good);
+    }
+
+    void anyBytesAreTaken()
+    {
+        const bool good = rc::check("any bytes", [](const std::string &bytes) {
+            SseDecoder decoder;
+            (void)decoder.feed(bytes);
+            (void)readEngineEvent(bytes);
+        });
+        CPPUNIT_ASSERT(good);
+    }
+
+    void endlessEventIsGivenUp()
+    {
+        SseDecoder decoder;
+        const std::string line = "data: " + std::string(1U << 16U, 'x') + "\n";
+        bool taken = true;
+        for (unsigned n = 0; n < 20 && taken; ++n)
+            taken = decoder.feed(line).has_value();
+        CPPUNIT_ASSERT(!taken);
+    }
+
+    void engineEventsAreRead()
+    {
+        using Kind = EngineEvent::Kind;
+        const auto chat = readEngineEvent(R"({"choices":[{"delta":{"content":"hi"}}]})");
+        CPPUNIT_ASSERT(chat.kind == Kind::Text && chat.text == "hi");
+        const auto plain = readEngineEvent(R"({"choices":[{"text":"yo"}]})");
+        CPPUNIT_ASSERT(plain.kind == Kind::Text && plain.text == "yo");
+        CPPUNIT_ASSERT(readEngineEvent("[DONE]").kind == Kind::Done);
+        CPPUNIT_ASSERT(readEngineEvent(R"({"choices":[{"delta":{}}]})").kind == Kind::Nothing);
+        CPPUNIT_ASSERT(readEngineEvent(R"({"choices":[]})").kind == Kind::Nothing);
+        CPPUNIT_ASSERT(readEngineEvent(R"({"error":"x"})").kind == Kind::Broken);
+        CPPUNIT_ASSERT(readEngineEvent("{").kind == Kind::Broken);
+    }
+
+    void engineBodySaysWhereToResume()
+    {
+        Dispatch dispatch;
+        dispatch.tier = 3;
+        dispatch.call.body = R"({"model":"m","prompt":"p"})";
+        CPPUNIT_ASSERT(engineBody(dispatch)->find("resume") == std::string::npos);
+        dispatch.resumeFrom = 5;
+        dispatch.resumeText = "so far";
+        const std::string body = *engineBody(dispatch);
+        CPPUNIT_ASSERT(body.find(R"("resume_from":5)") != std::string::npos);
+        CPPUNIT_ASSERT(body.find(R"("priority":3)") != std::string::npos);
+        dispatch.call.body = "[]";
+        CPPUNIT_ASSERT(!engineBody(dispatch));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SseTest);
+
+} // namespace reachlead
