--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -104,6 +104,7 @@
     Duration repeatableWait = milliseconds(500); ///< the same where the request may be repeated
     Duration heartbeatLimit = seconds(3); ///< silence after which a session is given up
     Duration longestOpen = seconds(600); ///< bound on a request whose class delivers late
+    Duration upstreamWait = seconds(2); ///< queueing while no agent of the target is up
     unsigned mostAttempts = 8;
     std::uint64_t creditTokens = 256; ///< tokens an agent may be ahead of the caller
     std::size_t longestKeptText = 1U << 20U; ///< bytes of an answer kept for a resume
@@ -229,6 +230,8 @@
     double medianGap(const Target &target) const;
     void expire(Time now);
     void release(Time now);
+    void refuseWithoutUpstream(Time now);
+    bool upstreamAway(const Target &target, Time now) const;
     Target &targetOf(const TargetName &name);
     void updateGauges();
 
--- a/src/libreachlead/routercore.cpp
+++ b/src/libreachlead/routercore.cpp
@@ -204,7 +204,7 @@
     if (m_stopping)
         return ErrorKind::RouterStopping;
     const auto it = m_targets.find(request.target);
-    if (it == m_targets.end() || it->second->agents.empty())
+    if (it == m_targets.end() || upstreamAway(*it->second, now))
         return ErrorKind::NoUpstream;
     Target &target = *it->second;
     const AccountPolicy *account = m_policies->findAccount(request.account);
@@ -406,6 +406,7 @@
 {
     release(now);
     expire(now);
+    refuseWithoutUpstream(now);
     giveUpWaiting(now);
     watchHeartbeats(now);
     pumpAll(now);
@@ -423,6 +424,35 @@
     }
 }
 
+/// True when no agent of the target has been up for a while.
+bool RouterCore::upstreamAway(const Target &target, Time now) const
+{
+    const bool anyUp = std::ranges::any_of(
+        target.agents, [&](const VmName &name) { return m_agents.at(name)->up; });
+    return target.agents.empty() || (!anyUp && now - target.upAt > m_tuning.upstreamWait);
+}
+
+/// Gives up on what waits for a target that nobody serves: the caller is told at once, with when
+/// to come back.
+void RouterCore::refuseWithoutUpstream(Time now)
+{
+    for (auto &[name, target] : m_targets) {
+        const bool anyUp = std::ranges::any_of(
+            target->agents, [&](const VmName &agent) { return m_agents.at(agent)->up; });
+        if (anyUp)
+            target->upAt = now;
+        if (!upstreamAway(*target, now))
+            continue;
+        while (const auto next = target->queue->pop()) {
+            if (Request *request = findRequest(next->id))
+                finish(*request,
+                       {ErrorKind::NoUpstream, request->tokens > 0 ? Outcome::Ran : Outcome::NotRun,
+                        "", 0},
+                       now);
+        }
+    }
+}
+
 /// Ends what can no longer be on time, where the class wants that.
 void RouterCore::expire(Time now)
 {
--- a/src/libreachlead/routercore_agents.cpp
+++ b/src/libreachlead/routercore_agents.cpp
@@ -30,6 +30,7 @@
     agent->incarnation = welcome.incarnation;
     agent->up = true;
     agent->heardAt = now;
+    targetOf(agent->target).upAt = now;
     m_counters->add(Count::SessionsOpened);
     m_counters->shift(Gauge::Sessions, 1);
     takeLoad(*agent, welcome.load);
--- a/src/libreachlead/routercore_pvt.h
+++ b/src/libreachlead/routercore_pvt.h
@@ -73,6 +73,7 @@
     std::unique_ptr<RequestQueue> queue;
     std::unique_ptr<Placement> placement;
     std::vector<VmName> agents;
+    Time upAt{}; ///< when an agent was last seen up
     double popSeconds = 0; ///< smoothed time between dispatches while requests wait
     Time poppedAt{};
     bool backlogged = false; ///< requests were left waiting after the last dispatch
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(restartedAgentCannotProve);
     CPPUNIT_TEST(silentAgentIsGivenUp);
     CPPUNIT_TEST(waitForAnAgentIsBounded);
+    CPPUNIT_TEST(waitWithoutUpstreamIsBounded);
     CPPUNIT_TEST(brownOutIsNotMultiplied);
     CPPUNIT_TEST(predictedLateIsRefusedAtOnce);
     CPPUNIT_TEST(deadlineDropsWhatIsWorthless);
@@ -319,6 +320,25 @@
         CPPUNIT_ASSERT(onlyEnd().kind == ErrorKind::OutcomeUnknown);
     }
 
+    void waitWithoutUpstreamIsBounded()
+    {
+        up("a", 1);
+        ask();
+        const RequestId waiting = ask();
+        m_core->agentDown(VmName("a"), m_now);
+        pass(RouterTuning().upstreamWait + milliseconds(50));
+        const auto ends = told<AnswerEnd>();
+        CPPUNIT_ASSERT(!ends.empty());
+        CPPUNIT_ASSERT(ends.front().kind == ErrorKind::NoUpstream);
+        CPPUNIT_ASSERT(ends.front().outcome == Outcome::NotRun);
+        ask(); // refused at arrival from now on
+        CPPUNIT_ASSERT(onlyEnd().kind == ErrorKind::NoUpstream);
+        up("a", 1);
+        ask();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<Dispatch>().size());
+        (void)waiting;
+    }
+
     /// Every attempt fails: the retries stay a fraction of the first tries.
     void brownOutIsNotMultiplied()
     {
--- a/src/reachlead-load/faultmatrix_test.cpp
+++ b/src/reachlead-load/faultmatrix_test.cpp
@@ -61,6 +61,7 @@
 
 constexpr std::uint64_t streamTokens = 40;
 constexpr const char *router = "r1";
+constexpr std::array<const char *, 5> allAgents{"e1", "e2", "e3", "s1", "s2"};
 
 void burst(Cell &c)
 {
@@ -151,14 +152,15 @@
     c.rig.cutSession(router, c.service);
 }
 
+/// What is on its way to the agents stays in sockets that are then replaced.
 void lateFrames(Cell &c)
 {
-    c.rig.holdMessages(router, c.engine);
-    c.rig.holdMessages(router, c.service);
     Rig &rig = c.rig;
-    rig.at(rig.now() + milliseconds(2), [&rig, engine = c.engine, service = c.service] {
-        rig.cutSession(router, engine);
-        rig.cutSession(router, service);
+    for (const char *agent : allAgents)
+        rig.holdMessages(router, agent);
+    rig.at(rig.now() + milliseconds(2), [&rig] {
+        for (const char *agent : allAgents)
+            rig.cutSession(router, agent);
     });
 }
 
