admission: grow the window in proportion to the room under the target

Cause: the window grew by one each 200 ms, so from 24 it needed 7 s to the 60 requests that keep 79 ms; the race start was over by then. Change: the step is size x (0.92 - measured/target), at least one.

--- a/src/include/reachlead/admission.h
+++ b/src/include/reachlead/admission.h
@@ -16,8 +16,8 @@
 /// The admission window of one upstream. Not thread-safe.
 ///
 /// Engines batch continuously: throughput grows with the batch until the time between tokens
-/// breaks the promise. The window grows by one while the measured time stays well under the
-/// tightest target of those running, and shrinks by a part when it passes the target.
+/// breaks the promise. The window grows while the measured time stays under the tightest target of
+/// those running, by the more the farther it is from it, and shrinks by a part when it passes.
 class AdmissionWindow
 {
 public:
@@ -43,7 +43,7 @@
     Duration gap() const { return fromSeconds(m_gapSeconds); }
 
     static constexpr Duration interval = milliseconds(200); ///< between two moves
-    static constexpr double growBelow = 0.85; ///< part of the target under which it grows
+    static constexpr double growBelow = 0.92; ///< part of the target under which it grows
     static constexpr double shrinkAbove = 1.0; ///< part of the target over which it shrinks
     static constexpr double shrinkTo = 0.85; ///< part of the size that is kept
 
--- a/src/libreachlead/admission.cpp
+++ b/src/libreachlead/admission.cpp
@@ -25,7 +25,8 @@
         const double kept = std::floor(std::min(running, m_size) * shrinkTo);
         m_size = std::max(m_bounds.least, static_cast<std::uint32_t>(kept));
     } else if (part < growBelow && running >= m_size) {
-        m_size = std::min(m_bounds.most, m_size + 1);
+        const double step = m_size * (growBelow - part);
+        m_size = std::min(m_bounds.most, m_size + std::max(1U, static_cast<std::uint32_t>(step)));
     }
 }
 
