admission: measure each window size by itself

Cause suspected: the smoothed time between tokens mixed gaps of the former window size, so the window overshot. Change: gaps that began before the last move are left out, and each look takes the mean since then.

--- a/src/include/reachlead/admission.h
+++ b/src/include/reachlead/admission.h
@@ -31,7 +31,7 @@
     explicit AdmissionWindow(Bounds bounds) : m_bounds(bounds), m_size(bounds.first) { }
 
     /// Learns the time between two tokens of one answer.
-    void observe(Duration gap);
+    void observe(Duration gap, Time now);
 
     /// Looks at what was learned and moves the window. \p tightest is the smallest target among
     /// the running requests, none when no request has one.
@@ -39,7 +39,7 @@
 
     std::uint32_t size() const { return m_size; }
 
-    /// The smoothed time between tokens; zero before the first was seen.
+    /// The time between tokens, as last looked at; zero before the first look.
     Duration gap() const { return fromSeconds(m_gapSeconds); }
 
     static constexpr Duration interval = milliseconds(200); ///< between two moves
@@ -50,7 +50,8 @@
 private:
     Bounds m_bounds;
     std::uint32_t m_size;
-    double m_gapSeconds = 0;
+    double m_gapSeconds = 0; ///< mean over the last interval that was looked at
+    double m_sumSeconds = 0; ///< of the gaps seen since the last move settled
     std::uint64_t m_seen = 0;
     Time m_movedAt{};
 };
--- a/src/libreachlead/admission.cpp
+++ b/src/libreachlead/admission.cpp
@@ -8,11 +8,13 @@
 
 namespace reachlead {
 
-void AdmissionWindow::observe(Duration gap)
+void AdmissionWindow::observe(Duration gap, Time now)
 {
-    constexpr double smoothing = 0.05;
-    const double seen = toSeconds(gap);
-    m_gapSeconds = m_seen++ == 0 ? seen : m_gapSeconds + smoothing * (seen - m_gapSeconds);
+    // Gaps that began before the last move show the batch as it was then.
+    if (now - gap < m_movedAt)
+        return;
+    m_sumSeconds += toSeconds(gap);
+    ++m_seen;
 }
 
 void AdmissionWindow::steer(Time now, std::uint32_t running, std::optional<Duration> tightest)
@@ -20,6 +22,9 @@
     if (!tightest || m_seen == 0 || now - m_movedAt < interval)
         return;
     m_movedAt = now;
+    m_gapSeconds = m_sumSeconds / static_cast<double>(m_seen);
+    m_sumSeconds = 0;
+    m_seen = 0;
     const double part = m_gapSeconds / toSeconds(*tightest);
     if (part > shrinkAbove && running > 0) {
         const double kept = std::floor(std::min(running, m_size) * shrinkTo);
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -73,7 +73,7 @@
         return;
     }
     if (run->tokens() > 0)
-        m_window.observe(now - run->tokenAt);
+        m_window.observe(now - run->tokenAt, now);
     run->tokenAt = now;
     run->text += text;
     run->ends.push_back(run->text.size());
--- a/src/libreachlead/parts_test.cpp
+++ b/src/libreachlead/parts_test.cpp
@@ -81,9 +81,9 @@
         Time now = start;
         const auto feel = [&](Duration gap, unsigned rounds) {
             for (unsigned n = 0; n < rounds; ++n) {
+                now += AdmissionWindow::interval + gap;
                 for (unsigned k = 0; k < 100; ++k)
-                    window.observe(gap);
-                now += AdmissionWindow::interval;
+                    window.observe(gap, now);
                 window.steer(now, window.size(), target);
             }
         };
