router, agent: start nothing too late, preempt for a higher tier

Cause: at the race start requests of the burst held every place of the engines for 9 s, so the top tier waited behind them; and answers that could not be in time were started all the same.

--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -194,6 +194,8 @@
     void shedQueue();
     void startQueued(Time now);
     bool wokeJustNow(Time now);
+    void preemptForQueued(Time now);
+    std::map<std::uint8_t, std::vector<Run *>> preemptibleRuns() const;
     void start(Run &run, Time now);
     void applyDrain();
     void reportLoad(bool atOnce, Time now);
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -30,6 +30,7 @@
     Queries,
     Reattached,
     Resumed,
+    Preempted,
     ForbiddenTransitions,
     HeartbeatsSent,
     HeartbeatsHeard,
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -47,6 +47,7 @@
     SettingsAbsent,
     RouterStopping,
     AgentBusy,
+    Preempted,
     AgentLeaving,
     AgentLost,
     UpstreamUnreachable,
--- a/src/include/reachlead/lengthestimate.h
+++ b/src/include/reachlead/lengthestimate.h
@@ -24,6 +24,7 @@
     void learn(double tokens)
     {
         constexpr double step = 0.1;
+        ++m_learned;
         constexpr double least = 1.0;
         const double pull = tokens > m_value ? m_quantile : m_quantile - 1.0;
         m_value = std::max(least, m_value * (1.0 + step * pull));
@@ -32,9 +33,15 @@
     /// The estimate in tokens.
     double value() const { return m_value; }
 
+    /// True once enough answers were seen to decide by the estimate.
+    bool known() const { return m_learned >= enough; }
+
 private:
+    static constexpr unsigned enough = 20;
+
     double m_quantile;
     double m_value;
+    unsigned m_learned = 0;
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -53,12 +54,14 @@
     std::uint32_t yours = 0; ///< of running and queued, those of the router told
     std::uint32_t tokenGapMicros = 0; ///< measured time between tokens of one answer; 0: not yet
     bool leaving = false;
+    /// Running attempts of each tier that a request of a higher tier may take the place of.
+    std::array<std::uint32_t, tierCount> preemptible{};
 
     bool operator==(const Load &) const = default;
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(sequence, window, running, queued, yours, tokenGapMicros, leaving);
+        ar(sequence, window, running, queued, yours, tokenGapMicros, leaving, preemptible);
     }
 };
 
@@ -89,6 +92,8 @@
     std::uint8_t tier = 0;
     bool repeatable = true;
     bool stream = false; ///< the upstream answers with a token stream
+    bool preemptible = true; ///< may be stopped for a higher tier, to go on elsewhere
+    double floor = 0; ///< part of the window its class keeps against higher tiers
     std::string idempotencyKey; ///< empty: none
     std::uint64_t interTokenMicros = 0; ///< target between tokens; 0: none
     std::uint64_t resumeFrom = 0; ///< tokens the caller has already
@@ -98,8 +103,8 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(id, attempt, account, cls, tier, repeatable, stream, idempotencyKey, interTokenMicros,
-           resumeFrom, resumeText, credit, call);
+        ar(id, attempt, account, cls, tier, repeatable, stream, preemptible, floor, idempotencyKey,
+           interTokenMicros, resumeFrom, resumeText, credit, call);
     }
 };
 
--- a/src/include/reachlead/requestqueue.h
+++ b/src/include/reachlead/requestqueue.h
@@ -48,6 +48,10 @@
     /// Takes the next request to serve; none when the queue is empty.
     virtual std::optional<QueuedRequest> pop() = 0;
 
+    /// The tier of the request that pop() would take; none when the queue is empty, or when the
+    /// order does not go by tiers.
+    virtual std::optional<Tier> nextTier() const = 0;
+
     /// Removes a request; false when it does not wait here.
     virtual bool remove(const RequestId &id) = 0;
 
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -105,7 +105,8 @@
     Duration heartbeatLimit = seconds(3); ///< silence after which a session is given up
     Duration longestOpen = seconds(600); ///< bound on a request whose class delivers late
     Duration upstreamWait = seconds(2); ///< queueing while no agent of the target is up
-    unsigned mostAttempts = 8;
+    unsigned mostAttempts = 8; ///< that failed, or found no room
+    unsigned mostPreemptions = 3; ///< of one request; then it keeps its place
     std::uint64_t creditTokens = 256; ///< tokens an agent may be ahead of the caller
     std::size_t longestKeptText = 1U << 20U; ///< bytes of an answer kept for a resume
 };
@@ -219,14 +220,17 @@
     // arrivals and the queue (routercore.cpp)
     ErrorKind refusalAtArrival(const CallerRequest &request, const ClassPolicy &cls, Time now);
     bool predictedLate(const Target &target, const ClassPolicy &cls, Time now) const;
+    bool tooLateToStart(const Request &request, const Target &target, Time now);
     void enqueue(Request &request, Time now);
     void pump(Target &target, Time now);
     void pumpAll(Time now);
     bool placeNext(Target &target, Time now);
     void place(Request &request, Agent &agent);
     std::vector<Candidate> candidates(const Target &target, Time now, std::vector<Agent *> *agents);
+    Candidate candidateOf(const Agent &agent, double medianGap) const;
     static Agent *agentOfKey(const CallerRequest &ask, const std::vector<Agent *> &agents);
     std::string ruledOut(Agent &agent, Time now) const;
+    bool hasRoom(const Agent &agent, std::optional<Tier> tier) const;
     double medianGap(const Target &target) const;
     void expire(Time now);
     void release(Time now);
@@ -282,7 +286,8 @@
     std::map<VmName, std::unique_ptr<Agent>> m_agents;
     std::map<TargetName, std::unique_ptr<Target>> m_targets;
     std::map<ClassName, RetryBudget> m_budgets;
-    std::map<std::pair<ClassName, AccountName>, LengthEstimate> m_lengths;
+    std::map<std::pair<ClassName, AccountName>, LengthEstimate> m_lengths; ///< for fair charging
+    std::map<ClassName, LengthEstimate> m_medianLengths; ///< for what can still be in time
     std::set<std::pair<Time, RequestId>> m_deadlines; ///< next look at each request by time
     std::set<std::pair<Time, RequestId>> m_doubts; ///< ends of waits for agents, by time
     std::set<std::pair<Time, RequestId>> m_delayed; ///< retries that wait out their pause
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -4,6 +4,7 @@
 #include "agentcore_pvt.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 #include <fmt/format.h>
@@ -200,6 +201,7 @@
         m_byKey[{message.account, message.idempotencyKey}] = message.id;
     enqueue(kept);
     startQueued(now);
+    preemptForQueued(now);
     shedQueue();
 }
 
@@ -249,6 +251,65 @@
     return now < m_holdUntil;
 }
 
+/// The running attempts that may be stopped, by tier, oldest first: streams that can go on
+/// elsewhere, of classes that run more than their floor.
+std::map<std::uint8_t, std::vector<AgentCore::Run *>> AgentCore::preemptibleRuns() const
+{
+    std::map<ClassName, std::size_t> runningOf;
+    std::vector<Run *> runs;
+    for (const RequestId &id : m_unsettled) {
+        Run &run = *m_runs.at(id);
+        if (run.state != Run::State::Running)
+            continue;
+        ++runningOf[run.dispatch->cls];
+        if (run.dispatch->stream && run.dispatch->repeatable && run.dispatch->preemptible)
+            runs.push_back(&run);
+    }
+    std::ranges::sort(runs, std::greater(), &Run::arrival);
+    std::map<std::uint8_t, std::vector<Run *>> byTier;
+    for (Run *run : runs) {
+        const double kept = std::ceil(run->dispatch->floor * m_window.size());
+        std::size_t &left = runningOf[run->dispatch->cls];
+        if (static_cast<double>(left) <= kept)
+            continue;
+        --left;
+        auto &row = byTier[run->dispatch->tier];
+        row.insert(row.begin(), run);
+    }
+    return byTier;
+}
+
+/// Stops the newest of the lowest tier for each waiting request of a higher one. What was stopped
+/// goes back to its router with the tokens it made, and goes on from there.
+void AgentCore::preemptForQueued(Time now)
+{
+    if (m_queue.empty() || wokeJustNow(now))
+        return;
+    auto byTier = preemptibleRuns();
+    std::size_t wanted = m_queue.size();
+    auto waiting = m_queue.begin();
+    std::vector<Run *> victims;
+    while (wanted-- > 0 && !byTier.empty()) {
+        auto lowest = std::prev(byTier.end());
+        if (lowest->first <= waiting->first.first)
+            break;
+        victims.push_back(lowest->second.back());
+        lowest->second.pop_back();
+        if (lowest->second.empty())
+            byTier.erase(lowest);
+        ++waiting;
+    }
+    for (Run *run : victims) {
+        m_counters->add(Count::Preempted);
+        m_actions.emplace_back(CancelUpstream{run->key()});
+        End end;
+        end.kind = ErrorKind::Preempted;
+        end.tokens = run->tokens();
+        end.hash = XXH64(run->text.data(), run->text.size(), 0);
+        finish(*run, std::move(end), now); // starts the one that waits
+    }
+}
+
 void AgentCore::startQueued(Time now)
 {
     if (wokeJustNow(now))
@@ -361,6 +422,8 @@
     load.queued = static_cast<std::uint32_t>(m_queue.size());
     load.tokenGapMicros = static_cast<std::uint32_t>(toSeconds(m_window.gap()) * 1e6);
     load.leaving = m_draining;
+    for (const auto &[tier, runs] : preemptibleRuns())
+        load.preemptible.at(tier) = static_cast<std::uint32_t>(runs.size());
     if (session) {
         const auto isTheirs = [&](const RequestId &id) {
             const Run &run = *m_runs.at(id);
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -54,6 +54,8 @@
     {SettingsAbsent, "settings-absent", 503, notRun, soon, "The router has no settings yet."},
     {RouterStopping, "router-stopping", 503, notRun, soon, "The router is shutting down."},
     {AgentBusy, "agent-busy", 503, notRun, soon, "The upstream had no room."},
+    {Preempted, "preempted", 503, ran, soon,
+     "The place at the upstream was needed by a request of higher priority."},
     {AgentLeaving, "agent-leaving", 503, notRun, soon, "The upstream is leaving."},
     {AgentLost, "agent-lost", 502, notRun, soon, "The upstream's agent was lost before the start."},
     {UpstreamUnreachable, "upstream-unreachable", 502, notRun, soon,
--- a/src/libreachlead/fifoqueue.h
+++ b/src/libreachlead/fifoqueue.h
@@ -26,6 +26,7 @@
     void setPolicies(const PoliciesPtr &policies) override { m_policies = policies; }
     std::optional<ShedRequest> push(const QueuedRequest &request) override;
     std::optional<QueuedRequest> pop() override;
+    std::optional<Tier> nextTier() const override { return std::nullopt; }
     bool remove(const RequestId &id) override;
     void charge(const ClassName &cls, const AccountName &account, double tokens) override;
     std::size_t size() const override { return m_places.size(); }
--- a/src/libreachlead/routercore.cpp
+++ b/src/libreachlead/routercore.cpp
@@ -237,6 +237,20 @@
     return wait > toSeconds(cls.firstTokenTarget);
 }
 
+/// True when the answer of a class that drops late ones would most likely not be whole by its
+/// deadline: engine time spent on it would be wasted, and its place serves one that can be.
+bool RouterCore::tooLateToStart(const Request &request, const Target &target, Time now)
+{
+    if (request.cls.late != LatePolicy::Drop || !m_strategy.dropLate || !request.ask.model)
+        return false;
+    const auto it = m_medianLengths.find(request.cls.name);
+    if (it == m_medianLengths.end() || !it->second.known())
+        return false;
+    const double left = std::max(1.0, it->second.value() - static_cast<double>(request.tokens));
+    const double run = left * medianGap(target) / 1e6;
+    return now + fromSeconds(run) > request.deadline;
+}
+
 void RouterCore::refuse(const RequestId &id, ErrorKind kind, std::string reason)
 {
     m_counters->refused(kind);
@@ -298,6 +312,11 @@
     Request *request = findRequest(next->id);
     if (!request)
         return true;
+    if (tooLateToStart(*request, target, now)) {
+        const Outcome outcome = request->tokens > 0 ? Outcome::Ran : Outcome::NotRun;
+        finish(*request, {ErrorKind::DeadlineQueued, outcome, "too late to start", 0}, now);
+        return true;
+    }
     const std::string &key = request->ask.idempotencyKey;
     if (key.empty())
         place(*request, *agents[*target.placement->choose(open, m_random)]);
@@ -314,11 +333,25 @@
         return "leaving";
     if (!agent.circuit.allows(now))
         return "circuit open";
-    if (m_strategy.lateBinding && (agent.full || agent.used() >= agent.load.window))
-        return "no room";
     return {};
 }
 
+/// Room of its own, or, for a request of \p tier, the places of running requests of lower tiers.
+bool RouterCore::hasRoom(const Agent &agent, std::optional<Tier> tier) const
+{
+    if (!m_strategy.lateBinding)
+        return true;
+    if (agent.full)
+        return false;
+    std::uint32_t places = agent.load.window;
+    if (tier) {
+        const std::size_t above = indexOf(*tier) + 1;
+        const auto below = agent.load.preemptible | std::views::drop(above);
+        places = std::accumulate(below.begin(), below.end(), places);
+    }
+    return agent.used() < places;
+}
+
 double RouterCore::medianGap(const Target &target) const
 {
     std::vector<double> gaps;
@@ -334,25 +367,41 @@
     return *middle;
 }
 
+Candidate RouterCore::candidateOf(const Agent &agent, double medianGap) const
+{
+    const double gap = agent.load.tokenGapMicros;
+    Candidate candidate;
+    candidate.agent = agent.name;
+    candidate.sameZone = agent.zone == m_zone;
+    candidate.window = std::max(1U, agent.load.window);
+    candidate.used = agent.used();
+    candidate.slowness = medianGap > 0 && gap > 0 ? gap / medianGap : 1.0;
+    return candidate;
+}
+
+/// The agents that can take the next request: those with room of their own, or else those where
+/// it may take the place of a lower tier.
 std::vector<Candidate> RouterCore::candidates(const Target &target, Time now,
                                               std::vector<Agent *> *agents)
 {
-    const double median = medianGap(target);
-    std::vector<Candidate> open;
+    std::vector<Agent *> standing;
     for (const VmName &name : target.agents) {
         Agent &agent = *m_agents.at(name);
-        if (!ruledOut(agent, now).empty())
-            continue;
-        const double gap = agent.load.tokenGapMicros;
-        Candidate candidate;
-        candidate.agent = name;
-        candidate.sameZone = agent.zone == m_zone;
-        candidate.window = std::max(1U, agent.load.window);
-        candidate.used = agent.used();
-        candidate.slowness = median > 0 && gap > 0 ? gap / median : 1.0;
-        open.push_back(std::move(candidate));
-        agents->push_back(&agent);
+        if (ruledOut(agent, now).empty())
+            standing.push_back(&agent);
+    }
+    const std::optional<Tier> tier = target.queue->nextTier();
+    for (const std::optional<Tier> taking : {std::optional<Tier>(), tier}) {
+        std::ranges::copy_if(standing, std::back_inserter(*agents),
+                             [&](const Agent *agent) { return hasRoom(*agent, taking); });
+        if (!agents->empty())
+            break;
     }
+    const double median = medianGap(target);
+    std::vector<Candidate> open;
+    open.reserve(agents->size());
+    for (const Agent *agent : *agents)
+        open.push_back(candidateOf(*agent, median));
     return open;
 }
 
@@ -390,6 +439,8 @@
     message.tier = m_strategy.tellTier ? static_cast<std::uint8_t>(request.cls.tier) : 0;
     message.repeatable = request.ask.repeatable;
     message.stream = request.ask.model;
+    message.preemptible = request.preemptions < m_tuning.mostPreemptions && request.textComplete;
+    message.floor = request.cls.floor;
     message.idempotencyKey = request.ask.idempotencyKey;
     message.interTokenMicros =
         static_cast<std::uint64_t>(toSeconds(request.cls.interTokenTarget) * 1e6);
@@ -513,12 +564,10 @@
         if (status.target != target)
             continue;
         Agent &agent = *m_agents.at(status.name);
-        const double gap = agent.load.tokenGapMicros;
-        Candidate candidate;
-        candidate.window = std::max(1U, agent.load.window);
-        candidate.used = agent.used();
-        candidate.slowness = median > 0 && gap > 0 ? gap / median : 1.0;
-        views.push_back({status, placementCost(candidate), ruledOut(agent, now)});
+        std::string reason = ruledOut(agent, now);
+        if (reason.empty() && !hasRoom(agent, std::nullopt))
+            reason = "no room";
+        views.push_back({status, placementCost(candidateOf(agent, median)), std::move(reason)});
     }
     return views;
 }
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -7,6 +7,18 @@
 
 namespace reachlead {
 
+namespace {
+
+/// A busy or leaving agent did no work for the request, and what was made before a preemption is
+/// kept: placing it again multiplies nothing, and each is bounded by a number of its own.
+bool costsNothing(ErrorKind kind)
+{
+    return kind == ErrorKind::AgentBusy || kind == ErrorKind::AgentLeaving
+        || kind == ErrorKind::Preempted;
+}
+
+} // namespace
+
 void RouterCore::agentMessage(const VmName &name, const ToRouter &message, Time now)
 {
     Agent *agent = findAgent(name);
@@ -129,7 +141,10 @@
                           now);
             return;
         }
-        lengthOf(request.cls.name, request.ask.account).learn(static_cast<double>(request.tokens));
+        const auto length = static_cast<double>(request.tokens);
+        lengthOf(request.cls.name, request.ask.account).learn(length);
+        constexpr double half = 0.5;
+        m_medianLengths.try_emplace(request.cls.name, half).first->second.learn(length);
     } else {
         AnswerWhole whole{message.status, message.headers, message.body};
         m_actions.emplace_back(TellCaller{request.ask.id, std::move(whole)});
@@ -193,12 +208,10 @@
         return kind;
     if (request.tokens > 0 && !request.textComplete)
         return kind;
-    if (request.attempt >= m_tuning.mostAttempts || now >= request.deadline)
+    const bool late = now >= request.deadline;
+    if (request.attempt - request.preemptions >= m_tuning.mostAttempts || late)
         return kind;
-    // A busy or leaving agent did no work for the request: placing it elsewhere multiplies
-    // nothing and is bounded by the number of attempts.
-    const bool costsNothing = kind == ErrorKind::AgentBusy || kind == ErrorKind::AgentLeaving;
-    if (!costsNothing && !m_budgets[request.cls.name].take())
+    if (!costsNothing(kind) && !m_budgets[request.cls.name].take())
         return ErrorKind::RetryBudgetSpent;
     return ErrorKind::None;
 }
@@ -209,8 +222,9 @@
     unbind(request);
     if (!apply(request, LifeEvent::PutBack))
         return;
-    const bool costsNothing = kind == ErrorKind::AgentBusy || kind == ErrorKind::AgentLeaving;
-    if (!costsNothing)
+    if (kind == ErrorKind::Preempted)
+        ++request.preemptions;
+    if (!costsNothing(kind))
         ++request.retries;
     m_deadlines.erase({request.lookAt, request.ask.id});
     const Time again = now + drawPause(std::max(1U, request.retries));
--- a/src/libreachlead/routercore_pvt.h
+++ b/src/libreachlead/routercore_pvt.h
@@ -26,6 +26,7 @@
     VmName agent; ///< empty: with none
     Incarnation boundTo; ///< of the agent that got the present attempt
     Attempt attempt = 0;
+    unsigned preemptions = 0; ///< attempts that gave way to a higher tier
     unsigned retries = 0; ///< attempts that failed and were paid from the budget
     double promptTokens = 1;
     double cost = 1; ///< predicted tokens, prompt included: charged at each dispatch
--- a/src/libreachlead/tieredqueue.cpp
+++ b/src/libreachlead/tieredqueue.cpp
@@ -29,7 +29,9 @@
 {
     // Arrivals are checked against the same policies; a class unknown here was removed between
     // the check and now, and serves its last requests with default values.
-    return m_classes[name];
+    ClassQueue &cls = m_classes[name];
+    cls.policy.name = name;
+    return cls;
 }
 
 std::optional<ShedRequest> TieredQueue::push(const QueuedRequest &request)
@@ -112,10 +114,10 @@
     return cls.accounts.at(account).byDeadline.begin()->second;
 }
 
-TieredQueue::ClassQueue *TieredQueue::owedByFloor()
+const TieredQueue::ClassQueue *TieredQueue::owedByFloor() const
 {
-    ClassQueue *owed = nullptr;
-    for (auto &[name, cls] : m_classes) {
+    const ClassQueue *owed = nullptr;
+    for (const auto &[name, cls] : m_classes) {
         if (cls.size() == 0 || cls.floorCredit < next(cls).request.cost)
             continue;
         if (!owed || cls.floorCredit > owed->floorCredit)
@@ -124,10 +126,10 @@
     return owed;
 }
 
-TieredQueue::ClassQueue *TieredQueue::bestOfTopTier()
+const TieredQueue::ClassQueue *TieredQueue::bestOfTopTier() const
 {
-    ClassQueue *best = nullptr;
-    for (auto &[name, cls] : m_classes) {
+    const ClassQueue *best = nullptr;
+    for (const auto &[name, cls] : m_classes) {
         if (cls.size() == 0)
             continue;
         const auto rank = std::pair(cls.policy.tier, cls.served);
@@ -141,11 +143,10 @@
 {
     if (m_places.empty())
         return std::nullopt;
-    ClassQueue *cls = owedByFloor();
-    if (cls)
+    const ClassQueue *owed = owedByFloor();
+    ClassQueue *cls = &m_classes.at((owed ? owed : bestOfTopTier())->policy.name);
+    if (owed)
         cls->floorCredit -= next(*cls).request.cost;
-    else
-        cls = bestOfTopTier();
     const AccountName owner = cls->active.begin()->second;
     const Waiting waiting = next(*cls);
     cls->floorOfCharged = std::max(cls->floorOfCharged, cls->active.begin()->first);
@@ -155,6 +156,14 @@
     return request;
 }
 
+std::optional<Tier> TieredQueue::nextTier() const
+{
+    if (m_places.empty())
+        return std::nullopt;
+    const ClassQueue *owed = owedByFloor();
+    return (owed ? owed : bestOfTopTier())->policy.tier;
+}
+
 /// Books the service just given: the class's own share, and the credit of all that wait.
 void TieredQueue::account(ClassQueue &served, double cost)
 {
--- a/src/libreachlead/tieredqueue.h
+++ b/src/libreachlead/tieredqueue.h
@@ -39,6 +39,7 @@
     void setPolicies(const PoliciesPtr &policies) override;
     std::optional<ShedRequest> push(const QueuedRequest &request) override;
     std::optional<QueuedRequest> pop() override;
+    std::optional<Tier> nextTier() const override;
     bool remove(const RequestId &id) override;
     void charge(const ClassName &cls, const AccountName &account, double tokens) override;
     std::size_t size() const override { return m_places.size(); }
@@ -91,8 +92,8 @@
     void insert(ClassQueue &cls, const QueuedRequest &request);
     QueuedRequest take(ClassQueue &cls, const AccountName &account, const Waiting &waiting);
     const Waiting &next(const ClassQueue &cls) const;
-    ClassQueue *owedByFloor();
-    ClassQueue *bestOfTopTier();
+    const ClassQueue *owedByFloor() const;
+    const ClassQueue *bestOfTopTier() const;
     void account(ClassQueue &served, double cost);
     void recharge(ClassQueue &cls, const AccountName &account, double tokens);
     void forgetIdle(ClassQueue &cls);
--- a/src/peer/archive.h
+++ b/src/peer/archive.h
@@ -12,6 +12,7 @@
 #include <type_traits>
 
 #include <cereal/cereal.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
