peer: subsets of agents, and load told to whom it concerns

Cause: each router dialled every agent, and each change of an agent's load went to every router: at 480 routers and 12,000 agents neither fits 15 KB/s a node. Change: a router takes two agents of each target (own zone first) and those for which it ranks among the first four routers, by rendezvous hashing; ranked on the platform thread. A load report goes to routers whose requests changed, to all only when room or leaving changes; heartbeats each second, and none to a session that got a frame since.

--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -101,10 +101,12 @@
 listen = 127.0.0.1:0
 write_key = $ADMIN_KEY
 INI
+    local target
+    target=$(sed 's/ = /:/' <<<"$2")
     launch "$1" "$BIN/reachlead-agent" --settings "$FLEET_DIR/$1.ini"
     PORT[$1]=$(port_of "$1" sessions)
     PORT[$1-operators]=$(port_of "$1" operators)
-    MEMBERS+=("{\"vm\":\"$1\",\"role\":\"agent\",\"zone\":\"$3\",\"address\":\"127.0.0.1\",\"port\":${PORT[$1]},\"leaving\":false}")
+    MEMBERS+=("{\"vm\":\"$1\",\"role\":\"agent\",\"zone\":\"$3\",\"address\":\"127.0.0.1\",\"port\":${PORT[$1]},\"leaving\":false,\"target\":\"$target\"}")
 }
 
 # start_router NAME ZONE
--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -198,6 +198,7 @@
     std::map<std::uint8_t, std::vector<Run *>> preemptibleRuns() const;
     void start(Run &run, Time now);
     void applyDrain();
+    void touch(std::optional<SessionId> session);
     void reportLoad(bool atOnce, Time now);
     std::optional<Duration> tightestTarget() const;
 
--- a/src/include/reachlead/platform.h
+++ b/src/include/reachlead/platform.h
@@ -62,6 +62,7 @@
     std::string address; ///< IP number
     std::uint16_t port = 0; ///< where the process takes peer sessions
     bool leaving = false;
+    TargetName target; ///< of an agent; empty: the list does not say
 
     bool operator==(const Member &) const = default;
 };
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -203,6 +203,8 @@
     /// Requests that have not been told their final word.
     std::size_t openRequests() const { return m_requests.size(); }
     std::size_t queued() const;
+    /// Requests of this router that an agent holds.
+    std::size_t requestsAt(const VmName &agent) const;
     std::vector<AgentStatus> agents() const;
     /// Why a request for \p target would go where it goes.
     std::vector<RouteView> explain(const TargetName &target, Time now);
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -197,6 +197,7 @@
     Run &kept = *run;
     m_runs[message.id] = std::move(run);
     m_unsettled.insert(message.id);
+    touch(session);
     if (!message.idempotencyKey.empty())
         m_byKey[{message.account, message.idempotencyKey}] = message.id;
     enqueue(kept);
@@ -440,11 +441,25 @@
     present.sequence = m_told.sequence;
     if (present == m_told || (!atOnce && now - m_toldAt < loadInterval))
         return;
+    // Everybody hears what decides whether to send here at all. The rest goes to those whose own
+    // requests changed; the others get it with the next heartbeat.
+    const auto hasRoom = [](const Load &l) { return l.running + l.queued < l.window; };
+    const bool everybody = present.leaving != m_told.leaving || hasRoom(present) != hasRoom(m_told);
     present.sequence = ++m_loadSequence;
     m_told = present;
     m_toldAt = now;
-    for (const auto &[id, session] : m_sessions)
-        m_actions.emplace_back(SendToRouter{id, LoadReport{load(id)}});
+    for (auto &[id, session] : m_sessions) {
+        if (everybody || session.touched)
+            m_actions.emplace_back(SendToRouter{id, LoadReport{load(id)}});
+        session.touched = false;
+    }
+}
+
+void AgentCore::touch(std::optional<SessionId> session)
+{
+    const auto it = session ? m_sessions.find(*session) : m_sessions.end();
+    if (it != m_sessions.end())
+        it->second.touched = true;
 }
 
 void AgentCore::drain()
--- a/src/libreachlead/agentcore_pvt.h
+++ b/src/libreachlead/agentcore_pvt.h
@@ -43,6 +43,7 @@
     Incarnation incarnation;
     std::uint64_t number = 0;
     std::uint16_t heartbeatPort = 0;
+    bool touched = false; ///< its requests changed since the load was told
 };
 
 } // namespace reachlead
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -139,6 +139,7 @@
 
 void AgentCore::leaveWindow(Run &run)
 {
+    touch(run.session);
     if (run.state == Run::State::Running || run.state == Run::State::Claiming)
         --m_running;
     if (run.state == Run::State::Queued)
--- a/src/libreachlead/routercore_agents.cpp
+++ b/src/libreachlead/routercore_agents.cpp
@@ -165,6 +165,12 @@
     m_agents.erase(name);
 }
 
+std::size_t RouterCore::requestsAt(const VmName &name) const
+{
+    const auto it = m_agents.find(name);
+    return it == m_agents.end() ? 0 : it->second->mine.size();
+}
+
 std::vector<AgentStatus> RouterCore::agents() const
 {
     std::vector<AgentStatus> list;
--- a/src/peer/dispatcher.cpp
+++ b/src/peer/dispatcher.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <reachlead/log.h>
+#include <reachlead/subset.h>
 
 namespace reachlead {
 
@@ -94,7 +95,11 @@
 
 void Dispatcher::setMembers(std::vector<Member> members)
 {
-    asio::post(m_io, [this, members = std::move(members)] { applyMembers(members); });
+    // Ranked on the caller's thread: in a large fleet this takes longer than a dispatch may wait.
+    auto picked = pickAgents(members, m_options.vm, m_options.zone);
+    asio::post(m_io, [this, members = std::move(members), picked = std::move(picked)] {
+        applyMembers(members, picked);
+    });
 }
 
 void Dispatcher::setPolicies(PoliciesPtr policies)
@@ -166,12 +171,14 @@
         it->second->drop(action.reason);
 }
 
-void Dispatcher::applyMembers(const std::vector<Member> &members)
+void Dispatcher::applyMembers(const std::vector<Member> &members, const std::set<VmName> &picked)
 {
     const Time now = RuntimeClock::now();
     std::map<VmName, Member> agents;
     for (const Member &member : members) {
-        if (member.role == MemberRole::Agent)
+        // A session is kept while its requests run, also when another router has the agent now.
+        const bool busy = m_links.contains(member.vm) && m_core->requestsAt(member.vm) > 0;
+        if (member.role == MemberRole::Agent && (picked.contains(member.vm) || busy))
             agents.emplace(member.vm, member);
     }
     std::erase_if(m_links, [&](auto &entry) {
--- a/src/peer/dispatcher.h
+++ b/src/peer/dispatcher.h
@@ -84,7 +84,7 @@
     void perform(TellCaller &action);
     void perform(SendToAgent &action);
     void perform(DropSession &action);
-    void applyMembers(const std::vector<Member> &members);
+    void applyMembers(const std::vector<Member> &members, const std::set<VmName> &picked);
     void shareLimits(const std::vector<Member> &members);
     void scheduleTick();
     void readHeartbeat();
--- a/src/peer/sessionserver.cpp
+++ b/src/peer/sessionserver.cpp
@@ -114,8 +114,10 @@
 void SessionServer::perform(SendToRouter &action)
 {
     const auto it = m_connections.find(action.session);
-    if (it != m_connections.end())
-        it->second->send(action.message);
+    if (it == m_connections.end())
+        return;
+    it->second->send(action.message);
+    m_spoke.insert(action.session);
 }
 
 void SessionServer::perform(CloseSession &action)
@@ -162,13 +164,15 @@
     });
 }
 
-/// Sends a datagram to each router. A full socket buffer loses it, as the network may.
+/// Sends a datagram to each router that got no frame since the last time: a frame says as much. A
+/// full socket buffer loses it, as the network may.
 void SessionServer::beat()
 {
     ++m_beatSequence;
+    const std::set<SessionId> spoke = std::exchange(m_spoke, {});
     for (const auto &[session, port] : m_core->heartbeatPorts()) {
         const auto it = m_connections.find(session);
-        if (it == m_connections.end())
+        if (it == m_connections.end() || spoke.contains(session))
             continue;
         const Heartbeat beat{protocolVersion, m_options.vm, m_options.incarnation, m_beatSequence,
                              m_core->load(session)};
--- a/src/peer/sessionserver.h
+++ b/src/peer/sessionserver.h
@@ -10,6 +10,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -68,7 +69,7 @@
 
 private:
     static constexpr Duration tickInterval = milliseconds(5);
-    static constexpr Duration beatInterval = milliseconds(500);
+    static constexpr Duration beatInterval = seconds(1);
 
     void run();
     void accept();
@@ -93,6 +94,7 @@
     boost::asio::ip::udp::socket m_heartbeats;
     std::uint16_t m_port = 0;
     std::map<SessionId, std::shared_ptr<FrameConnection>> m_connections;
+    std::set<SessionId> m_spoke; ///< sessions that got a frame since the last heartbeat
     std::uint64_t m_lastSession = 0;
     std::uint64_t m_beatSequence = 0;
     Time m_beatAt{};
--- a/src/platform/wire.cpp
+++ b/src/platform/wire.cpp
@@ -51,7 +51,8 @@
                         {"zone", member.zone.text},
                         {"address", member.address},
                         {"port", member.port},
-                        {"leaving", member.leaving}});
+                        {"leaving", member.leaving},
+                        {"target", member.target.text}});
     }
     return json::serialize(list);
 }
@@ -70,6 +71,8 @@
             member.address = json::value_to<std::string>(it.at("address"));
             member.port = it.at("port").to_number<std::uint16_t>();
             member.leaving = it.at("leaving").as_bool();
+            if (const json::value *target = it.as_object().if_contains("target"))
+                member.target = TargetName(json::value_to<std::string>(*target));
             members.push_back(std::move(member));
         }
         return members;
