--- a/src/libreachlead/ids.cpp
+++ b/src/libreachlead/ids.cpp
@@ -38,12 +38,13 @@
     if (text.size() < hexDigits + 2 || text[hexDigits] != '-')
         return std::nullopt;
     RequestId id;
-    const char *end = text.data() + text.size();
-    const auto head = std::from_chars(text.data(), text.data() + hexDigits, id.router.value, 16);
-    const auto tail = std::from_chars(text.data() + hexDigits + 1, end, id.sequence);
-    if (head.ec != std::errc() || head.ptr != text.data() + hexDigits)
+    const std::string_view hex = text.substr(0, hexDigits);
+    const std::string_view number = text.substr(hexDigits + 1);
+    const auto head = std::from_chars(hex.begin(), hex.end(), id.router.value, 16);
+    const auto tail = std::from_chars(number.begin(), number.end(), id.sequence);
+    if (head.ec != std::errc() || head.ptr != hex.end())
         return std::nullopt;
-    if (tail.ec != std::errc() || tail.ptr != end)
+    if (tail.ec != std::errc() || tail.ptr != number.end())
         return std::nullopt;
     return id;
 }
--- a/src/libreachlead/subset_test.cpp
+++ b/src/libreachlead/subset_test.cpp
@@ -27,6 +27,7 @@
     static std::vector<Member> fleet(unsigned routers = 48, unsigned agents = 1200)
     {
         std::vector<Member> members;
+        members.reserve(routers + agents);
         for (unsigned n = 0; n < routers; ++n) {
             members.push_back({VmName(fmt::format("r{}", n)), MemberRole::Router,
                                ZoneName(fmt::format("z{}", n % zones)), "127.0.0.1", 1, false,
--- a/src/reachlead-load/policybench.cpp
+++ b/src/reachlead-load/policybench.cpp
@@ -110,7 +110,7 @@
                 [&target, &arrival] { target.send(arrival.router, arrival.ask); });
     }
     rig->run(scenario.length);
-    rig->settle(seconds(300));
+    rig->settle(seconds(1200)); // the baselines queue without bound
     return rig;
 }
 
--- a/src/reachlead-load/policyrig.cpp
+++ b/src/reachlead-load/policyrig.cpp
@@ -657,7 +657,8 @@
     if (record.ends.size() > 1)
         return fmt::format("{}: told {} final words", who, record.ends.size());
     if (record.ends.empty() && !record.hungUp)
-        return fmt::format("{}: never told a final word", who);
+        return fmt::format("{} ({}, {} tokens of {}): never told a final word", who,
+                           record.ask.cls.text, record.tokens, record.plan.tokens);
     const std::string expected = standin::wholeAnswer(record.plan);
     if (!expected.starts_with(record.text))
         return fmt::format("{}: got text that is not of its own answer", who);
--- a/src/reachlead/settingscommands.cpp
+++ b/src/reachlead/settingscommands.cpp
@@ -297,10 +297,12 @@
         return Exit::NotValid;
     // Classes go first: accounts name them.
     std::vector<std::string> order;
+    order.reserve(wanted.size());
     for (const auto &[path, text] : wanted)
         order.push_back(path);
-    std::ranges::stable_partition(
-        order, [](const std::string &path) { return !path.starts_with("accounts/"); });
+    std::ranges::sort(order, {}, [](const std::string &path) {
+        return std::pair(path.starts_with("accounts/"), path);
+    });
     ObjectVersion version{};
     unsigned changed = 0;
     for (const std::string &path : order) {
