caller: a half-read request holds up a planned stop; deadline of a call is unknown

Cause: a connection counted as idle until its header was read, so a stop closed it with the request half sent.

--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -117,10 +117,14 @@
     const auto self = shared_from_this();
     bool more = true;
     while (more && !m_server.m_closing) {
-        std::optional<Request> request = co_await readRequest();
-        if (!request)
+        if (!co_await waitForRequest())
             break;
-        more = co_await serve(std::move(*request));
+        // From its first byte on, a request holds up a planned stop.
+        m_idle = false;
+        ++m_server.m_busy;
+        std::optional<Request> request = co_await readRequest();
+        more = request && co_await serve(std::move(*request));
+        --m_server.m_busy;
         m_idle = true;
     }
     clearLimit();
@@ -128,22 +132,26 @@
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+/// Waits for the first byte of the next request; false when none comes.
+asio::awaitable<bool> CallerConnection::waitForRequest()
+{
+    if (m_buffer.size() > 0)
+        co_return true;
+    setLimit(m_server.m_options.idleTime);
+    const auto [ec] = co_await m_socket.async_wait(asio::socket_base::wait_read, quietly);
+    clearLimit();
+    co_return !ec && !m_timedOut;
+}
+
 /// Reads one request. A wrong or slow one gets its answer here, and the connection ends.
 asio::awaitable<std::optional<CallerConnection::Request>> CallerConnection::readRequest()
 {
-    if (m_buffer.size() == 0) {
-        setLimit(m_server.m_options.idleTime);
-        const auto [ec] = co_await m_socket.async_wait(asio::socket_base::wait_read, quietly);
-        if (ec || m_timedOut)
-            co_return std::nullopt;
-    }
     http::request_parser<http::string_body> parser;
     parser.header_limit(m_server.m_options.largestHeader);
     parser.body_limit(m_server.m_options.largestBody);
     setLimit(m_server.m_options.headerTime);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, quietly);
     if (!ec) {
-        m_idle = false;
         if (view(parser.get()[http::field::expect]) == "100-continue"
             && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
             co_return std::nullopt;
@@ -171,7 +179,6 @@
 
 asio::awaitable<bool> CallerConnection::serve(Request request)
 {
-    ++m_server.m_busy;
     bool served = false;
     bool more = co_await servePage(request, &served);
     if (!served) {
@@ -182,7 +189,6 @@
         else
             more = co_await refuse(std::move(refusal), request.keep_alive());
     }
-    --m_server.m_busy;
     co_return more;
 }
 
--- a/src/caller/callerconnection.h
+++ b/src/caller/callerconnection.h
@@ -61,6 +61,7 @@
         bool head = false; ///< the method was HEAD: no body goes back
     };
 
+    Awaitable<bool> waitForRequest();
     Awaitable<std::optional<Request>> readRequest();
     Awaitable<bool> serve(Request request);
     Awaitable<bool> servePage(const Request &request, bool *served);
--- a/src/libreachlead/routercore.cpp
+++ b/src/libreachlead/routercore.cpp
@@ -529,8 +529,13 @@
                    now);
             break;
         case LifeState::Running:
+            // A stream that runs has cost the engine something; whether a call had its effect is
+            // not known before its answer.
             cancelAtAgent(*request);
-            finish(*request, {ErrorKind::DeadlineRunning, Outcome::Ran, "", 0}, now);
+            finish(*request,
+                   {ErrorKind::DeadlineRunning,
+                    request->ask.model ? Outcome::Ran : Outcome::Unknown, "", 0},
+                   now);
             break;
         case LifeState::Sent:
         case LifeState::Recovering:
