peer: routers and agents prove that they belong to the fleet

Cause: any process that reached an agent's port could dispatch, and any that answered at an agent's address got prompts. Change: the agent opens with a nonce; Hello and Welcome each sign the other side's nonce with a key from a file (HMAC-SHA256), heartbeats are signed whole. Several keys are accepted and the file is read again when it changes.

--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -91,7 +91,7 @@
 listen = 127.0.0.1:${PORT[$1]:-0}
 window_first = ${WINDOW_FIRST:-16}
 window_most = ${WINDOW_MOST:-256}
-${AGENT_EXTRA:-}
+${KEY_FILE:+fleet_key_file = $KEY_FILE}
 [upstream]
 endpoint = 127.0.0.1:$4
 stall_limit = ${STALL_LIMIT:-20s}
@@ -116,6 +116,7 @@
 vm = $1
 zone = $2
 stop_notice = 200ms
+${KEY_FILE:+fleet_key_file = $KEY_FILE}
 [callers]
 listen = 127.0.0.1:${PORT[$1]:-0}
 [platform]
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -19,7 +19,7 @@
 namespace reachlead {
 
 /// Raised when a message changes shape; a session between different versions is refused.
-inline constexpr std::uint32_t protocolVersion = 1;
+inline constexpr std::uint32_t protocolVersion = 2;
 
 /// The largest frame either side takes, in bytes.
 inline constexpr std::size_t largestFrame = 2U << 20U;
@@ -75,10 +75,12 @@
     Incarnation incarnation;
     std::uint64_t session = 0;
     std::uint16_t heartbeatPort = 0; ///< UDP port of the router; 0: no heartbeats wanted
+    std::string nonce; ///< for the agent's proof
+    std::string proof; ///< of belonging to the fleet
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(version, vm, incarnation, session, heartbeatPort);
+        ar(version, vm, incarnation, session, heartbeatPort, nonce, proof);
     }
 };
 
@@ -150,6 +152,14 @@
 
 // ---- agent → router ---------------------------------------------------------------------
 
+/// The agent's first frame on a connection; the router's Hello signs its nonce.
+struct Challenge
+{
+    std::string nonce;
+
+    template <class Archive> void serialize(Archive &ar) { ar(nonce); }
+};
+
 /// Answers Hello.
 struct Welcome
 {
@@ -159,10 +169,11 @@
     Incarnation incarnation;
     TargetName target;
     Load load;
+    std::string proof; ///< of belonging to the fleet
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(version, vm, zone, incarnation, target, load);
+        ar(version, vm, zone, incarnation, target, load, proof);
     }
 };
 
@@ -243,7 +254,8 @@
     template <class Archive> void serialize(Archive &ar) { ar(load); }
 };
 
-using ToRouter = std::variant<Welcome, Refused, Started, Chunk, End, QueryReply, LoadReport>;
+using ToRouter =
+    std::variant<Challenge, Welcome, Refused, Started, Chunk, End, QueryReply, LoadReport>;
 
 /// The datagram an agent sends to each router that holds a session. Datagrams may be lost,
 /// doubled or late; the sequence lets the router drop the older.
@@ -254,10 +266,11 @@
     Incarnation incarnation;
     std::uint64_t sequence = 0;
     Load load;
+    std::string proof; ///< of belonging to the fleet
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(version, vm, incarnation, sequence, load);
+        ar(version, vm, incarnation, sequence, load, proof);
     }
 };
 
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -256,6 +256,7 @@
     void handle(Agent &agent, const QueryReply &message, Time now);
     void handle(Agent &agent, const LoadReport &message, Time now);
     void handle(Agent &agent, const Welcome &message, Time now);
+    void handle(Agent &agent, const Challenge &message, Time now);
     Request *current(const Agent &agent, const RequestId &id, Attempt attempt);
     void finishWhole(Request &request, const End &message, Time now);
     void attemptFailed(Request &request, ErrorKind kind, Outcome outcome, const std::string &reason,
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -116,7 +116,12 @@
         Session{message.vm, message.incarnation, message.session, message.heartbeatPort};
     m_counters->add(Count::SessionsOpened);
     m_counters->set(Gauge::Sessions, static_cast<std::int64_t>(m_sessions.size()));
-    const Welcome welcome{protocolVersion, m_vm, m_zone, m_incarnation, m_target, load(session)};
+    Welcome welcome;
+    welcome.vm = m_vm;
+    welcome.zone = m_zone;
+    welcome.incarnation = m_incarnation;
+    welcome.target = m_target;
+    welcome.load = load(session);
     m_actions.emplace_back(SendToRouter{session, welcome});
 }
 
--- a/src/libreachlead/agentcore_test.cpp
+++ b/src/libreachlead/agentcore_test.cpp
@@ -49,7 +49,8 @@
 
     void greet(SessionId id, std::uint64_t number)
     {
-        m_core->message(id, Hello{protocolVersion, VmName("r"), routerLife, number, 0}, m_now);
+        m_core->message(id, Hello{protocolVersion, VmName("r"), routerLife, number, 0, "", ""},
+                        m_now);
         collect();
     }
 
--- /dev/null
+++ b/src/libreachlead/fleetkeys.cpp
@@ -0,0 +1,119 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/fleetkeys.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace {
+
+constexpr Duration lookInterval = seconds(1);
+
+std::string hmacHex(const std::string &key, std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    unsigned size = 0;
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
+    std::string out;
+    for (unsigned n = 0; n < size; ++n)
+        out += fmt::format("{:02x}", digest[n]);
+    return out;
+}
+
+} // namespace
+
+std::optional<FleetKeys> FleetKeys::parse(std::string_view text, std::string *reason)
+{
+    FleetKeys keys;
+    std::istringstream in{std::string(text)};
+    for (std::string line; std::getline(in, line);) {
+        if (line.empty() || line.front() == '#')
+            continue;
+        if (line.size() < shortestKey) {
+            *reason = fmt::format("expected keys of at least {} bytes", shortestKey);
+            return std::nullopt;
+        }
+        keys.m_keys.push_back(line);
+    }
+    if (keys.m_keys.empty()) {
+        *reason = "expected a key on a line of its own, found none";
+        return std::nullopt;
+    }
+    return keys;
+}
+
+std::string FleetKeys::sign(std::string_view text) const
+{
+    return m_keys.empty() ? std::string() : hmacHex(m_keys.front(), text);
+}
+
+bool FleetKeys::verify(std::string_view text, std::string_view proof) const
+{
+    if (m_keys.empty())
+        return true;
+    return std::ranges::any_of(m_keys, [&](const std::string &key) {
+        const std::string expected = hmacHex(key, text);
+        return expected.size() == proof.size()
+            && CRYPTO_memcmp(expected.data(), proof.data(), proof.size()) == 0;
+    });
+}
+
+std::optional<std::string> FleetKeyFile::read()
+{
+    const std::ifstream in(m_path, std::ios::binary);
+    if (!in)
+        return m_path + ": cannot be read";
+    std::ostringstream text;
+    text << in.rdbuf();
+    std::string reason;
+    auto keys = FleetKeys::parse(text.str(), &reason);
+    if (!keys)
+        return fmt::format("{}: {}", m_path, reason);
+    m_keys = std::move(*keys);
+    return std::nullopt;
+}
+
+std::optional<std::string> FleetKeyFile::open()
+{
+    if (m_path.empty())
+        return std::nullopt;
+    std::scoped_lock lock(m_mutex);
+    std::error_code ignored;
+    m_changed = std::filesystem::last_write_time(m_path, ignored);
+    m_lookedAt = RuntimeClock::now();
+    return read();
+}
+
+FleetKeys FleetKeyFile::keys()
+{
+    std::scoped_lock lock(m_mutex);
+    const Time now = RuntimeClock::now();
+    if (m_path.empty() || now - m_lookedAt < lookInterval)
+        return m_keys;
+    m_lookedAt = now;
+    std::error_code ec;
+    const auto changed = std::filesystem::last_write_time(m_path, ec);
+    if (ec || changed == m_changed)
+        return m_keys;
+    m_changed = changed;
+    if (const auto fault = read())
+        LogLine(LogLevel::Error, "fleet-keys-not-read").with("reason", *fault);
+    else
+        LogLine(LogLevel::Info, "fleet-keys-read").with("file", m_path);
+    return m_keys;
+}
+
+} // namespace reachlead
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -43,6 +43,11 @@
     m_counters->add(Count::HostileFrames); // Welcome opens a session and never comes again
 }
 
+void RouterCore::handle(Agent & /*agent*/, const Challenge & /*message*/, Time /*now*/)
+{
+    m_counters->add(Count::HostileFrames); // the same holds for Challenge
+}
+
 void RouterCore::handle(Agent &agent, const LoadReport &message, Time now)
 {
     takeLoad(agent, message.load);
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -299,7 +299,7 @@
         up("a");
         pass(seconds(2));
         CPPUNIT_ASSERT(m_core->agents().at(0).up);
-        m_core->heartbeat({protocolVersion, VmName("a"), Incarnation{1}, 1, welcome("a").load},
+        m_core->heartbeat({protocolVersion, VmName("a"), Incarnation{1}, 1, welcome("a").load, ""},
                           m_now);
         pass(seconds(2));
         CPPUNIT_ASSERT(m_core->agents().at(0).up);
@@ -453,7 +453,7 @@
         hear("a", LoadReport{leaving});
         Load older = welcome("a").load;
         older.sequence = 6;
-        m_core->heartbeat({protocolVersion, VmName("a"), Incarnation{1}, 9, older}, m_now);
+        m_core->heartbeat({protocolVersion, VmName("a"), Incarnation{1}, 9, older, ""}, m_now);
         CPPUNIT_ASSERT(m_core->agents().at(0).leaving);
     }
 };
--- a/src/peer/agentlink.cpp
+++ b/src/peer/agentlink.cpp
@@ -5,8 +5,11 @@
 
 #include <algorithm>
 
+#include <reachlead/apikey.h>
 #include <reachlead/log.h>
 
+#include "peer/proof.h"
+
 namespace reachlead {
 
 namespace asio = boost::asio;
@@ -73,10 +76,6 @@
             if (self->m_connection == connection)
                 self->broken(reason);
         });
-    // A session number never used before lets the agent tell the newer of two sessions.
-    const Hello hello{protocolVersion, m_context.vm, m_context.incarnation, ++m_session,
-                      m_context.heartbeatPort};
-    m_connection->send(ToAgent(hello));
     m_timer.expires_after(greetLimit);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
         if (!ec && self->m_life.state() == LinkState::Greeting)
@@ -94,25 +93,55 @@
         return false;
     }
     if (m_life.state() == LinkState::Greeting)
-        return takeWelcome(*message);
+        return takeGreeting(*message);
     if (m_life.state() == LinkState::Up)
         m_context.onMessage(m_member.vm, *message);
     return true;
 }
 
-bool AgentLink::takeWelcome(const ToRouter &message)
+bool AgentLink::takeGreeting(const ToRouter &message)
 {
+    if (const auto *challenge = std::get_if<Challenge>(&message)) {
+        sendHello(challenge->nonce);
+        return true;
+    }
     const auto *welcome = std::get_if<Welcome>(&message);
-    if (!welcome || welcome->version != protocolVersion || welcome->vm != m_member.vm)
+    return welcome && takeWelcome(*welcome);
+}
+
+void AgentLink::sendHello(const std::string &agentNonce)
+{
+    constexpr std::size_t nonceBytes = 16;
+    m_nonce = randomHex(nonceBytes);
+    // A session number never used before lets the agent tell the newer of two sessions.
+    Hello hello{protocolVersion,
+                m_context.vm,
+                m_context.incarnation,
+                ++m_session,
+                m_context.heartbeatPort,
+                m_nonce,
+                ""};
+    hello.proof = m_context.keys->keys().sign(helloText(agentNonce, m_member.vm, hello));
+    m_connection->send(ToAgent(hello));
+}
+
+bool AgentLink::takeWelcome(const Welcome &welcome)
+{
+    if (welcome.version != protocolVersion || welcome.vm != m_member.vm)
         return false;
+    if (!m_context.keys->keys().verify(welcomeText(m_nonce, welcome), welcome.proof)) {
+        m_context.counters->add(Count::HostileFrames);
+        LogLine(LogLevel::Error, "agent-not-of-the-fleet").with("agent", m_member.vm.text);
+        return false;
+    }
     m_timer.cancel();
     m_life.apply(LinkEvent::Welcomed);
     m_pause = firstPause;
     LogLine(LogLevel::Info, "agent-up")
         .with("agent", m_member.vm.text)
-        .with("target", welcome->target.text)
+        .with("target", welcome.target.text)
         .with("session", m_session);
-    m_context.onUp(*welcome);
+    m_context.onUp(welcome);
     return true;
 }
 
--- a/src/peer/agentlink.h
+++ b/src/peer/agentlink.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <reachlead/fleetkeys.h>
 #include <reachlead/platform.h>
 #include <reachlead/routercore.h>
 
@@ -26,6 +27,7 @@
     Incarnation incarnation;
     std::uint16_t heartbeatPort = 0;
     Counters *counters = nullptr;
+    FleetKeyFile *keys = nullptr;
     std::function<void(const Welcome &)> onUp;
     std::function<void(const VmName &)> onDown;
     std::function<void(const VmName &, const ToRouter &)> onMessage;
@@ -57,7 +59,9 @@
     void greet();
     void broken(const std::string &reason);
     bool takeFrame(std::string_view payload);
-    bool takeWelcome(const ToRouter &message);
+    bool takeGreeting(const ToRouter &message);
+    bool takeWelcome(const Welcome &welcome);
+    void sendHello(const std::string &agentNonce);
 
     boost::asio::io_context &m_io;
     const LinkContext &m_context;
@@ -67,6 +71,7 @@
     std::unique_ptr<boost::asio::ip::tcp::socket> m_dialling;
     std::shared_ptr<FrameConnection> m_connection;
     std::uint64_t m_session = 0;
+    std::string m_nonce; ///< signed by the agent's Welcome
     Duration m_pause = firstPause;
     Random m_random;
 };
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -53,7 +53,7 @@
             {Incarnation{1}, 2}, 3, ErrorKind::UpstreamLost, Outcome::Ran, "why", 5, 6, 0, {}, {}};
         const auto back = decodeToRouter(payload(ToRouter(end)), &reason);
         CPPUNIT_ASSERT(back && std::get<End>(*back).kind == ErrorKind::UpstreamLost);
-        const Heartbeat beat{1, VmName("a"), Incarnation{3}, 4, {}};
+        const Heartbeat beat{1, VmName("a"), Incarnation{3}, 4, {}, ""};
         CPPUNIT_ASSERT(decodeHeartbeat(encodeHeartbeat(beat), &reason)->sequence == 4);
         CPPUNIT_ASSERT(!decodeToRouter(payload(ToRouter(end)) + "x", &reason));
     }
@@ -87,7 +87,7 @@
 
     void hostileSizesAllocateNothing()
     {
-        std::string bytes = payload(ToAgent(Hello{1, VmName("vm"), Incarnation{1}, 1, 1}));
+        std::string bytes = payload(ToAgent(Hello{1, VmName("vm"), Incarnation{1}, 1, 1, "", ""}));
         const auto at = bytes.find("vm") - sizeof(std::uint32_t);
         bytes.replace(at, sizeof(std::uint32_t), "\xff\xff\xff\x7f");
         std::string reason;
--- a/src/peer/dispatcher.cpp
+++ b/src/peer/dispatcher.cpp
@@ -11,6 +11,8 @@
 #include <reachlead/log.h>
 #include <reachlead/subset.h>
 
+#include "peer/proof.h"
+
 namespace reachlead {
 
 namespace asio = boost::asio;
@@ -38,6 +40,7 @@
     m_context.incarnation = m_options.incarnation;
     m_context.heartbeatPort = m_heartbeats.local_endpoint().port();
     m_context.counters = m_options.counters;
+    m_context.keys = m_options.keys;
     m_context.onUp = [this](const Welcome &welcome) {
         m_core->agentUp(welcome, RuntimeClock::now());
         act();
@@ -244,7 +247,9 @@
             std::string reason;
             const auto beat =
                 decodeHeartbeat(std::string_view(m_heartbeatBytes.data(), ec ? 0 : n), &reason);
-            if (beat && beat->version == protocolVersion) {
+            const bool good = beat && beat->version == protocolVersion
+                && m_options.keys->keys().verify(heartbeatText(*beat), beat->proof);
+            if (good) {
                 m_core->heartbeat(*beat, RuntimeClock::now());
                 act();
             } else {
--- a/src/peer/dispatcher.h
+++ b/src/peer/dispatcher.h
@@ -37,6 +37,7 @@
         RouterTuning tuning;
         std::size_t mostOpen = 8192; ///< open requests over all callers
         Incarnation incarnation;
+        FleetKeyFile *keys = nullptr; ///< must outlive the dispatcher
         Counters *counters = nullptr;
     };
 
--- a/src/peer/sessionserver.cpp
+++ b/src/peer/sessionserver.cpp
@@ -5,8 +5,11 @@
 
 #include <boost/asio/post.hpp>
 
+#include <reachlead/apikey.h>
 #include <reachlead/log.h>
 
+#include "peer/proof.h"
+
 namespace reachlead {
 
 namespace asio = boost::asio;
@@ -84,9 +87,27 @@
                 .with("session", static_cast<std::uint64_t>(session))
                 .with("reason", reason);
             m_connections.erase(session);
+            m_ownNonces.erase(session);
+            m_routerNonces.erase(session);
             m_core->sessionClosed(session, RuntimeClock::now());
             act();
         });
+    constexpr std::size_t nonceBytes = 16;
+    m_ownNonces[session] = randomHex(nonceBytes);
+    connection->send(ToRouter(Challenge{m_ownNonces[session]}));
+}
+
+/// Checks a router's proof before the core sees anything of it.
+bool SessionServer::belongsToFleet(SessionId session, const Hello &hello)
+{
+    const std::string text = helloText(m_ownNonces[session], m_options.vm, hello);
+    if (!m_options.keys->keys().verify(text, hello.proof)) {
+        m_options.counters->add(Count::HostileFrames);
+        LogLine(LogLevel::Error, "router-not-of-the-fleet").with("router", hello.vm.text);
+        return false;
+    }
+    m_routerNonces[session] = hello.nonce;
+    return true;
 }
 
 bool SessionServer::takeFrame(SessionId session, std::string_view payload)
@@ -100,6 +121,9 @@
             .with("reason", reason);
         return false;
     }
+    const auto *hello = std::get_if<Hello>(&*message);
+    if (hello && !belongsToFleet(session, *hello))
+        return false;
     m_core->message(session, *message, RuntimeClock::now());
     act();
     return true;
@@ -116,6 +140,10 @@
     const auto it = m_connections.find(action.session);
     if (it == m_connections.end())
         return;
+    if (auto *welcome = std::get_if<Welcome>(&action.message)) {
+        const std::string text = welcomeText(m_routerNonces[action.session], *welcome);
+        welcome->proof = m_options.keys->keys().sign(text);
+    }
     it->second->send(action.message);
     m_spoke.insert(action.session);
 }
@@ -174,8 +202,12 @@
         const auto it = m_connections.find(session);
         if (it == m_connections.end() || spoke.contains(session))
             continue;
-        const Heartbeat beat{protocolVersion, m_options.vm, m_options.incarnation, m_beatSequence,
-                             m_core->load(session)};
+        Heartbeat beat;
+        beat.vm = m_options.vm;
+        beat.incarnation = m_options.incarnation;
+        beat.sequence = m_beatSequence;
+        beat.load = m_core->load(session);
+        beat.proof = m_options.keys->keys().sign(heartbeatText(beat));
         boost::system::error_code ec;
         const auto address = asio::ip::make_address(it->second->remoteAddress(), ec);
         if (ec)
--- a/src/peer/sessionserver.h
+++ b/src/peer/sessionserver.h
@@ -19,6 +19,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <reachlead/agentcore.h>
+#include <reachlead/fleetkeys.h>
 
 #include "peer/frameconnection.h"
 
@@ -37,6 +38,7 @@
         AgentTuning tuning;
         std::string address = "127.0.0.1"; ///< IP number to listen at
         std::uint16_t port = 0; ///< 0: the kernel chooses
+        FleetKeyFile *keys = nullptr; ///< must outlive the server
         Counters *counters = nullptr;
     };
 
@@ -75,6 +77,7 @@
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
     bool takeFrame(SessionId session, std::string_view payload);
+    bool belongsToFleet(SessionId session, const Hello &hello);
     void act();
     void perform(SendToRouter &action);
     void perform(CloseSession &action);
@@ -94,6 +97,8 @@
     boost::asio::ip::udp::socket m_heartbeats;
     std::uint16_t m_port = 0;
     std::map<SessionId, std::shared_ptr<FrameConnection>> m_connections;
+    std::map<SessionId, std::string> m_ownNonces; ///< signed by the routers
+    std::map<SessionId, std::string> m_routerNonces; ///< to be signed by us
     std::set<SessionId> m_spoke; ///< sessions that got a frame since the last heartbeat
     std::uint64_t m_lastSession = 0;
     std::uint64_t m_beatSequence = 0;
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -43,8 +43,12 @@
 
 } // namespace
 
-AgentDaemon::AgentDaemon(AgentSettings settings) : m_settings(std::move(settings))
+AgentDaemon::AgentDaemon(AgentSettings settings)
+    : m_settings(std::move(settings)), m_keys(m_settings.fleetKeyFile)
 {
+    if (const auto fault = m_keys.open())
+        throw std::runtime_error(*fault);
+    m_settings.sessions.keys = &m_keys;
     m_settings.sessions.incarnation = makeIncarnation();
     m_settings.sessions.counters = &m_counters;
     m_settings.operators.counters = &m_counters;
--- a/src/reachlead-agent/agentdaemon.h
+++ b/src/reachlead-agent/agentdaemon.h
@@ -36,6 +36,7 @@
 
     AgentSettings m_settings;
     Counters m_counters;
+    FleetKeyFile m_keys;
     std::unique_ptr<SessionServer> m_sessions;
     std::unique_ptr<UpstreamClient> m_upstream;
     std::unique_ptr<ClaimWriter> m_claims; ///< null without a platform
--- a/src/reachlead-agent/agentsettings.cpp
+++ b/src/reachlead-agent/agentsettings.cpp
@@ -32,6 +32,7 @@
         .takeText("zone", &sessions.zone.text)
         .takeText("model", &model)
         .takeText("service", &service)
+        .takeText("fleet_key_file", &out->fleetKeyFile)
         .takeInteger("window_least", 1, 100'000, &least)
         .takeInteger("window_first", 1, 100'000, &first)
         .takeInteger("window_most", 1, 100'000, &most)
@@ -77,7 +78,9 @@
 
 std::optional<std::string> AgentSettings::readAgentSection(const IniFile &file)
 {
-    return readAgent(file, this);
+    if (auto fault = readAgent(file, this))
+        return fault;
+    return FleetKeyFile(fleetKeyFile).open();
 }
 
 std::optional<std::string> AgentSettings::readUpstream(const IniFile &file)
--- a/src/reachlead-agent/agentsettings.h
+++ b/src/reachlead-agent/agentsettings.h
@@ -25,6 +25,7 @@
     std::optional<Endpoint> platform; ///< none: keys cannot be claimed, and such calls are refused
     Duration platformLimit = seconds(1);
     Duration stopLimit = seconds(120); ///< for requests in progress at a stop
+    std::string fleetKeyFile; ///< empty: peers are not checked
     std::size_t logLevel = 1;
 
     /// Fills in what the file says; the first fault, if any.
--- a/src/reachlead-load/faultmatrix_test.cpp
+++ b/src/reachlead-load/faultmatrix_test.cpp
@@ -196,7 +196,7 @@
 void doubledDatagrams(Cell &c)
 {
     const Heartbeat old{
-        protocolVersion, VmName(c.engine), c.rig.agent(c.engine).incarnation(), 1, {}};
+        protocolVersion, VmName(c.engine), c.rig.agent(c.engine).incarnation(), 1, {}, ""};
     for (unsigned n = 0; n < 3; ++n)
         c.rig.router(router).heartbeat(old, c.rig.now());
 }
--- a/src/reachlead-load/policyrig.cpp
+++ b/src/reachlead-load/policyrig.cpp
@@ -130,8 +130,12 @@
             const Link &l = link(routerName, name);
             if (!l.up || l.parted || !router->alive)
                 continue;
-            const Heartbeat beat{protocolVersion, VmName(name), Incarnation{agent.incarnation},
-                                 agent.beats, agent.core->load(l.session)};
+            const Heartbeat beat{protocolVersion,
+                                 VmName(name),
+                                 Incarnation{agent.incarnation},
+                                 agent.beats,
+                                 agent.core->load(l.session),
+                                 ""};
             RouterBox &to = *router;
             later(hop, [this, &to, beat] {
                 to.core->heartbeat(beat, m_now);
@@ -167,7 +171,8 @@
         }
         l.session = SessionId{++m_sessions};
         const SessionId session = l.session;
-        const Hello hello{protocolVersion, VmName(router.name), router.incarnation, ++l.number, 1};
+        const Hello hello{
+            protocolVersion, VmName(router.name), router.incarnation, ++l.number, 1, "", ""};
         toAgent(agent, [this, &agent, session, hello] {
             agent.core->message(session, hello, m_now);
             drain(agent);
--- a/src/reachlead-router/routerdaemon.cpp
+++ b/src/reachlead-router/routerdaemon.cpp
@@ -40,8 +40,12 @@
 
 } // namespace
 
-RouterDaemon::RouterDaemon(RouterSettings settings) : m_settings(std::move(settings))
+RouterDaemon::RouterDaemon(RouterSettings settings)
+    : m_settings(std::move(settings)), m_keys(m_settings.fleetKeyFile)
 {
+    if (const auto fault = m_keys.open())
+        throw std::runtime_error(*fault);
+    m_settings.dispatcher.keys = &m_keys;
     const Incarnation incarnation = makeIncarnation();
     m_settings.dispatcher.incarnation = incarnation;
     m_settings.dispatcher.counters = &m_counters;
--- a/src/reachlead-router/routerdaemon.h
+++ b/src/reachlead-router/routerdaemon.h
@@ -33,6 +33,7 @@
 
     RouterSettings m_settings;
     Counters m_counters;
+    FleetKeyFile m_keys;
     std::unique_ptr<CallerServer> m_callers;
     std::unique_ptr<Dispatcher> m_dispatcher;
     std::unique_ptr<PlatformFollower> m_follower;
--- a/src/reachlead-router/routersettings.cpp
+++ b/src/reachlead-router/routersettings.cpp
@@ -33,6 +33,7 @@
         .takeText("vm", &dispatcher.vm.text)
         .takeText("zone", &dispatcher.zone.text)
         .takeText("address", &dispatcher.address)
+        .takeText("fleet_key_file", &fleetKeyFile)
         .takeDuration("recovery_wait", milliseconds(100), seconds(60),
                       &dispatcher.tuning.recoveryWait)
         .takeDuration("repeatable_wait", milliseconds(10), seconds(60),
@@ -41,7 +42,9 @@
                       &dispatcher.tuning.heartbeatLimit)
         .takeDuration("stop_notice", Duration::zero(), seconds(60), &stopNotice)
         .takeDuration("stop_limit", seconds(1), seconds(3600), &stopLimit);
-    return reader.finish();
+    if (auto fault = reader.finish())
+        return fault;
+    return FleetKeyFile(fleetKeyFile).open();
 }
 
 std::optional<std::string> RouterSettings::readCallers(const IniFile &file)
--- a/src/reachlead-router/routersettings.h
+++ b/src/reachlead-router/routersettings.h
@@ -26,6 +26,7 @@
     AdminServer::Options operators;
     Duration stopNotice = seconds(2); ///< between a failing health page and the last accept
     Duration stopLimit = seconds(120); ///< for requests in progress at a stop
+    std::string fleetKeyFile; ///< empty: peers are not checked
     std::size_t logLevel = 1;
 
     /// Fills in what the file says; the first fault, if any.
