--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(brownOutIsNotMultiplied);
     CPPUNIT_TEST(predictedLateIsRefusedAtOnce);
     CPPUNIT_TEST(deadlineDropsWhatIsWorthless);
+    CPPUNIT_TEST(nothingIsStartedTooLate);
+    CPPUNIT_TEST(higherTierMayTakeAPlace);
     CPPUNIT_TEST(hangUpCancelsAtTheAgent);
     CPPUNIT_TEST(refusalsNameTheirReason);
     CPPUNIT_TEST(leavingAgentGetsNothing);
@@ -400,6 +402,46 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_counters.value(Count::TokensWasted));
     }
 
+    /// Answers of 100 tokens at 80 ms take 8 of their 10 s: one that waited for 3 s cannot be
+    /// whole.
+    void nothingIsStartedTooLate()
+    {
+        Welcome slow = welcome("a", 1);
+        slow.load.tokenGapMicros = 80000;
+        m_core->agentUp(slow, m_now);
+        const std::string text = "answer";
+        for (unsigned n = 0; n < 20; ++n) {
+            const RequestId id = ask("brief");
+            hear("a", Chunk{id, 1, 0, 100, text});
+            hear("a", endOf(id, 1, text, 100));
+        }
+        const RequestId running = ask("brief");
+        ask("brief");
+        pass(seconds(3));
+        hear("a", endOf(running, 1, "", 0));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+        const auto ends = told<AnswerEnd>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ends.size());
+        CPPUNIT_ASSERT(ends[1].kind == ErrorKind::DeadlineQueued);
+        CPPUNIT_ASSERT(ends[1].outcome == Outcome::NotRun);
+    }
+
+    void higherTierMayTakeAPlace()
+    {
+        Welcome full = welcome("a", 2);
+        full.load.running = 2;
+        full.load.preemptible[1] = 1;
+        m_core->agentUp(full, m_now);
+        collect();
+        ask("brief"); // the same tier takes nobody's place
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+        ask("live");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<Dispatch>().size());
+        CPPUNIT_ASSERT(sent<Dispatch>().at(0).second.cls == ClassName("live"));
+        ask("live"); // there was one place to take
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
     void hangUpCancelsAtTheAgent()
     {
         up("a");
