--- a/Makefile
+++ b/Makefile
@@ -43,8 +43,8 @@
 check-format: deps
 	@clang-format-19 --dry-run -Werror $(SOURCES)
 
-lint: build
-	@./src/build-scripts/lint.bash $(BUILD)
+lint: deps
+	@./src/build-scripts/lint.bash
 
 bench: build
 	@BIN=$(CURDIR)/$(BUILD)/bin ./src/build-scripts/bench.bash
