--- a/src/reachlead-standin/main.cpp
+++ b/src/reachlead-standin/main.cpp
@@ -114,6 +114,10 @@
         po::variables_map given;
         po::store(po::command_line_parser(argc, argv).options(options).positional(places).run(),
                   given);
+        if (given.contains("version")) {
+            std::cout << "reachlead-standin " << REACHLEAD_VERSION << "\n";
+            return 0;
+        }
         if (given.contains("help") || !given.contains("kind")) {
             std::cout << options;
             return given.contains("help") ? 0 : 2;
