--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -119,6 +119,7 @@
 ${KEY_FILE:+fleet_key_file = $KEY_FILE}
 [callers]
 listen = 127.0.0.1:${PORT[$1]:-0}
+${CALLERS_EXTRA:-}
 [platform]
 service = 127.0.0.1:${PORT[platform]}
 member_interval = 200ms
--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -61,6 +61,9 @@
             asio::co_spawn(
                 m_io, [connection]() -> asio::awaitable<void> { co_await connection->run(); },
                 asio::detached);
+        } else if (!ec) {
+            // Closed unread: nobody is known yet, so this bound cannot go by class.
+            m_options.counters->refused(ErrorKind::OpenRequests);
         }
         accept();
     });
