--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -12,7 +12,7 @@
     BOOST_ASIO_NO_DEPRECATED BOOST_BIND_GLOBAL_PLACEHOLDERS
     REACHLEAD_VERSION="${PROJECT_VERSION}")
 target_include_directories(reachlead_options INTERFACE ${PROJECT_SOURCE_DIR}/src/include
-    ${PROJECT_SOURCE_DIR}/src)
+    ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
 target_link_libraries(reachlead_options INTERFACE Boost::json Boost::program_options fmt::fmt
     OpenSSL::SSL OpenSSL::Crypto Threads::Threads PkgConfig::XXHASH)
 if(REACHLEAD_SANITIZE)
--- /dev/null
+++ b/src/forward/forwardcall.cpp
@@ -0,0 +1,518 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "forwardcall.h"
+
+#include <algorithm>
+
+#include <reachlead/log.h>
+
+#include "refusal.h"
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// A connection that is not open after this is given up: some times the round trip between zones.
+constexpr Duration connectLimit = milliseconds(300);
+
+/// A caller that names no patience of its own.
+constexpr Duration defaultPatience = seconds(60);
+
+/// Answers up to this size are held until they are whole, so that one that breaks off can be
+/// replaced; longer ones are passed on as they come.
+constexpr std::size_t mostHeld = 128 * 1024; // bytes
+
+/// Another send is of use only with this much of the route's target left.
+constexpr int targetPartForSend = 8;
+constexpr Duration leastTimeForSend = milliseconds(20);
+
+/// Statuses that promise a caller that its request did not run.
+constexpr bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+constexpr unsigned highestUrgency = 9;
+
+std::string_view targetPath(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+bool isEventStream(const Fields &fields)
+{
+    return fields[http::field::content_type].starts_with("text/event-stream");
+}
+
+} // namespace
+
+ForwardCall::ForwardCall(ForwardShared &shared, CallerStream &caller, CallerRequest request)
+    : m_shared(shared), m_caller(caller), m_request(std::move(request)),
+      m_facts(shared.dialect.readCall(m_request)), m_table(shared.state.table()),
+      m_arrived(RuntimeClock::now()), m_limit(m_arrived + defaultPatience), m_timer(shared.io)
+{
+    m_shared.counters.add(Count::RequestsAccepted);
+    m_shared.counters.shift(Gauge::OpenRequests, 1);
+}
+
+ForwardCall::~ForwardCall()
+{
+    m_caller.forgetGone();
+    m_shared.counters.shift(Gauge::OpenRequests, -1);
+}
+
+asio::awaitable<bool> ForwardCall::run()
+{
+    if (const auto error = resolve())
+        co_return co_await refuse(*error);
+    setLimit();
+    watch();
+    while (true) {
+        const auto decision = co_await sendOnce();
+        if (!decision)
+            continue;
+        m_timer.cancel();
+        co_return co_await finish(*decision);
+    }
+}
+
+std::optional<Error> ForwardCall::resolve()
+{
+    if (!m_table)
+        return Error{ErrorKind::SettingsAbsent, "no configuration is known yet"};
+    const auto target = m_request.target();
+    m_route =
+        m_table->match(m_request[http::field::host], targetPath({target.data(), target.size()}));
+    if (m_route == nullptr)
+        return Error{ErrorKind::PathUnknown, "no route takes this host and path"};
+    if (!m_route->anonymous && !m_table->config().accounts.empty()) {
+        m_account = m_table->accountOf(m_facts.key);
+        if (m_account == nullptr)
+            return Error{ErrorKind::KeyUnknown, "no account holds the key"};
+    }
+    std::uniform_real_distribution<double> draw(0.0, 1.0);
+    const ServiceName *service = pickService(*m_route, draw(m_shared.random));
+    if (service == nullptr)
+        return Error{ErrorKind::NoUpstream, "the route names no service"};
+    m_service = *service;
+    return std::nullopt;
+}
+
+void ForwardCall::setLimit()
+{
+    Duration patience = m_facts.patience.value_or(defaultPatience);
+    if (m_route->timeoutMs > 0)
+        patience = std::min<Duration>(patience, milliseconds(m_route->timeoutMs));
+    m_limit = m_arrived + patience;
+}
+
+void ForwardCall::watch()
+{
+    // A timer that has fired already calls back even after this call has ended.
+    const auto stop = [this, alive = std::weak_ptr(m_alive)](Stop why) {
+        if (alive.expired() || m_stop != Stop::None)
+            return;
+        m_stop = why;
+        if (m_channel)
+            m_channel->close();
+    };
+    m_caller.onGone([stop] { stop(Stop::CallerGone); });
+    if (m_caller.isGone())
+        stop(Stop::CallerGone);
+    m_timer.expires_at(m_limit);
+    m_timer.async_wait([stop](const boost::system::error_code &ec) {
+        if (!ec)
+            stop(Stop::Expired);
+    });
+}
+
+ErrorKind ForwardCall::kindOfStop() const
+{
+    if (m_stop == Stop::CallerGone)
+        return ErrorKind::CallerGone;
+    return m_sends > 0 ? ErrorKind::DeadlineRunning : ErrorKind::DeadlineQueued;
+}
+
+/// Chooses an upstream and sends once. Nothing: send again; else what ends the call.
+asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendOnce()
+{
+    GatewayState &state = m_shared.state;
+    ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried};
+    const Time now = RuntimeClock::now();
+    const std::optional<Choice> choice = state.book().choose(ask, state.directory(), now);
+    if (!choice) {
+        m_lastReason = "no upstream of the service takes work";
+        const ErrorKind kind = m_mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoUpstream;
+        const ForwardStep step = m_mayHaveRun ? ForwardStep::Fail : ForwardStep::Refuse;
+        co_return ForwardDecision{m_headDelivered ? ForwardStep::Cut : step, kind};
+    }
+    const UpstreamEntry entry = *state.directory().find(choice->upstream);
+    m_tried.insert(entry.id);
+    m_lastUpstream = entry.id;
+    m_lastCost = choice->cost;
+    m_unread = choice->unreadTokens;
+    state.book().sent(entry.id, ask, *choice, now);
+    const SendEnd end = co_await exchange(entry);
+    noteEnd(entry, *choice, end);
+    if (m_stop != Stop::None && end != SendEnd::Complete) {
+        const bool notRun = end == SendEnd::NotConnected && !m_mayHaveRun;
+        const ForwardStep step = notRun ? ForwardStep::Refuse : ForwardStep::Fail;
+        co_return ForwardDecision{m_headDelivered ? ForwardStep::Cut : step, kindOfStop()};
+    }
+    const ForwardDecision decision = afterSend(end, stateNow(end));
+    if (decision.step != ForwardStep::SendAgain)
+        co_return decision;
+    m_shared.counters.retried(decision.kind);
+    LogLine(LogLevel::Info, "send-again")
+        .with("attempt", m_facts.attemptId)
+        .with("after", toString(end))
+        .with("upstream", entry.id.text)
+        .with("reason", m_lastReason)
+        .with("sends", m_sends)
+        .with("ms_left", static_cast<std::int64_t>(toMillis(timeLeft())));
+    co_return std::nullopt;
+}
+
+ForwardState ForwardCall::stateNow(SendEnd end)
+{
+    GatewayState &state = m_shared.state;
+    ForwardState now;
+    now.kind = m_route->kind;
+    now.resumable = m_route->resumable;
+    now.headDelivered = m_headDelivered;
+    now.sends = m_sends;
+    now.maxAttempts = m_route->maxAttempts;
+    now.misses = m_misses;
+    const Duration needed = std::max<Duration>(
+        milliseconds(m_route->targetLatencyMs) / targetPartForSend, leastTimeForSend);
+    now.timeLeft = timeLeft() > needed;
+    now.mayHaveRun = m_mayHaveRun;
+    const ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried};
+    now.othersLeft = state.book().choose(ask, state.directory(), RuntimeClock::now()).has_value();
+    now.retryLeft = true;
+    if (end == SendEnd::NotConnected)
+        return now;
+    // Whether the budget has one more is asked only where it alone decides.
+    const bool wanted = afterSend(end, now).step == ForwardStep::SendAgain;
+    now.retryLeft = wanted && state.retries().take(m_service, RuntimeClock::now());
+    if (end != SendEnd::RefusedNotRun)
+        m_mayHaveRun = true;
+    return now;
+}
+
+asio::awaitable<UpstreamChannelPtr> ForwardCall::openChannel(const UpstreamEntry &entry)
+{
+    if (UpstreamChannelPtr idle = m_shared.pool.takeIdle(entry.id))
+        co_return idle;
+    const Time began = RuntimeClock::now();
+    const Duration limit = std::min<Duration>(connectLimit, timeLeft());
+    UpstreamChannelPtr channel = co_await m_shared.pool.connect(entry, limit, &m_lastReason);
+    if (channel)
+        m_shared.latencies.note(Timed::Connect, RuntimeClock::now() - began);
+    co_return channel;
+}
+
+asio::awaitable<SendEnd> ForwardCall::exchange(const UpstreamEntry &entry)
+{
+    m_exchange.reset();
+    m_channel = co_await openChannel(entry);
+    if (!m_channel || m_stop != Stop::None) {
+        ++m_misses;
+        co_return SendEnd::NotConnected;
+    }
+    if (m_sends == 0)
+        m_shared.state.retries().first(m_service, RuntimeClock::now());
+    ++m_sends;
+    m_shared.counters.add(Count::Dispatched);
+    m_exchange.emplace(m_channel, m_shared.dialect);
+    const UpstreamCall call = makeCall(entry);
+    bool good = co_await m_exchange->write(call);
+    if (good)
+        good = co_await m_exchange->readHead();
+    if (!good)
+        co_return brokenEnd();
+    co_return co_await takeAnswer();
+}
+
+UpstreamCall ForwardCall::makeCall(const UpstreamEntry &entry) const
+{
+    UpstreamCall call;
+    call.method = m_request.method();
+    const auto method = m_request.method_string();
+    call.methodText.assign(method.data(), method.size());
+    const auto target = m_request.target();
+    call.target.assign(target.data(), target.size());
+    call.body = m_request.body();
+    call.attemptId = m_facts.attemptId;
+    SendFacts facts;
+    facts.upstream = entry.id;
+    facts.patience = timeLeft();
+    if (m_account != nullptr)
+        facts.account = m_account->name;
+    unsigned urgency = m_route->priority;
+    if (m_account != nullptr && m_account->priority)
+        urgency = *m_account->priority;
+    facts.urgency = std::min(urgency, highestUrgency);
+    facts.resumeAfter = m_events.lastId();
+    m_shared.dialect.writeSend(m_request, facts, &call.fields);
+    return call;
+}
+
+SendEnd ForwardCall::brokenEnd() const
+{
+    return m_exchange->isCorrupt() ? SendEnd::Corrupt : SendEnd::Lost;
+}
+
+/// What the head alone says of the send.
+SendEnd ForwardCall::judgeHead() const
+{
+    const unsigned status = m_exchange->status();
+    const AnswerFacts &facts = m_exchange->facts();
+    if (facts.notRun || status == 421)
+        return SendEnd::RefusedNotRun;
+    if (promisesNotRun(status))
+        return SendEnd::Corrupt; // a promise that the upstream does not vouch for
+    if (status >= 500)
+        return SendEnd::OwnFailure;
+    const bool isSuccess = status >= 200 && status < 300;
+    return isSuccess && !facts.isSigned ? SendEnd::Corrupt : SendEnd::Complete;
+}
+
+asio::awaitable<SendEnd> ForwardCall::takeAnswer()
+{
+    const SendEnd judged = judgeHead();
+    if (judged == SendEnd::Corrupt)
+        m_lastReason = "the answer lacks the upstream's signature or its word for a refusal";
+    if (judged == SendEnd::RefusedNotRun)
+        m_lastReason = fmt::format("the upstream refused with {}", m_exchange->status());
+    if (judged == SendEnd::Complete && isEventStream(m_exchange->head()))
+        co_return co_await takeEvents();
+    if (m_headDelivered)
+        co_return judged == SendEnd::Complete ? SendEnd::Corrupt : judged;
+    const SendEnd end = co_await takeWhole();
+    co_return end == SendEnd::Complete ? judged : end;
+}
+
+/// Holds the answer until it is whole, or passes it on once it is too long for that.
+asio::awaitable<SendEnd> ForwardCall::takeWhole()
+{
+    m_wholeBody.clear();
+    while (true) {
+        const auto piece = co_await m_exchange->readPiece();
+        if (!piece)
+            co_return brokenEnd();
+        noteFirst();
+        if (piece->empty())
+            co_return SendEnd::Complete;
+        m_wholeBody += *piece;
+        if (m_wholeBody.size() > mostHeld) {
+            std::string first = std::move(m_wholeBody);
+            co_return co_await takeLong(std::move(first));
+        }
+    }
+}
+
+asio::awaitable<SendEnd> ForwardCall::takeLong(std::string first)
+{
+    std::optional<std::string> piece = std::move(first);
+    bool sent = co_await sendHead();
+    while (sent && piece && !piece->empty()) {
+        sent = co_await m_caller.sendPiece(*piece);
+        if (sent)
+            piece = co_await m_exchange->readPiece();
+    }
+    if (!sent)
+        co_return SendEnd::Lost;
+    if (!piece)
+        co_return brokenEnd();
+    m_bodyWhole = true;
+    co_return SendEnd::Complete;
+}
+
+/// Passes on whole events as they come.
+asio::awaitable<SendEnd> ForwardCall::takeEvents()
+{
+    m_events.dropPart();
+    while (true) {
+        const auto piece = co_await m_exchange->readPiece();
+        if (!piece)
+            co_return brokenEnd();
+        if (piece->empty())
+            break;
+        bool tooLong = false;
+        const std::string events = m_events.feed(*piece, &tooLong);
+        if (tooLong)
+            co_return SendEnd::Corrupt;
+        if (events.empty())
+            continue;
+        const bool sent = co_await deliverEvents(events);
+        if (!sent)
+            co_return SendEnd::Lost;
+    }
+    if (m_events.holdsPart()) {
+        m_lastReason = "the stream ended inside an event";
+        co_return SendEnd::Lost;
+    }
+    if (!m_headDelivered)
+        co_return SendEnd::Complete; // a stream without events: delivered as an empty answer
+    m_bodyWhole = true;
+    co_return SendEnd::Complete;
+}
+
+asio::awaitable<bool> ForwardCall::deliverEvents(const std::string &events)
+{
+    noteFirst();
+    if (!m_headDelivered) {
+        const bool sent = co_await sendHead();
+        if (!sent)
+            co_return false;
+    }
+    co_return co_await m_caller.sendPiece(events);
+}
+
+void ForwardCall::noteFirst()
+{
+    if (m_unread > 0)
+        m_shared.state.book().firstEvent(m_lastUpstream, std::exchange(m_unread, 0));
+    if (m_firstByte)
+        return;
+    m_firstByte = RuntimeClock::now();
+    m_shared.latencies.note(Timed::FirstByte, *m_firstByte - m_arrived);
+}
+
+void ForwardCall::noteEnd(const UpstreamEntry &entry, const Choice & /*choice*/, SendEnd end)
+{
+    UpstreamBook &book = m_shared.state.book();
+    book.ended(entry.id, std::exchange(m_unread, 0));
+    if (m_exchange && m_lastReason.empty())
+        m_lastReason = m_exchange->reason();
+    const bool ownStop = m_stop != Stop::None;
+    if (end == SendEnd::Complete || end == SendEnd::OwnFailure)
+        book.succeeded(entry.id);
+    else if (end != SendEnd::RefusedNotRun && !ownStop)
+        book.failed(entry.id, RuntimeClock::now());
+    if (!m_channel)
+        return;
+    if (m_exchange && m_exchange->isReusable() && !ownStop) {
+        if (const auto limit = m_exchange->keepAlive())
+            m_channel->idleLimit = *limit;
+        m_shared.pool.giveBack(entry.id, m_channel);
+    } else {
+        m_channel->close();
+    }
+    m_channel.reset();
+}
+
+asio::awaitable<bool> ForwardCall::sendHead()
+{
+    m_headDelivered = true;
+    // Named, as GCC 12 destroys a class temporary of an awaited call twice (its bug 98056 and kin).
+    AnswerHead head = makeHead();
+    co_return co_await m_caller.sendHead(std::move(head));
+}
+
+AnswerHead ForwardCall::makeHead() const
+{
+    AnswerHead head;
+    head.version(11);
+    copyEndToEnd(m_exchange->head(), &head.base());
+    head.result(m_exchange->status());
+    const bool chunked = m_request.version() >= 11;
+    head.chunked(chunked);
+    head.keep_alive(chunked && m_request.keep_alive() && !m_shared.stopping);
+    return head;
+}
+
+asio::awaitable<bool> ForwardCall::finish(ForwardDecision decision)
+{
+    switch (decision.step) {
+    case ForwardStep::Deliver:
+        co_return co_await deliverWhole();
+    case ForwardStep::Cut:
+        report("cut", decision.kind, m_exchange ? m_exchange->status() : 0);
+        m_caller.abort();
+        co_return false;
+    case ForwardStep::Refuse:
+    case ForwardStep::Fail:
+    case ForwardStep::SendAgain:
+        break;
+    }
+    const Error error{decision.kind, m_lastReason};
+    co_return co_await refuse(error);
+}
+
+asio::awaitable<bool> ForwardCall::deliverWhole()
+{
+    const bool keepAlive =
+        m_request.version() >= 11 && m_request.keep_alive() && !m_shared.stopping;
+    bool sent = false;
+    if (m_headDelivered) {
+        if (m_bodyWhole)
+            sent = co_await m_caller.sendEnd();
+    } else {
+        WholeAnswer answer;
+        answer.version(11);
+        copyEndToEnd(m_exchange->head(), &answer.base());
+        answer.result(m_exchange->status());
+        answer.keep_alive(keepAlive);
+        answer.body() = std::move(m_wholeBody);
+        if (m_request.method() == http::verb::head)
+            answer.content_length(boost::none);
+        else
+            answer.prepare_payload();
+        sent = co_await m_caller.send(std::move(answer));
+    }
+    m_shared.counters.add(Count::RequestsCompleted);
+    m_shared.latencies.note(Timed::Whole, RuntimeClock::now() - m_arrived);
+    report(sent ? "delivered" : "caller-lost", ErrorKind::None, m_exchange->status());
+    co_return sent &&keepAlive;
+}
+
+asio::awaitable<bool> ForwardCall::refuse(const Error &error)
+{
+    m_shared.counters.refused(error.kind);
+    if (m_lastReason.empty())
+        m_lastReason = error.reason;
+    if (m_caller.isGone()) {
+        report("caller-gone", error.kind, 0);
+        co_return false;
+    }
+    const bool keepAlive =
+        m_request.version() >= 11 && m_request.keep_alive() && !m_shared.stopping;
+    std::optional<Duration> patience;
+    if (m_facts.patience)
+        patience = *m_facts.patience - (RuntimeClock::now() - m_arrived);
+    WholeAnswer answer = makeRefusal(error, comeBackAfter(error.kind, patience), keepAlive);
+    report("refused", error.kind, answer.result_int());
+    const bool sent = co_await m_caller.send(std::move(answer));
+    co_return sent &&keepAlive;
+}
+
+void ForwardCall::report(std::string_view outcome, ErrorKind kind, unsigned status)
+{
+    const Time now = RuntimeClock::now();
+    LogLine(LogLevel::Info, "request-ended")
+        .with("attempt", m_facts.attemptId)
+        .with("outcome", outcome)
+        .with("kind", errorRow(kind).name)
+        .with("status", status)
+        .with("route", m_route != nullptr ? m_route->name : "-")
+        .with("account", m_account != nullptr ? m_account->name.text : "-")
+        .with("config", m_table ? m_table->version() : 0)
+        .with("upstream", m_lastUpstream.text)
+        .with("cost", static_cast<std::int64_t>(m_lastCost))
+        .with("sends", m_sends)
+        .with("misses", m_misses)
+        .with("events", m_events.events())
+        .with("first_ms",
+              m_firstByte ? static_cast<std::int64_t>(toMillis(*m_firstByte - m_arrived)) : -1)
+        .with("ms", static_cast<std::int64_t>(toMillis(now - m_arrived)))
+        .with("ms_left", static_cast<std::int64_t>(toMillis(m_limit - now)))
+        .with("reason", m_lastReason);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/forward/forwardcall.h
@@ -0,0 +1,102 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// One caller's request on its way: chosen upstreams, sends, the answer back.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <reachlead/eventsplitter.h>
+#include <reachlead/forwardpolicy.h>
+
+#include "forwarder.h"
+#include "upstream/upstreamexchange.h"
+
+namespace reachlead {
+
+/// Runs one request from its arrival to the end of its answer. Lives on the coroutine's frame.
+class ForwardCall
+{
+public:
+    ForwardCall(ForwardShared &shared, CallerStream &caller, CallerRequest request);
+    ~ForwardCall();
+    ForwardCall(const ForwardCall &) = delete;
+    ForwardCall &operator=(const ForwardCall &) = delete;
+
+    /// True when the connection may take another request.
+    boost::asio::awaitable<bool> run();
+
+private:
+    /// Why a send was broken off from this side.
+    enum class Stop : std::uint8_t { None, CallerGone, Expired };
+
+    // Before the first send.
+    std::optional<Error> resolve();
+    void setLimit();
+    void watch();
+
+    // Sends.
+    boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
+    boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
+    boost::asio::awaitable<SendEnd> exchange(const UpstreamEntry &entry);
+    boost::asio::awaitable<SendEnd> takeAnswer();
+    boost::asio::awaitable<SendEnd> takeWhole();
+    boost::asio::awaitable<SendEnd> takeEvents();
+    boost::asio::awaitable<SendEnd> takeLong(std::string first);
+    boost::asio::awaitable<bool> deliverEvents(const std::string &events);
+    UpstreamCall makeCall(const UpstreamEntry &entry) const;
+    SendEnd brokenEnd() const;
+    SendEnd judgeHead() const;
+    ForwardState stateNow(SendEnd end);
+    void noteEnd(const UpstreamEntry &entry, const Choice &choice, SendEnd end);
+    void noteFirst();
+
+    // The answer to the caller.
+    boost::asio::awaitable<bool> finish(ForwardDecision decision);
+    boost::asio::awaitable<bool> refuse(const Error &error);
+    boost::asio::awaitable<bool> deliverWhole();
+    boost::asio::awaitable<bool> sendHead();
+    AnswerHead makeHead() const;
+    void report(std::string_view outcome, ErrorKind kind, unsigned status);
+
+    Duration timeLeft() const { return m_limit - RuntimeClock::now(); }
+    ErrorKind kindOfStop() const;
+
+    ForwardShared &m_shared;
+    CallerStream &m_caller;
+    CallerRequest m_request;
+    CallFacts m_facts;
+    RouteTablePtr m_table; ///< in force when the request arrived
+    const Route *m_route = nullptr;
+    const AccountKeys *m_account = nullptr;
+    ServiceName m_service;
+    Time m_arrived;
+    Time m_limit; ///< by when the caller must have its answer
+    Timer m_timer; ///< ends the call at m_limit
+    Stop m_stop = Stop::None;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(); ///< ends with this object
+
+    std::set<UpstreamId> m_tried;
+    unsigned m_sends = 0; ///< that may have reached an upstream
+    unsigned m_misses = 0; ///< that never left
+    bool m_mayHaveRun = false;
+    UpstreamId m_lastUpstream;
+    std::string m_lastReason;
+    double m_lastCost = 0;
+    TokenCount m_unread = 0; ///< tokens of the send under way, without a first event
+
+    UpstreamChannelPtr m_channel; ///< of the send under way
+    std::optional<UpstreamExchange> m_exchange;
+    EventSplitter m_events;
+    std::string m_wholeBody;
+    bool m_headDelivered = false;
+    bool m_bodyWhole = false; ///< an answer in pieces was delivered to its end
+    std::optional<Time> m_firstByte;
+};
+
+} // namespace reachlead
--- a/src/include/reachlead/circuit.h
+++ b/src/include/reachlead/circuit.h
@@ -19,7 +19,22 @@
 class Circuit
 {
 public:
+    /// Failures in a row that open the circuit.
+    static constexpr unsigned failuresToOpen = 3;
+    /// The first pause; it doubles up to the longest.
+    static constexpr Duration firstPause = seconds(1);
+    static constexpr Duration longestPause = seconds(30);
+
+    /// How soon it opens, and for how long.
+    struct Settings
+    {
+        unsigned failuresToOpen = Circuit::failuresToOpen; ///< in a row
+        Duration firstPause = Circuit::firstPause; ///< doubles up to longestPause
+        Duration longestPause = Circuit::longestPause;
+    };
+
     Circuit();
+    explicit Circuit(const Settings &settings);
     ~Circuit();
     Circuit(Circuit &&) noexcept;
     Circuit &operator=(Circuit &&) noexcept;
@@ -42,12 +57,6 @@
     /// `closed`, `open` or `half-open`.
     const char *state() const;
 
-    /// Failures in a row that open the circuit.
-    static constexpr unsigned failuresToOpen = 3;
-    /// The first pause; it doubles up to the longest.
-    static constexpr Duration firstPause = seconds(1);
-    static constexpr Duration longestPause = seconds(30);
-
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/include/reachlead/dialect.h
@@ -0,0 +1,83 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a gateway reads from and writes to the headers of calls, whatever the headers are called.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/beast/http/fields.hpp>
+
+#include <reachlead/clock.h>
+#include <reachlead/ids.h>
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// The header fields of a call or an answer.
+using Fields = boost::beast::http::fields;
+
+/// A piece of a prompt that other prompts may begin with as well.
+struct PromptPart
+{
+    std::uint64_t id = 0;
+    TokenCount tokens = 0;
+};
+
+/// What a caller's request says of itself.
+struct CallFacts
+{
+    std::string attemptId; ///< one for each attempt of the caller; empty: none
+    std::string key; ///< the API key; empty: none
+    std::optional<Duration> patience; ///< how long the caller will wait
+    std::optional<std::uint64_t> resumeAfter; ///< the last event the caller holds
+    std::string model; ///< empty: not a call to a model
+    TokenCount promptTokens = 0;
+    TokenCount mostOutputTokens = 0;
+    std::vector<PromptPart>
+        prompt; ///< in order; the last one belongs to the request or its session
+};
+
+/// What a gateway says to an upstream of a call that it sends on.
+struct SendFacts
+{
+    UpstreamId upstream; ///< the only life of an upstream that may run it
+    Duration patience{}; ///< what is left of the time
+    std::optional<AccountName> account;
+    std::optional<unsigned> urgency; ///< at a model engine; 0 is the most urgent
+    std::optional<std::uint64_t> resumeAfter; ///< the last event that the caller was given
+};
+
+/// What an upstream's answer says of itself.
+struct AnswerFacts
+{
+    std::string attemptId; ///< of the call it answers; empty: not said
+    bool isSigned = false; ///< bears the upstream's signature
+    bool notRun = false; ///< the upstream vouches that it did not run the call
+};
+
+/// Translates between facts and headers. Stateless; thread-safe.
+class Dialect
+{
+public:
+    virtual ~Dialect() = default;
+
+    virtual CallFacts readCall(const Fields &fields) const = 0;
+    virtual AnswerFacts readAnswer(unsigned status, const Fields &fields) const = 0;
+
+    /// Copies what may be passed on from a caller's fields, and adds the gateway's own.
+    virtual void writeSend(const Fields &from, const SendFacts &facts, Fields *out) const = 0;
+
+    /// The path of a service's readiness question, as `/health`, that the balancer asks.
+    virtual std::string readyPath() const = 0;
+};
+
+/// Copies all fields that do not concern one connection alone (RFC 9110, 7.6.1).
+void copyEndToEnd(const Fields &from, Fields *out);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/fleetsource.h
@@ -0,0 +1,65 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The border to whatever holds the fleet's configuration and registry.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <reachlead/routing.h>
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// Another gateway of the fleet.
+struct GatewayEntry
+{
+    VmName vm;
+    Endpoint address; ///< of its peer port, TCP and UDP
+
+    template <class Archive> void serialize(Archive &ar) { ar(vm, address.address, address.port); }
+};
+
+/// What one gateway tells another that is behind.
+struct GatewayNews
+{
+    std::optional<RoutingConfig> config;
+    std::optional<std::vector<UpstreamEntry>> upstreams;
+    std::uint64_t registryRevision = 0; ///< of the upstreams
+};
+
+/// Takes what a source reads. Called on the traffic thread.
+class FleetSink
+{
+public:
+    virtual ~FleetSink() = default;
+
+    virtual void configRead(RoutingConfig config) = 0;
+    virtual void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) = 0;
+    virtual void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) = 0;
+    virtual void gatewaysChanged(std::vector<GatewayEntry> all) = 0;
+
+    /// The registry began or ceased to answer this gateway.
+    virtual void contactChanged(bool inContact) = 0;
+};
+
+/// Reads configuration and registry, and keeps on following them.
+class FleetSource
+{
+public:
+    virtual ~FleetSource() = default;
+
+    /// Begins to follow; \p sink outlives the source.
+    virtual void start(FleetSink *sink, const GatewayEntry &self) = 0;
+
+    /// Ends all calls.
+    virtual void stop() = 0;
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/gatewaystate.h
@@ -0,0 +1,82 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a gateway believes: the configuration, the upstreams, the other gateways, and from whom it
+/// has it.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <reachlead/fleetsource.h>
+#include <reachlead/retryshare.h>
+#include <reachlead/routing.h>
+#include <reachlead/upstreambook.h>
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// The beliefs of one gateway. Not thread-safe; reads no clock but through now().
+class GatewayState : public FleetSink
+{
+public:
+    struct Options
+    {
+        VmName vm;
+        ZoneName zone;
+        RetryBounds retries;
+        UpstreamBook::Costs costs;
+        std::size_t fewestGateways = 1; ///< until others are known: seeds of the settings
+    };
+
+    explicit GatewayState(const Options &options);
+
+    // FleetSink: what the platform tells.
+    void configRead(RoutingConfig config) override;
+    void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) override;
+    void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) override;
+    void gatewaysChanged(std::vector<GatewayEntry> all) override;
+    void contactChanged(bool inContact) override;
+
+    /// What another gateway told: the same, where it is newer.
+    void peerTold(const VmName &peer, const GatewayNews &news);
+
+    /// Carries out what is due. Call a few times a second.
+    void tick();
+
+    /// The configuration in force; null before the first.
+    const RouteTablePtr &table() const { return m_table; }
+    const UpstreamDirectory &directory() const { return m_directory; }
+    UpstreamBook &book() { return m_book; }
+    RetryShare &retries() { return m_retries; }
+    const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
+    std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
+
+    /// True when calls can be served: a configuration and an upstream are known.
+    bool isReady() const;
+
+    /// Called with the ids of upstreams that take no more work.
+    void onUpstreamsLeft(std::function<void(const std::vector<UpstreamId> &)> callback)
+    {
+        m_onLeft = std::move(callback);
+    }
+
+private:
+    static Time now() { return RuntimeClock::now(); }
+    void noteChange(const UpstreamDirectory::Changed &changed, std::string_view source);
+    void adopt(RoutingConfig config, std::string_view source);
+
+    Options m_options;
+    RouteTablePtr m_table;
+    UpstreamDirectory m_directory;
+    UpstreamBook m_book;
+    RetryShare m_retries;
+    std::vector<GatewayEntry> m_gateways;
+    std::function<void(const std::vector<UpstreamId> &)> m_onLeft;
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/upstreambook.h
@@ -0,0 +1,139 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What one gateway knows of the load, the health and the cached prompts of each upstream, and the
+/// choice that rests on it.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <reachlead/circuit.h>
+#include <reachlead/dialect.h>
+#include <reachlead/promptcache.h>
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// Requests and prompt tokens that are under way at an upstream.
+struct UpstreamLoad
+{
+    std::uint32_t running = 0; ///< requests sent and not ended
+    std::uint64_t unreadTokens = 0; ///< prompt tokens not in its cache, of requests without a
+                                    ///< first event yet
+
+    template <class Archive> void serialize(Archive &ar) { ar(running, unreadTokens); }
+};
+
+using LoadByUpstream = std::map<UpstreamId, UpstreamLoad>;
+
+/// What is asked of a choice.
+struct ChoiceAsk
+{
+    ServiceName service;
+    std::string model; ///< prompts of different models share nothing
+    std::span<const PromptPart> prompt; ///< empty for a plain service
+    const std::set<UpstreamId> *tried = nullptr; ///< upstreams that are not to be taken
+};
+
+/// The outcome, with the inputs that decided it.
+struct Choice
+{
+    UpstreamId upstream;
+    TokenCount unreadTokens = 0; ///< of the prompt, that the upstream has to read
+    double cost = 0; ///< ms; see UpstreamBook::Costs
+    bool isHome = false; ///< the upstream is the one that all gateways prefer for this prompt
+};
+
+/// Load, health and cached prompts by upstream. Not thread-safe, reads no clock.
+class UpstreamBook
+{
+public:
+    /// The terms of an upstream's cost, in ms of expected wait. Settings.
+    struct Costs
+    {
+        /// Prompt tokens that an engine reads in 1 ms; learned from no one, so a cautious figure
+        /// for engines of this size. It scales the wait behind unread prompts.
+        double tokensPerMs = 35.0;
+        /// Each request that runs makes the tokens of the others slower.
+        double perRunning = 2.0;
+        /// Waiting for a slot of a plain service that has none free: about one call's work.
+        double perQueued = 30.0;
+        /// Another availability zone: bytes across zones cost, and the way there and back.
+        double otherZone = 5.0;
+        /// Reading a part again that some upstream holds wastes engine work and its price is more
+        /// than the wait alone: a multiple of the time to read it.
+        double rereadFactor = 3.0;
+        /// An upstream whose circuit is open is taken only if there is no other.
+        double unhealthy = 60'000.0;
+    };
+
+    UpstreamBook(ZoneName zone, const Costs &costs) : m_zone(std::move(zone)), m_costs(costs) { }
+
+    /// Follows the directory: forgets upstreams that are gone.
+    void keepOnly(const UpstreamDirectory &directory);
+
+    /// The best upstream of the service; none when there is none that takes work.
+    std::optional<Choice> choose(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                 Time now);
+
+    /// A call was bound to an upstream.
+    void sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice, Time now);
+
+    /// Its prompt was read: the first event came.
+    void firstEvent(const UpstreamId &id, TokenCount unread);
+
+    /// It ended; \p unread are the tokens that firstEvent() was not told of.
+    void ended(const UpstreamId &id, TokenCount unread);
+
+    /// Evidence on an upstream's health.
+    void succeeded(const UpstreamId &id);
+    void failed(const UpstreamId &id, Time now);
+
+    /// What another gateway said of its own load.
+    void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now);
+
+    /// This gateway's own load, to be told to others.
+    LoadByUpstream ownLoad() const;
+
+    /// Load that a peer told counts this long: five of its reports.
+    static constexpr Duration peerLoadAge = milliseconds(2500);
+
+private:
+    struct Record
+    {
+        UpstreamLoad load;
+        Circuit circuit{circuitSettings()};
+        PromptCache cache;
+    };
+    struct PeerLoad
+    {
+        LoadByUpstream load;
+        Time heard;
+    };
+
+    static Circuit::Settings circuitSettings();
+    UpstreamLoad totalLoad(const UpstreamId &id, Time now) const;
+    double costOf(const UpstreamEntry &entry, const ChoiceAsk &ask, bool isHome, Choice *choice,
+                  Time now);
+
+    ZoneName m_zone;
+    Costs m_costs;
+    std::unordered_map<UpstreamId, Record> m_records;
+    std::map<VmName, PeerLoad> m_peers;
+};
+
+/// The upstream that all gateways prefer for a prompt: the highest of a hash over the prompt's
+/// longest shared part and the upstream's id (rendezvous hashing), so that a change of the set
+/// moves only the prompts of the upstreams that changed. None when the prompt shares nothing.
+std::optional<UpstreamId> homeOf(const ChoiceAsk &ask, std::span<const UpstreamEntry *const> among);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -0,0 +1,104 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which upstreams there are, as their registry tells, and what is believed while the registry is
+/// away.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <reachlead/clock.h>
+#include <reachlead/http.h>
+#include <reachlead/routing.h>
+
+namespace reachlead {
+
+/// One life of one upstream process; a restart has another id.
+using UpstreamId = Name<struct UpstreamTag>;
+
+/// An upstream as its registry entry tells.
+struct UpstreamEntry
+{
+    UpstreamId id;
+    ServiceName service;
+    Endpoint address;
+    ZoneName zone;
+    unsigned slots = 1; ///< requests it works on at once
+    bool leaving = false; ///< takes no new work
+    std::uint64_t revision = 0; ///< of the entry's last change
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(id, service, address.address, address.port, zone, slots, leaving, revision);
+    }
+};
+
+/// A change of one entry.
+struct UpstreamChange
+{
+    UpstreamEntry entry; ///< when removed, only the id counts
+    bool removed = false;
+};
+
+/// The registry's entries by id. Not thread-safe, reads no clock.
+///
+/// While the registry is away the last entries stay in use. Entries that lapsed meanwhile may come
+/// back soon after its return, so a removal that is learned within returnGrace of the return takes
+/// effect only at the end of that span, and not at all if the entry came back.
+class UpstreamDirectory
+{
+public:
+    /// What changed in the set of usable upstreams.
+    struct Changed
+    {
+        std::vector<UpstreamId> added;
+        std::vector<UpstreamId> left; ///< gone, or now leaving
+    };
+
+    /// Time for entries that lapsed with the registry to be written again: upstreams write about
+    /// once a second, and the registry's page names two seconds.
+    static constexpr Duration returnGrace = milliseconds(2000);
+
+    /// Takes the whole list as of \p revision; an older one changes nothing.
+    Changed replaceAll(const std::vector<UpstreamEntry> &entries, std::uint64_t revision, Time now);
+
+    /// Takes changes up to \p revision; older ones change nothing.
+    Changed apply(const std::vector<UpstreamChange> &changes, std::uint64_t revision, Time now);
+
+    /// The registry no longer answers.
+    void lostContact();
+
+    /// The registry answers again.
+    void regainedContact(Time now);
+
+    /// Carries out the removals that were held back and are due.
+    Changed expire(Time now);
+
+    const UpstreamEntry *find(const UpstreamId &id) const;
+    const std::map<UpstreamId, UpstreamEntry> &entries() const { return m_entries; }
+
+    /// The registry's revision that the entries stand for; 0: nothing was heard yet.
+    std::uint64_t revision() const { return m_revision; }
+
+    bool inContact() const { return m_inContact; }
+
+private:
+    bool holdsRemovals(Time now) const { return now < m_graceUntil; }
+    void put(const UpstreamEntry &entry, Changed *changed);
+    void remove(const UpstreamId &id, Time now, Changed *changed);
+
+    std::map<UpstreamId, UpstreamEntry> m_entries;
+    std::map<UpstreamId, Time> m_missing; ///< held back until
+    std::uint64_t m_revision = 0;
+    bool m_inContact = false;
+    bool m_wasInContact = false; ///< at any time before
+    Time m_graceUntil{};
+};
+
+} // namespace reachlead
--- a/src/libreachlead/circuit.cpp
+++ b/src/libreachlead/circuit.cpp
@@ -43,7 +43,8 @@
     using initial_state = Closed;
 
     unsigned failuresInRow = 0;
-    Duration pause = Circuit::firstPause;
+    Circuit::Settings settings;
+    Duration pause = settings.firstPause;
     Time opensAgainAt{};
     unsigned probesOut = 0;
 
@@ -60,7 +61,7 @@
         template <class Event, class Machine, class From, class To>
         bool operator()(const Event & /*event*/, Machine &m, From & /*from*/, To & /*to*/)
         {
-            return m.failuresInRow + 1 >= Circuit::failuresToOpen;
+            return m.failuresInRow + 1 >= m.settings.failuresToOpen;
         }
     };
     struct StartPause
@@ -69,7 +70,7 @@
         void operator()(const Failed &event, Machine &m, From & /*from*/, To & /*to*/)
         {
             m.opensAgainAt = event.at + m.pause;
-            m.pause = std::min(m.pause * 2, Circuit::longestPause);
+            m.pause = std::min(m.pause * 2, m.settings.longestPause);
             m.probesOut = 0;
         }
     };
@@ -87,7 +88,7 @@
         void operator()(const Event & /*event*/, Machine &m, From & /*from*/, To & /*to*/)
         {
             m.failuresInRow = 0;
-            m.pause = Circuit::firstPause;
+            m.pause = m.settings.firstPause;
             m.probesOut = 0;
         }
     };
@@ -130,8 +131,12 @@
     StateIndex index() const { return static_cast<StateIndex>(current_state()[0]); }
 };
 
-Circuit::Circuit() : m_impl(std::make_unique<Impl>())
+Circuit::Circuit() : Circuit(Settings()) { }
+
+Circuit::Circuit(const Settings &settings) : m_impl(std::make_unique<Impl>())
 {
+    m_impl->settings = settings;
+    m_impl->pause = settings.firstPause;
     m_impl->start();
 }
 
--- /dev/null
+++ b/src/libreachlead/gatewaystate.cpp
@@ -0,0 +1,112 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/gatewaystate.h>
+
+#include <algorithm>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+GatewayState::GatewayState(const Options &options)
+    : m_options(options), m_book(options.zone, options.costs), m_retries(options.retries)
+{
+    m_retries.setGateways(options.fewestGateways);
+}
+
+void GatewayState::configRead(RoutingConfig config)
+{
+    adopt(std::move(config), "platform");
+}
+
+void GatewayState::adopt(RoutingConfig config, std::string_view source)
+{
+    const std::uint64_t held = configVersion();
+    if (config.version <= held)
+        return;
+    LogLine(LogLevel::Info, "config-applied")
+        .with("version", config.version)
+        .with("before", held)
+        .with("source", source)
+        .with("routes", config.routes.size())
+        .with("accounts", config.accounts.size());
+    m_table = std::make_shared<const RouteTable>(std::move(config));
+}
+
+void GatewayState::upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision)
+{
+    noteChange(m_directory.replaceAll(entries, revision, now()), "platform");
+}
+
+void GatewayState::upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision)
+{
+    noteChange(m_directory.apply(changes, revision, now()), "platform");
+}
+
+void GatewayState::gatewaysChanged(std::vector<GatewayEntry> all)
+{
+    m_gateways = std::move(all);
+    m_retries.setGateways(std::max(m_gateways.size(), m_options.fewestGateways));
+    LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_gateways.size());
+}
+
+void GatewayState::contactChanged(bool inContact)
+{
+    if (inContact == m_directory.inContact())
+        return;
+    if (inContact)
+        m_directory.regainedContact(now());
+    else
+        m_directory.lostContact();
+    LogLine(inContact ? LogLevel::Info : LogLevel::Warn,
+            inContact ? "registry-regained" : "registry-lost")
+        .with("config_version", configVersion())
+        .with("registry_revision", m_directory.revision())
+        .with("upstreams", m_directory.entries().size());
+}
+
+void GatewayState::peerTold(const VmName &peer, const GatewayNews &news)
+{
+    if (news.config)
+        adopt(*news.config, peer.text);
+    if (news.upstreams && news.registryRevision > m_directory.revision())
+        noteChange(m_directory.replaceAll(*news.upstreams, news.registryRevision, now()),
+                   peer.text);
+}
+
+void GatewayState::tick()
+{
+    noteChange(m_directory.expire(now()), "missing-after-outage");
+}
+
+bool GatewayState::isReady() const
+{
+    return m_table != nullptr && !m_directory.entries().empty();
+}
+
+void GatewayState::noteChange(const UpstreamDirectory::Changed &changed, std::string_view source)
+{
+    if (changed.added.empty() && changed.left.empty())
+        return;
+    for (const UpstreamId &id : changed.added) {
+        const UpstreamEntry &entry = *m_directory.find(id);
+        LogLine(LogLevel::Info, "upstream-added")
+            .with("upstream", id.text)
+            .with("service", entry.service.text)
+            .with("zone", entry.zone.text)
+            .with("source", source)
+            .with("revision", m_directory.revision());
+    }
+    for (const UpstreamId &id : changed.left) {
+        LogLine(LogLevel::Info, "upstream-left")
+            .with("upstream", id.text)
+            .with("source", source)
+            .with("revision", m_directory.revision());
+    }
+    m_book.keepOnly(m_directory);
+    if (m_onLeft && !changed.left.empty())
+        m_onLeft(changed.left);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -0,0 +1,112 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/upstreamdirectory.h>
+
+#include <algorithm>
+#include <ranges>
+#include <set>
+
+namespace reachlead {
+
+UpstreamDirectory::Changed UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries,
+                                                         std::uint64_t revision, Time now)
+{
+    Changed changed;
+    if (revision < m_revision)
+        return changed;
+    m_revision = revision;
+    std::set<UpstreamId> listed;
+    for (const UpstreamEntry &entry : entries) {
+        listed.insert(entry.id);
+        put(entry, &changed);
+    }
+    std::vector<UpstreamId> absent;
+    std::ranges::copy_if(m_entries | std::views::keys, std::back_inserter(absent),
+                         [&](const UpstreamId &id) { return !listed.contains(id); });
+    for (const UpstreamId &id : absent)
+        remove(id, now, &changed);
+    return changed;
+}
+
+UpstreamDirectory::Changed UpstreamDirectory::apply(const std::vector<UpstreamChange> &changes,
+                                                    std::uint64_t revision, Time now)
+{
+    Changed changed;
+    if (revision < m_revision)
+        return changed;
+    m_revision = revision;
+    for (const UpstreamChange &change : changes) {
+        if (change.removed)
+            remove(change.entry.id, now, &changed);
+        else
+            put(change.entry, &changed);
+    }
+    return changed;
+}
+
+void UpstreamDirectory::lostContact()
+{
+    m_inContact = false;
+}
+
+void UpstreamDirectory::regainedContact(Time now)
+{
+    if (m_inContact)
+        return;
+    m_inContact = true;
+    if (m_wasInContact)
+        m_graceUntil = now + returnGrace;
+    m_wasInContact = true;
+}
+
+UpstreamDirectory::Changed UpstreamDirectory::expire(Time now)
+{
+    Changed changed;
+    for (auto it = m_missing.begin(); it != m_missing.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        m_entries.erase(it->first);
+        changed.left.push_back(it->first);
+        it = m_missing.erase(it);
+    }
+    return changed;
+}
+
+const UpstreamEntry *UpstreamDirectory::find(const UpstreamId &id) const
+{
+    const auto it = m_entries.find(id);
+    return it == m_entries.end() ? nullptr : &it->second;
+}
+
+void UpstreamDirectory::put(const UpstreamEntry &entry, Changed *changed)
+{
+    m_missing.erase(entry.id);
+    const auto [it, fresh] = m_entries.try_emplace(entry.id, entry);
+    if (entry.revision < it->second.revision)
+        return; // a page that was read before the change that is known
+    const bool wasLeaving = !fresh && it->second.leaving;
+    it->second = entry;
+    if (fresh && !entry.leaving)
+        changed->added.push_back(entry.id);
+    if (entry.leaving && !wasLeaving)
+        changed->left.push_back(entry.id);
+}
+
+void UpstreamDirectory::remove(const UpstreamId &id, Time now, Changed *changed)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end())
+        return;
+    if (holdsRemovals(now) && !it->second.leaving) {
+        m_missing.try_emplace(id, m_graceUntil);
+        return;
+    }
+    m_missing.erase(id);
+    m_entries.erase(it);
+    changed->left.push_back(id);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/gatewaymessages.h
@@ -0,0 +1,51 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What gateways tell each other: small datagrams all the time, a whole state when one is behind.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <reachlead/fleetsource.h>
+#include <reachlead/upstreambook.h>
+
+namespace reachlead {
+
+/// A datagram: who lives, what it knows, and the load that it causes.
+struct GatewayBeat
+{
+    GatewayEntry from;
+    Incarnation incarnation;
+    std::uint64_t configVersion = 0;
+    std::uint64_t registryRevision = 0;
+    LoadByUpstream load;
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(from, incarnation, configVersion, registryRevision, load);
+    }
+};
+
+/// Asks for what is newer than the asker's state.
+struct NewsAsk
+{
+    std::uint64_t configVersion = 0;
+    std::uint64_t registryRevision = 0;
+
+    template <class Archive> void serialize(Archive &ar) { ar(configVersion, registryRevision); }
+};
+
+/// Payloads without a length ahead. Decoding gives nothing with \p reason set for other bytes.
+std::string encodeBeat(const GatewayBeat &beat);
+std::optional<GatewayBeat> decodeBeat(std::string_view payload, std::string *reason);
+std::string encodeAsk(const NewsAsk &ask);
+std::optional<NewsAsk> decodeAsk(std::string_view payload, std::string *reason);
+std::string encodeNews(const GatewayNews &news);
+std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/gatewaypeers.cpp
@@ -0,0 +1,270 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/gatewaypeers.h"
+
+#include <algorithm>
+#include <cstring>
+#include <ranges>
+#include <set>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <reachlead/log.h>
+#include <reachlead/socketlimits.h>
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr std::size_t mostDatagram = 8192; ///< bytes; loads beyond mostLoads are not told
+constexpr std::size_t mostLoads = 64; ///< upstreams in one beat: about 2 KB
+constexpr std::uint32_t mostNews = 16U << 20U; ///< bytes of a whole state
+constexpr Duration fetchLimit = milliseconds(1000); ///< for one fetch, some round trips
+
+auto keepError(error_code *ec)
+{
+    return asio::redirect_error(asio::use_awaitable, *ec);
+}
+
+/// Writes a text with its length ahead.
+asio::awaitable<bool> writeText(tcp::socket &socket, const std::string &text)
+{
+    const auto size = static_cast<std::uint32_t>(text.size());
+    std::string framed(sizeof size, '\0');
+    std::memcpy(framed.data(), &size, sizeof size);
+    framed += text;
+    error_code ec;
+    co_await asio::async_write(socket, asio::buffer(framed), keepError(&ec));
+    co_return !ec;
+}
+
+/// Reads what writeText() wrote; nothing when it broke off or is too long.
+asio::awaitable<std::optional<std::string>> readText(tcp::socket &socket)
+{
+    std::uint32_t size = 0;
+    error_code ec;
+    co_await asio::async_read(socket, asio::buffer(&size, sizeof size), keepError(&ec));
+    if (ec || size > mostNews)
+        co_return std::nullopt;
+    std::string text(size, '\0');
+    co_await asio::async_read(socket, asio::buffer(text), keepError(&ec));
+    if (ec)
+        co_return std::nullopt;
+    co_return text;
+}
+
+/// Closes a socket after a time, unless it went first.
+void limitTime(Timer &timer, const std::shared_ptr<tcp::socket> &socket)
+{
+    timer.expires_after(fetchLimit);
+    timer.async_wait([socket](const error_code &ec) {
+        error_code ignored;
+        if (!ec)
+            socket->close(ignored);
+    });
+}
+
+} // namespace
+
+GatewayPeers::GatewayPeers(asio::io_context &io, Options options, GatewayState &state)
+    : m_io(io), m_options(std::move(options)), m_state(state), m_incarnation(makeIncarnation()),
+      m_udp(io,
+            udp::endpoint(asio::ip::make_address(m_options.self.address.address),
+                          m_options.self.address.port)),
+      m_acceptor(io,
+                 tcp::endpoint(asio::ip::make_address(m_options.self.address.address),
+                               m_options.self.address.port))
+{
+    asio::co_spawn(io, beatLoop(), asio::detached);
+    asio::co_spawn(io, hearLoop(), asio::detached);
+    asio::co_spawn(io, acceptLoop(), asio::detached);
+}
+
+void GatewayPeers::stop()
+{
+    m_stopped = true;
+    error_code ec;
+    m_udp.close(ec);
+    m_acceptor.close(ec);
+}
+
+std::size_t GatewayPeers::heard() const
+{
+    const Time now = RuntimeClock::now();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_peers | std::views::values,
+                              [&](const Peer &peer) { return peer.heard + peerLimit > now; }));
+}
+
+asio::awaitable<void> GatewayPeers::beatLoop()
+{
+    Timer timer(m_io);
+    while (!m_stopped) {
+        sendBeats();
+        error_code ec;
+        timer.expires_after(m_options.beatInterval);
+        co_await timer.async_wait(keepError(&ec));
+    }
+}
+
+void GatewayPeers::sendBeats()
+{
+    GatewayBeat beat;
+    beat.from = m_options.self;
+    beat.incarnation = m_incarnation;
+    beat.configVersion = m_state.configVersion();
+    beat.registryRevision = m_state.directory().revision();
+    beat.load = m_state.book().ownLoad();
+    while (beat.load.size() > mostLoads)
+        beat.load.erase(std::prev(beat.load.end()));
+    const std::string payload = encodeBeat(beat);
+    std::set<std::pair<std::string, std::uint16_t>> to;
+    const auto add = [&](const Endpoint &at) { to.emplace(at.address, at.port); };
+    std::ranges::for_each(m_options.seeds, add);
+    for (const GatewayEntry &entry : m_state.gateways())
+        add(entry.address);
+    for (const Peer &peer : m_peers | std::views::values)
+        add(peer.entry.address);
+    to.erase({m_options.self.address.address, m_options.self.address.port});
+    for (const auto &[address, port] : to) {
+        error_code ec;
+        const auto number = asio::ip::make_address(address, ec);
+        // A datagram that cannot leave now is made up for by the next beat.
+        if (!ec)
+            m_udp.send_to(asio::buffer(payload), udp::endpoint(number, port), 0, ec);
+    }
+}
+
+asio::awaitable<void> GatewayPeers::hearLoop()
+{
+    std::vector<char> buf(mostDatagram);
+    while (!m_stopped) {
+        error_code ec;
+        udp::endpoint from;
+        const std::size_t n =
+            co_await m_udp.async_receive_from(asio::buffer(buf), from, keepError(&ec));
+        if (ec)
+            continue;
+        std::string reason;
+        const auto beat = decodeBeat({buf.data(), n}, &reason);
+        if (beat)
+            take(*beat);
+        else
+            LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+    }
+}
+
+bool GatewayPeers::isBehind(const GatewayBeat &beat) const
+{
+    return beat.configVersion > m_state.configVersion()
+        || beat.registryRevision > m_state.directory().revision();
+}
+
+void GatewayPeers::take(const GatewayBeat &beat)
+{
+    const Time now = RuntimeClock::now();
+    const bool fresh = !m_peers.contains(beat.from.vm);
+    m_peers[beat.from.vm] = Peer{beat.from, now};
+    std::erase_if(m_peers, [&](const auto &peer) {
+        const bool gone = peer.second.heard + 4 * peerLimit < now;
+        if (gone)
+            LogLine(LogLevel::Warn, "peer-lost").with("peer", peer.first.text);
+        return gone;
+    });
+    if (fresh)
+        LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
+    m_state.book().setPeerLoad(beat.from.vm, beat.load, now);
+    if (!isBehind(beat)) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince)
+        m_behindSince = now;
+    const bool waits = m_state.directory().inContact() && *m_behindSince + patienceInContact > now;
+    if (!waits && !m_fetching)
+        asio::co_spawn(m_io, fetchNews(beat.from), asio::detached);
+}
+
+asio::awaitable<void> GatewayPeers::fetchNews(GatewayEntry peer)
+{
+    m_fetching = true;
+    const auto socket = std::make_shared<tcp::socket>(m_io);
+    Timer timer(m_io);
+    limitTime(timer, socket);
+    error_code ec;
+    const auto number = asio::ip::make_address(peer.address.address, ec);
+    if (!ec)
+        co_await socket->async_connect(tcp::endpoint(number, peer.address.port), keepError(&ec));
+    std::optional<std::string> text;
+    std::string reason = ec.message();
+    if (!ec) {
+        const NewsAsk ask{m_state.configVersion(), m_state.directory().revision()};
+        const std::string payload = encodeAsk(ask);
+        reason = "the connection broke off";
+        const bool sent = co_await writeText(*socket, payload);
+        if (sent)
+            text = co_await readText(*socket);
+    }
+    timer.cancel();
+    m_fetching = false;
+    m_behindSince.reset();
+    const auto news = text ? decodeNews(*text, &reason) : std::nullopt;
+    if (news)
+        m_state.peerTold(peer.vm, *news);
+    else
+        LogLine(LogLevel::Warn, "peer-fetch-failed")
+            .with("peer", peer.vm.text)
+            .with("reason", reason);
+}
+
+asio::awaitable<void> GatewayPeers::acceptLoop()
+{
+    while (!m_stopped) {
+        error_code ec;
+        Socket socket = co_await m_acceptor.async_accept(keepError(&ec));
+        if (ec)
+            continue;
+        limitSilence(socket);
+        asio::co_spawn(m_io, answerNews(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> GatewayPeers::answerNews(Socket socket)
+{
+    const auto held = std::make_shared<Socket>(std::move(socket));
+    Timer timer(m_io);
+    limitTime(timer, held);
+    const auto text = co_await readText(*held);
+    std::string reason;
+    const auto ask = text ? decodeAsk(*text, &reason) : std::nullopt;
+    if (ask) {
+        const std::string payload = encodeNews(newsFor(*ask));
+        co_await writeText(*held, payload);
+    }
+    timer.cancel();
+}
+
+GatewayNews GatewayPeers::newsFor(const NewsAsk &ask) const
+{
+    GatewayNews news;
+    if (m_state.configVersion() > ask.configVersion)
+        news.config = m_state.table()->config();
+    news.registryRevision = m_state.directory().revision();
+    if (news.registryRevision > ask.registryRevision) {
+        news.upstreams.emplace();
+        std::ranges::copy(m_state.directory().entries() | std::views::values,
+                          std::back_inserter(*news.upstreams));
+    }
+    return news;
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -0,0 +1,165 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "gatewaydaemon.h"
+
+#include <csignal>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Between looks at what is due: removals held back, idle connections past their limit.
+constexpr Duration tickInterval = milliseconds(250);
+
+/// From the order to stop until the last accept: the balancer asks each second, and takes a VM out
+/// after two answers in a row that are not 200.
+constexpr Duration stopNotice = milliseconds(3200);
+
+/// Part of the stop's limit after which what is left is cut, so that callers are told by an end
+/// rather than by the kill.
+constexpr double stopPart = 0.94;
+
+constexpr Duration stopLook = milliseconds(50); ///< between looks whether all work has ended
+
+asio::awaitable<void> sleepFor(asio::io_context &io, Duration d)
+{
+    Timer timer(io);
+    boost::system::error_code ec;
+    timer.expires_after(d);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
+                             std::function<std::unique_ptr<FleetSource>(asio::io_context &)> source,
+                             std::function<std::optional<GatewaySettings>()> reload)
+    : m_settings(settings), m_dialect(dialect), m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+      m_state(settings.state),
+      m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
+      m_forwarder(settings.forwarder, m_shared), m_peers(m_io, settings.peers, m_state),
+      m_ready(m_io, settings.ready, [this](HttpAsk ask) { return answerReady(std::move(ask)); }),
+      m_operators(m_io, settings.operators,
+                  [this](HttpAsk ask) { return answerOperator(std::move(ask)); }),
+      m_source(source(m_io)), m_reload(std::move(reload))
+{
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    m_state.onUpstreamsLeft([this](const std::vector<UpstreamId> &left) {
+        std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
+    });
+    m_source->start(&m_state, settings.peers.self);
+    asio::co_spawn(m_io, signalLoop(), asio::detached);
+    asio::co_spawn(m_io, tickLoop(), asio::detached);
+}
+
+void GatewayDaemon::run()
+{
+    LogLine(LogLevel::Info, "start")
+        .with("version", REACHLEAD_VERSION)
+        .with("vm", m_settings.state.vm.text)
+        .with("zone", m_settings.state.zone.text)
+        .with("listen", m_settings.forwarder.listen.text())
+        .with("store", m_settings.store.text())
+        .with("seeds", m_settings.peers.seeds.size());
+    m_io.run();
+    LogLine(LogLevel::Info, "ended");
+}
+
+asio::awaitable<void> GatewayDaemon::signalLoop()
+{
+    while (true) {
+        boost::system::error_code ec;
+        const int got =
+            co_await m_signals.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return;
+        if (got == SIGHUP) {
+            applyReload();
+            continue;
+        }
+        LogLine(LogLevel::Info, "stop")
+            .with("signal", got)
+            .with("open_connections", m_forwarder.openConnections())
+            .with("repeated", m_shared.stopping);
+        if (!m_shared.stopping)
+            asio::co_spawn(m_io, stopOrderly(), asio::detached);
+        m_shared.stopping = true;
+    }
+}
+
+/// Takes over what may change while calls are at work; addresses need a restart.
+void GatewayDaemon::applyReload()
+{
+    const auto settings = m_reload();
+    LogLine(settings ? LogLevel::Info : LogLevel::Error, "reload")
+        .with("good", settings.has_value());
+    if (!settings)
+        return;
+    m_peers.setSeeds(settings->peers.seeds);
+    setLogLevel(static_cast<LogLevel>(settings->logLevel));
+}
+
+asio::awaitable<void> GatewayDaemon::stopOrderly()
+{
+    const Time began = RuntimeClock::now();
+    const Time limit = began + fromSeconds(toSeconds(m_settings.stopLimit) * stopPart);
+    m_forwarder.beginStop();
+    co_await sleepFor(m_io, std::min<Duration>(stopNotice, limit - began));
+    m_forwarder.closeIdle();
+    while (m_forwarder.openConnections() > 0 && RuntimeClock::now() < limit)
+        co_await sleepFor(m_io, stopLook);
+    const std::size_t cut = m_forwarder.openConnections();
+    m_forwarder.abortAll();
+    LogLine(cut > 0 ? LogLevel::Warn : LogLevel::Info, "stopped").with("connections_cut", cut);
+    m_source->stop();
+    m_peers.stop();
+    m_io.stop();
+}
+
+asio::awaitable<void> GatewayDaemon::tickLoop()
+{
+    while (true) {
+        m_state.tick();
+        m_shared.pool.closeExpired();
+        const bool ready = m_state.isReady() && !m_shared.stopping;
+        if (std::exchange(m_lastReady, ready) != ready)
+            LogLine(LogLevel::Info, ready ? "ready" : "not-ready")
+                .with("config_version", m_state.configVersion())
+                .with("upstreams", m_state.directory().entries().size());
+        m_counters.set(Gauge::SettingsVersion, static_cast<std::int64_t>(m_state.configVersion()));
+        m_counters.set(Gauge::Draining, m_shared.stopping ? 1 : 0);
+        co_await sleepFor(m_io, tickInterval);
+    }
+}
+
+asio::awaitable<HttpReply> GatewayDaemon::answerReady(HttpAsk ask)
+{
+    HttpReply reply;
+    if (ask.pathOnly() != m_dialect.readyPath())
+        reply.status = 404;
+    else if (!m_state.isReady() || m_shared.stopping)
+        reply.status = 503;
+    co_return reply;
+}
+
+asio::awaitable<HttpReply> GatewayDaemon::answerOperator(HttpAsk ask)
+{
+    HttpReply reply;
+    if (ask.pathOnly() == "/metrics")
+        reply.body = m_counters.page() + m_latencies.page();
+    else
+        reply.status = 404;
+    co_return reply;
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -0,0 +1,61 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The gateway process: one thread for all traffic, one that writes the log.
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <reachlead/http.h>
+
+#include "forward/forwarder.h"
+#include "gatewaysettings.h"
+#include "peer/gatewaypeers.h"
+
+namespace reachlead {
+
+/// Owns all parts. Processor time is dear on entry VMs, so callers, upstreams, peers and the
+/// platform share one thread: a call crosses no ring and wakes no other thread.
+class GatewayDaemon
+{
+public:
+    GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
+                  std::function<std::unique_ptr<FleetSource>(boost::asio::io_context &)> source,
+                  std::function<std::optional<GatewaySettings>()> reload);
+
+    /// Serves until it is told to stop, and then until all work has ended.
+    void run();
+
+private:
+    boost::asio::awaitable<void> signalLoop();
+    boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> stopOrderly();
+    boost::asio::awaitable<HttpReply> answerReady(HttpAsk ask);
+    boost::asio::awaitable<HttpReply> answerOperator(HttpAsk ask);
+    void applyReload();
+
+    GatewaySettings m_settings;
+    const Dialect &m_dialect;
+    boost::asio::io_context m_io{1};
+    boost::asio::signal_set m_signals;
+    Counters m_counters;
+    Latencies m_latencies;
+    GatewayState m_state;
+    ForwardShared m_shared;
+    Forwarder m_forwarder;
+    GatewayPeers m_peers;
+    HttpServer m_ready;
+    HttpServer m_operators;
+    std::unique_ptr<FleetSource> m_source;
+    std::function<std::optional<GatewaySettings>()> m_reload;
+    bool m_lastReady = false;
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -0,0 +1,133 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "gatewaysettings.h"
+
+#include <algorithm>
+#include <array>
+
+#include "operators/daemon.h"
+#include "operators/readsettings.h"
+
+namespace reachlead {
+
+namespace {
+
+/// Descriptors left for the store, peers, files and idle connections to upstreams.
+constexpr std::int64_t descriptorsKept = 800;
+constexpr std::int64_t fewestConnections = 64;
+
+/// Takes several endpoints out of one section; the first fault, if any.
+std::optional<std::string> takeEndpoints(const IniFile &file, IniReader &reader,
+                                         std::string_view section,
+                                         const std::vector<std::pair<std::string, Endpoint *>> &all)
+{
+    std::vector<std::string> texts(all.size());
+    for (std::size_t n = 0; n < all.size(); ++n)
+        reader.require(all[n].first).takeText(all[n].first, &texts[n]);
+    if (auto fault = reader.finish())
+        return fault;
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        const auto endpoint = Endpoint::parse(texts[n]);
+        if (!endpoint)
+            return fmt::format("{}: key '{}' in section '{}': expected IP-NUMBER:PORT, found '{}'",
+                               file.source(), all[n].first, section, texts[n]);
+        *all[n].second = *endpoint;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> GatewaySettings::read(const IniFile &file)
+{
+    using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
+    constexpr std::array<Reader, 6> readers{
+        &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
+        &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
+        &GatewaySettings::readStop,      &GatewaySettings::readLogSection};
+    if (auto fault = unknownSection(
+            file, {"gateway", "peers", "operators", "store", "retries", "stop", "log"}))
+        return fault;
+    for (const Reader reader : readers) {
+        if (auto fault = (this->*reader)(file))
+            return fault;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> GatewaySettings::readGateway(const IniFile &file)
+{
+    IniReader reader(file, "gateway");
+    reader.require("vm")
+        .require("zone")
+        .takeText("vm", &state.vm.text)
+        .takeText("zone", &state.zone.text)
+        .takeInteger("memory_mb", 16, 1'000'000, &memoryMb)
+        .takeInteger("descriptors", 256, 1'000'000, &descriptors);
+    const std::int64_t most = std::max(fewestConnections, descriptors - descriptorsKept);
+    forwarder.mostConnections = static_cast<std::size_t>(most);
+    peers.self.vm = state.vm;
+    return takeEndpoints(file, reader, "gateway",
+                         {{"listen", &forwarder.listen}, {"ready", &ready}});
+}
+
+/// Seeds may carry the port of another interface: their peers listen on `port`.
+std::optional<std::string> GatewaySettings::readPeers(const IniFile &file)
+{
+    std::vector<std::string> seeds;
+    std::int64_t port = 0;
+    IniReader reader(file, "peers");
+    reader.require("port").takeInteger("port", 1, 65535, &port);
+    if (reader.has("seeds"))
+        reader.takeList("seeds", &seeds);
+    if (auto fault = takeEndpoints(file, reader, "peers", {{"address", &peers.self.address}}))
+        return fault;
+    peers.seeds.clear();
+    for (const std::string &seed : seeds) {
+        const auto endpoint = Endpoint::parse(seed);
+        if (!endpoint)
+            return fmt::format("{}: key 'seeds' in section 'peers': expected IP-NUMBER:PORT, "
+                               "found '{}'",
+                               file.source(), seed);
+        peers.seeds.push_back({endpoint->address, static_cast<std::uint16_t>(port)});
+    }
+    state.fewestGateways = std::max<std::size_t>(1, peers.seeds.size());
+    return std::nullopt;
+}
+
+std::optional<std::string> GatewaySettings::readAddresses(const IniFile &file)
+{
+    IniReader operatorsReader(file, "operators");
+    if (auto fault = takeEndpoints(file, operatorsReader, "operators", {{"listen", &operators}}))
+        return fault;
+    IniReader storeReader(file, "store");
+    return takeEndpoints(file, storeReader, "store", {{"address", &store}});
+}
+
+std::optional<std::string> GatewaySettings::readRetries(const IniFile &file)
+{
+    double windowSeconds = toSeconds(state.retries.window);
+    IniReader reader(file, "retries");
+    reader.takeNumber("ratio", 0.0, 10.0, &state.retries.ratio)
+        .takeNumber("slack", 0.0, 1e6, &state.retries.slack)
+        .takeNumber("window_s", 0.1, 3600.0, &windowSeconds);
+    state.retries.window = fromSeconds(windowSeconds);
+    return reader.finish();
+}
+
+std::optional<std::string> GatewaySettings::readStop(const IniFile &file)
+{
+    double limitSeconds = toSeconds(stopLimit);
+    IniReader reader(file, "stop");
+    reader.takeNumber("limit_s", 0.1, 3600.0, &limitSeconds);
+    stopLimit = fromSeconds(limitSeconds);
+    return reader.finish();
+}
+
+std::optional<std::string> GatewaySettings::readLogSection(const IniFile &file)
+{
+    return readLog(file, &logLevel);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/reachlead-gateway/main.cpp
@@ -0,0 +1,54 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The gateway: forwards callers' requests to upstreams by the platform's configuration.
+
+#include <fstream>
+#include <sstream>
+
+#include <reachlead/log.h>
+
+#include "gatewaydaemon.h"
+#include "operators/daemon.h"
+#include "platform/headers.h"
+#include "platform/source.h"
+
+int main(int argc, char **argv)
+{
+    using namespace reachlead;
+    GatewaySettings settings;
+    std::string path;
+    DaemonMain program;
+    program.program = "reachlead-gateway";
+    program.summary = "forwards callers' requests to upstreams by the platform's configuration";
+    program.check = [&](const IniFile &file) {
+        path = file.source();
+        return settings.read(file);
+    };
+    const auto reload = [&]() -> std::optional<GatewaySettings> {
+        const std::ifstream in(path, std::ios::binary);
+        std::ostringstream text;
+        text << in.rdbuf();
+        std::string reason = "the file cannot be read";
+        const auto file = in ? IniFile::parse(text.str(), path, &reason) : std::nullopt;
+        GatewaySettings fresh;
+        const auto fault = file ? fresh.read(*file) : std::optional(reason);
+        if (!fault)
+            return fresh;
+        LogLine(LogLevel::Error, "settings-refused").with("reason", *fault);
+        return std::nullopt;
+    };
+    const auto source = [&](boost::asio::io_context &io) -> std::unique_ptr<FleetSource> {
+        platform::PlatformSource::Options options;
+        options.store = settings.store;
+        return std::make_unique<platform::PlatformSource>(io, options);
+    };
+    program.run = [&] {
+        setLogLevel(static_cast<LogLevel>(settings.logLevel));
+        const platform::PlatformDialect dialect;
+        GatewayDaemon daemon(settings, dialect, source, reload);
+        daemon.run();
+    };
+    return program(argc, argv);
+}
--- /dev/null
+++ b/src/upstream/upstreamchannel.cpp
@@ -0,0 +1,117 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "upstreamchannel.h"
+
+#include <algorithm>
+#include <ranges>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <reachlead/socketlimits.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+bool UpstreamChannel::isQuiet()
+{
+    char byte = 0;
+    const ssize_t n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer.size() == 0;
+}
+
+void UpstreamChannel::close()
+{
+    error_code ec;
+    socket.close(ec);
+}
+
+bool UpstreamPool::isUsable(UpstreamChannel &channel) const
+{
+    const Duration age = RuntimeClock::now() - channel.idleSince;
+    return age + idleMargin < channel.idleLimit && channel.isQuiet();
+}
+
+UpstreamChannelPtr UpstreamPool::takeIdle(const UpstreamId &id)
+{
+    const auto it = m_idle.find(id);
+    if (it == m_idle.end())
+        return nullptr;
+    std::vector<UpstreamChannelPtr> &idle = it->second;
+    while (!idle.empty()) {
+        UpstreamChannelPtr channel = std::move(idle.back());
+        idle.pop_back();
+        if (isUsable(*channel))
+            return channel;
+        channel->close();
+    }
+    return nullptr;
+}
+
+asio::awaitable<UpstreamChannelPtr> UpstreamPool::connect(const UpstreamEntry &entry,
+                                                          Duration limit, std::string *reason)
+{
+    auto channel = std::make_shared<UpstreamChannel>(asio::ip::tcp::socket(m_executor));
+    error_code ec;
+    const auto address = asio::ip::make_address(entry.address.address, ec);
+    if (ec) {
+        *reason = fmt::format("the address {} is no IP number", entry.address.address);
+        co_return nullptr;
+    }
+    Timer timer(m_executor);
+    timer.expires_after(limit);
+    timer.async_wait([channel](const error_code &waited) {
+        if (!waited)
+            channel->close();
+    });
+    co_await channel->socket.async_connect({address, entry.address.port},
+                                           asio::redirect_error(asio::use_awaitable, ec));
+    timer.cancel();
+    if (ec || !channel->socket.is_open()) {
+        *reason = ec ? ec.message() : "no connection in time";
+        co_return nullptr;
+    }
+    limitSilence(channel->socket);
+    co_return channel;
+}
+
+void UpstreamPool::giveBack(const UpstreamId &id, UpstreamChannelPtr channel)
+{
+    std::vector<UpstreamChannelPtr> &idle = m_idle[id];
+    if (idle.size() >= mostIdle || channel->buffer.size() > 0) {
+        channel->close();
+        return;
+    }
+    channel->idleSince = RuntimeClock::now();
+    idle.push_back(std::move(channel));
+}
+
+void UpstreamPool::forget(const UpstreamId &id)
+{
+    const auto it = m_idle.find(id);
+    if (it == m_idle.end())
+        return;
+    std::ranges::for_each(it->second, [](const UpstreamChannelPtr &channel) { channel->close(); });
+    m_idle.erase(it);
+}
+
+void UpstreamPool::closeExpired()
+{
+    for (std::vector<UpstreamChannelPtr> &idle : m_idle | std::views::values) {
+        std::erase_if(idle, [&](const UpstreamChannelPtr &channel) {
+            if (isUsable(*channel))
+                return false;
+            channel->close();
+            return true;
+        });
+    }
+}
+
+} // namespace reachlead
