peer, platform: three gateways watch the store, beats go to five in turn

Three gateways by rank watch, the others follow beats that vouch for the age of the state, and watch by themselves when that passes 1.5 s. Beats go to five gateways in turn. Ruled out: shorter watches alone (each return is a priced call); TCP keep-alive (the store's host answered it). The old src/platform (the product's own object API) is now src/objectapi.

--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -38,6 +38,6 @@
 function(reachlead_program name)
     add_executable(${name} ${ARGN})
     target_link_libraries(${name} PRIVATE reachlead_caller reachlead_upstream reachlead_peer
-        reachlead_operators reachlead_platform reachlead_core reachlead_options)
+        reachlead_operators reachlead_objectapi reachlead_core reachlead_options)
     target_precompile_headers(${name} REUSE_FROM reachlead_pch)
 endfunction()
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -32,6 +32,7 @@
     std::optional<RoutingConfig> config;
     std::optional<std::vector<UpstreamEntry>> upstreams;
     std::uint64_t registryRevision = 0; ///< of the upstreams
+    std::vector<UpstreamId> missing; ///< upstreams whose removal is held back since an outage
 };
 
 /// Takes what a source reads. Called on the traffic thread.
@@ -47,6 +48,9 @@
 
     /// The registry began or ceased to answer this gateway.
     virtual void contactChanged(bool inContact) = 0;
+
+    /// The registry answered just now, and all that it had was told.
+    virtual void current() = 0;
 };
 
 /// Reads configuration and registry, and keeps on following them.
@@ -58,6 +62,9 @@
     /// Begins to follow; \p sink outlives the source.
     virtual void start(FleetSink *sink, const GatewayEntry &self) = 0;
 
+    /// Whether to go on following, or to rest after the first reading until told otherwise.
+    virtual void setDuty(bool watches) = 0;
+
     /// Ends all calls.
     virtual void stop() = 0;
 };
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -9,6 +9,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,7 @@
 #include <reachlead/routing.h>
 #include <reachlead/upstreambook.h>
 #include <reachlead/upstreamdirectory.h>
+#include <reachlead/watchduty.h>
 
 namespace reachlead {
 
@@ -41,10 +44,23 @@
     void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) override;
     void gatewaysChanged(std::vector<GatewayEntry> all) override;
     void contactChanged(bool inContact) override;
+    void current() override;
 
     /// What another gateway told: the same, where it is newer.
     void peerTold(const VmName &peer, const GatewayNews &news);
 
+    /// When this gateway's state was last known to be current.
+    std::optional<Time> currentAt() const { return m_currentAt; }
+
+    /// A peer with the same state vouches that it was current at \p at.
+    void vouched(Time at);
+
+    /// Whether this gateway should follow the platform itself, given the peers that live.
+    bool shouldWatch(const std::set<VmName> &peers) const;
+
+    /// How many gateways there are by their beats, this one included.
+    void noteGateways(std::size_t heard);
+
     /// Carries out what is due. Call a few times a second.
     void tick();
 
@@ -59,6 +75,9 @@
     /// True when calls can be served: a configuration and an upstream are known.
     bool isReady() const;
 
+    /// Called when the configuration or the upstreams changed.
+    void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
+
     /// Called with the ids of upstreams that take no more work.
     void onUpstreamsLeft(std::function<void(const std::vector<UpstreamId> &)> callback)
     {
@@ -76,7 +95,11 @@
     UpstreamBook m_book;
     RetryShare m_retries;
     std::vector<GatewayEntry> m_gateways;
+    std::size_t m_heardGateways = 1;
+    std::optional<Time> m_currentAt;
+    WatchDuty m_duty;
     std::function<void(const std::vector<UpstreamId> &)> m_onLeft;
+    std::function<void()> m_onChange;
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -68,6 +68,12 @@
     /// Takes the whole list as of \p revision; an older one changes nothing.
     Changed replaceAll(const std::vector<UpstreamEntry> &entries, std::uint64_t revision, Time now);
 
+    /// Holds back the removal of entries that another gateway misses since an outage.
+    void markMissing(const std::vector<UpstreamId> &ids, Time now);
+
+    /// The entries whose removal is held back.
+    std::vector<UpstreamId> missing() const;
+
     /// Takes changes up to \p revision; older ones change nothing.
     Changed apply(const std::vector<UpstreamChange> &changes, std::uint64_t revision, Time now);
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -10,9 +10,11 @@
 namespace reachlead {
 
 GatewayState::GatewayState(const Options &options)
-    : m_options(options), m_book(options.zone, options.costs), m_retries(options.retries)
+    : m_options(options), m_book(options.zone, options.costs), m_retries(options.retries),
+      m_duty(options.vm)
 {
     m_retries.setGateways(options.fewestGateways);
+    m_duty.begin(now());
 }
 
 void GatewayState::configRead(RoutingConfig config)
@@ -32,6 +34,8 @@
         .with("routes", config.routes.size())
         .with("accounts", config.accounts.size());
     m_table = std::make_shared<const RouteTable>(std::move(config));
+    if (m_onChange)
+        m_onChange();
 }
 
 void GatewayState::upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision)
@@ -47,10 +51,16 @@
 void GatewayState::gatewaysChanged(std::vector<GatewayEntry> all)
 {
     m_gateways = std::move(all);
-    m_retries.setGateways(std::max(m_gateways.size(), m_options.fewestGateways));
+    noteGateways(m_heardGateways);
     LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_gateways.size());
 }
 
+void GatewayState::noteGateways(std::size_t heard)
+{
+    m_heardGateways = heard;
+    m_retries.setGateways(std::max({heard, m_gateways.size(), m_options.fewestGateways}));
+}
+
 void GatewayState::contactChanged(bool inContact)
 {
     if (inContact == m_directory.inContact())
@@ -66,6 +76,23 @@
         .with("upstreams", m_directory.entries().size());
 }
 
+void GatewayState::current()
+{
+    m_currentAt = now();
+}
+
+void GatewayState::vouched(Time at)
+{
+    m_duty.vouched(at);
+    if (!m_currentAt || *m_currentAt < at)
+        m_currentAt = at;
+}
+
+bool GatewayState::shouldWatch(const std::set<VmName> &peers) const
+{
+    return m_duty.isOn(peers, now());
+}
+
 void GatewayState::peerTold(const VmName &peer, const GatewayNews &news)
 {
     if (news.config)
@@ -73,6 +100,8 @@
     if (news.upstreams && news.registryRevision > m_directory.revision())
         noteChange(m_directory.replaceAll(*news.upstreams, news.registryRevision, now()),
                    peer.text);
+    if (news.registryRevision == m_directory.revision())
+        m_directory.markMissing(news.missing, now());
 }
 
 void GatewayState::tick()
@@ -105,6 +134,8 @@
             .with("revision", m_directory.revision());
     }
     m_book.keepOnly(m_directory);
+    if (m_onChange)
+        m_onChange();
     if (m_onLeft && !changed.left.empty())
         m_onLeft(changed.left);
 }
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -45,6 +45,21 @@
     return changed;
 }
 
+void UpstreamDirectory::markMissing(const std::vector<UpstreamId> &ids, Time now)
+{
+    for (const UpstreamId &id : ids) {
+        if (m_entries.contains(id))
+            m_missing.try_emplace(id, now + returnGrace);
+    }
+}
+
+std::vector<UpstreamId> UpstreamDirectory::missing() const
+{
+    std::vector<UpstreamId> ids;
+    std::ranges::copy(m_missing | std::views::keys, std::back_inserter(ids));
+    return ids;
+}
+
 void UpstreamDirectory::lostContact()
 {
     m_inContact = false;
--- /dev/null
+++ b/src/libreachlead/watchduty.cpp
@@ -0,0 +1,38 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/watchduty.h>
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace reachlead {
+
+namespace {
+
+std::uint64_t rankOf(const VmName &vm)
+{
+    return XXH64(vm.text.data(), vm.text.size(), 0);
+}
+
+} // namespace
+
+void WatchDuty::vouched(Time at)
+{
+    m_vouchedAt = std::max(m_vouchedAt, at);
+}
+
+bool WatchDuty::isOn(const std::set<VmName> &others, Time now) const
+{
+    if (m_vouchedAt + staleLimit < now)
+        return true;
+    if (others.empty() && now < m_begin + staleLimit)
+        return false;
+    const std::uint64_t own = rankOf(m_self);
+    const auto ahead =
+        std::ranges::count_if(others, [&](const VmName &vm) { return rankOf(vm) < own; });
+    return static_cast<std::size_t>(ahead) < watchers;
+}
+
+} // namespace reachlead
--- a/src/platform/claimwriter.cpp
+++ b/src/objectapi/claimwriter.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "platform/claimwriter.h"
+#include "objectapi/claimwriter.h"
 
 #include <chrono>
 
@@ -11,7 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "platform/httpplatform.h"
+#include "objectapi/httpplatform.h"
 
 namespace reachlead {
 
--- a/src/platform/follower.cpp
+++ b/src/objectapi/follower.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "platform/follower.h"
+#include "objectapi/follower.h"
 
 #include <random>
 
@@ -12,7 +12,7 @@
 
 #include <reachlead/log.h>
 
-#include "platform/httpplatform.h"
+#include "objectapi/httpplatform.h"
 
 namespace reachlead {
 
--- a/src/platform/httpplatform.cpp
+++ b/src/objectapi/httpplatform.cpp
@@ -1,11 +1,11 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "platform/httpplatform.h"
+#include "objectapi/httpplatform.h"
 
 #include <fmt/format.h>
 
-#include "platform/wire.h"
+#include "objectapi/wire.h"
 
 namespace reachlead {
 
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -62,13 +62,13 @@
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return encode(news.config, news.upstreams, news.registryRevision);
+    return encode(news.config, news.upstreams, news.registryRevision, news.missing);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
-    if (!decode(payload, reason, news.config, news.upstreams, news.registryRevision))
+    if (!decode(payload, reason, news.config, news.upstreams, news.registryRevision, news.missing))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -29,6 +29,11 @@
 constexpr std::size_t mostLoads = 64; ///< upstreams in one beat: about 2 KB
 constexpr std::uint32_t mostNews = 16U << 20U; ///< bytes of a whole state
 constexpr Duration fetchLimit = milliseconds(1000); ///< for one fetch, some round trips
+constexpr std::size_t sampleSize =
+    2; ///< gateways told in a beat: each learns of all in a few rounds
+constexpr std::size_t mostPeers = 2000; ///< about 200 bytes each
+constexpr Duration announcePause = milliseconds(50); ///< between beats out of turn
+constexpr Duration transit = milliseconds(20); ///< most that a beat is under way, as a rule
 
 auto keepError(error_code *ec)
 {
@@ -97,12 +102,15 @@
     m_acceptor.close(ec);
 }
 
-std::size_t GatewayPeers::heard() const
+std::set<VmName> GatewayPeers::heard() const
 {
     const Time now = RuntimeClock::now();
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_peers | std::views::values,
-                              [&](const Peer &peer) { return peer.heard + peerLimit > now; }));
+    std::set<VmName> live;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.heard + peerLimit > now)
+            live.insert(vm);
+    }
+    return live;
 }
 
 asio::awaitable<void> GatewayPeers::beatLoop()
@@ -116,32 +124,76 @@
     }
 }
 
-void GatewayPeers::sendBeats()
+GatewayBeat GatewayPeers::makeBeat()
 {
     GatewayBeat beat;
     beat.from = m_options.self;
     beat.incarnation = m_incarnation;
     beat.configVersion = m_state.configVersion();
     beat.registryRevision = m_state.directory().revision();
+    if (const auto at = m_state.currentAt())
+        beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = m_state.book().ownLoad();
     while (beat.load.size() > mostLoads)
         beat.load.erase(std::prev(beat.load.end()));
-    const std::string payload = encodeBeat(beat);
-    std::set<std::pair<std::string, std::uint16_t>> to;
-    const auto add = [&](const Endpoint &at) { to.emplace(at.address, at.port); };
+    const Time now = RuntimeClock::now();
+    std::vector<GatewayEntry> lately;
+    for (const Peer &peer : m_peers | std::views::values) {
+        if (peer.heard + peerLimit / 2 > now)
+            lately.push_back(peer.entry);
+    }
+    std::ranges::sample(lately, std::back_inserter(beat.sample), sampleSize, m_random);
+    return beat;
+}
+
+/// Takes up gateways that a peer heard; they count as silent unless they are heard in time.
+void GatewayPeers::takeSample(const std::vector<GatewayEntry> &sample, Time now)
+{
+    for (const GatewayEntry &entry : sample) {
+        if (entry.vm != m_options.self.vm && m_peers.size() < mostPeers)
+            m_peers.try_emplace(entry.vm, Peer{entry, now - peerLimit / 2});
+    }
+}
+
+/// The gateways that the next beat goes to: all when they are few, else some in turn.
+std::vector<udp::endpoint> GatewayPeers::nextTargets()
+{
+    std::set<std::pair<std::string, std::uint16_t>> known;
+    const auto add = [&](const Endpoint &at) { known.emplace(at.address, at.port); };
     std::ranges::for_each(m_options.seeds, add);
     for (const GatewayEntry &entry : m_state.gateways())
         add(entry.address);
     for (const Peer &peer : m_peers | std::views::values)
         add(peer.entry.address);
-    to.erase({m_options.self.address.address, m_options.self.address.port});
-    for (const auto &[address, port] : to) {
+    known.erase({m_options.self.address.address, m_options.self.address.port});
+    const std::vector<std::pair<std::string, std::uint16_t>> all(known.begin(), known.end());
+    std::vector<udp::endpoint> targets;
+    for (std::size_t n = 0; n < std::min(fanout, all.size()); ++n) {
+        const auto &[address, port] = all[m_turn++ % all.size()];
         error_code ec;
         const auto number = asio::ip::make_address(address, ec);
-        // A datagram that cannot leave now is made up for by the next beat.
         if (!ec)
-            m_udp.send_to(asio::buffer(payload), udp::endpoint(number, port), 0, ec);
+            targets.emplace_back(number, port);
     }
+    return targets;
+}
+
+void GatewayPeers::sendBeats()
+{
+    const std::string payload = encodeBeat(makeBeat());
+    for (const udp::endpoint &target : nextTargets()) {
+        error_code ec; // a datagram that cannot leave now is made up for by the next beat
+        m_udp.send_to(asio::buffer(payload), target, 0, ec);
+    }
+}
+
+void GatewayPeers::announce()
+{
+    const Time now = RuntimeClock::now();
+    if (m_stopped || m_announcedAt + announcePause > now)
+        return;
+    m_announcedAt = now;
+    sendBeats();
 }
 
 asio::awaitable<void> GatewayPeers::hearLoop()
@@ -175,21 +227,29 @@
     const bool fresh = !m_peers.contains(beat.from.vm);
     m_peers[beat.from.vm] = Peer{beat.from, now};
     std::erase_if(m_peers, [&](const auto &peer) {
-        const bool gone = peer.second.heard + 4 * peerLimit < now;
+        const bool gone = peer.second.heard + peerLimit < now;
         if (gone)
             LogLine(LogLevel::Warn, "peer-lost").with("peer", peer.first.text);
         return gone;
     });
     if (fresh)
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
+    takeSample(beat.sample, now);
+    m_state.noteGateways(m_peers.size() + 1);
     m_state.book().setPeerLoad(beat.from.vm, beat.load, now);
     if (!isBehind(beat)) {
         m_behindSince.reset();
+        // Whoever has the same state vouches for this gateway's.
+        const bool same = beat.configVersion == m_state.configVersion()
+            && beat.registryRevision == m_state.directory().revision();
+        if (same && beat.ageMs != GatewayBeat::unknownAge)
+            m_state.vouched(now - milliseconds(beat.ageMs) - transit);
         return;
     }
     if (!m_behindSince)
         m_behindSince = now;
-    const bool waits = m_state.directory().inContact() && *m_behindSince + patienceInContact > now;
+    const bool watches = m_state.directory().inContact() && m_state.shouldWatch(heard());
+    const bool waits = watches && *m_behindSince + patienceInContact > now;
     if (!waits && !m_fetching)
         asio::co_spawn(m_io, fetchNews(beat.from), asio::detached);
 }
@@ -259,6 +319,7 @@
     if (m_state.configVersion() > ask.configVersion)
         news.config = m_state.table()->config();
     news.registryRevision = m_state.directory().revision();
+    news.missing = m_state.directory().missing();
     if (news.registryRevision > ask.registryRevision) {
         news.upstreams.emplace();
         std::ranges::copy(m_state.directory().entries() | std::views::values,
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -10,6 +10,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,10 +49,19 @@
     void setSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
 
     /// Gateways that were heard within peerLimit, without this one.
-    std::size_t heard() const;
+    std::set<VmName> heard() const;
 
-    /// Silence after which a gateway counts as gone.
-    static constexpr Duration peerLimit = milliseconds(2500);
+    /// Sends a beat at once: the state changed.
+    void announce();
+
+    /// Silence after which a gateway counts as gone: a beat reaches each of some hundred gateways
+    /// about every ten seconds, and of the few on a small site each time.
+    static constexpr Duration peerLimit = seconds(10);
+
+    /// Gateways that one beat goes to, in turn, so that a gateway's bytes do not grow with their
+    /// number. What is new passes from one to the next: a change reaches 480 gateways in four
+    /// rounds.
+    static constexpr std::size_t fanout = 5;
     /// A gateway that is in contact with the registry hears of a change by itself; it asks a peer
     /// only when it is still behind after this long.
     static constexpr Duration patienceInContact = milliseconds(300);
@@ -70,6 +81,9 @@
     boost::asio::awaitable<void> answerNews(Socket socket);
     boost::asio::awaitable<void> fetchNews(GatewayEntry peer);
     void sendBeats();
+    std::vector<boost::asio::ip::udp::endpoint> nextTargets();
+    GatewayBeat makeBeat();
+    void takeSample(const std::vector<GatewayEntry> &sample, Time now);
     void take(const GatewayBeat &beat);
     bool isBehind(const GatewayBeat &beat) const;
     GatewayNews newsFor(const NewsAsk &ask) const;
@@ -81,6 +95,9 @@
     boost::asio::ip::udp::socket m_udp;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::map<VmName, Peer> m_peers;
+    std::mt19937_64 m_random{std::random_device{}()};
+    std::size_t m_turn = 0; ///< of the rotation over targets
+    Time m_announcedAt{};
     std::optional<Time> m_behindSince;
     bool m_fetching = false;
     bool m_stopped = false;
--- a/src/reachlead-agent/agentdaemon.h
+++ b/src/reachlead-agent/agentdaemon.h
@@ -9,7 +9,7 @@
 #include <memory>
 
 #include "agentsettings.h"
-#include "platform/claimwriter.h"
+#include "objectapi/claimwriter.h"
 
 namespace reachlead {
 
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -57,6 +57,7 @@
     m_state.onUpstreamsLeft([this](const std::vector<UpstreamId> &left) {
         std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
     });
+    m_state.onChange([this] { m_peers.announce(); });
     m_source->start(&m_state, settings.peers.self);
     asio::co_spawn(m_io, signalLoop(), asio::detached);
     asio::co_spawn(m_io, tickLoop(), asio::detached);
@@ -131,6 +132,7 @@
     while (true) {
         m_state.tick();
         m_shared.pool.closeExpired();
+        m_source->setDuty(m_state.shouldWatch(m_peers.heard()));
         const bool ready = m_state.isReady() && !m_shared.stopping;
         if (std::exchange(m_lastReady, ready) != ready)
             LogLine(LogLevel::Info, ready ? "ready" : "not-ready")
--- a/src/reachlead-router/routersettings.h
+++ b/src/reachlead-router/routersettings.h
@@ -12,9 +12,9 @@
 #include <reachlead/inifile.h>
 
 #include "caller/callerserver.h"
+#include "objectapi/follower.h"
 #include "operators/adminserver.h"
 #include "peer/dispatcher.h"
-#include "platform/follower.h"
 
 namespace reachlead {
 
--- a/src/reachlead-standin/platformstandin.cpp
+++ b/src/reachlead-standin/platformstandin.cpp
@@ -11,7 +11,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include "platform/wire.h"
+#include "objectapi/wire.h"
 
 namespace reachlead::standin {
 
--- a/src/reachlead/settingscommands.cpp
+++ b/src/reachlead/settingscommands.cpp
@@ -13,7 +13,7 @@
 #include <reachlead/settingstree.h>
 
 #include "commandline.h"
-#include "platform/httpplatform.h"
+#include "objectapi/httpplatform.h"
 
 namespace reachlead::cli {
 
