--- /dev/null
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -0,0 +1,196 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <numeric>
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <reachlead/eventsplitter.h>
+#include <reachlead/latency.h>
+#include <reachlead/promptcache.h>
+#include <reachlead/retryshare.h>
+#include <reachlead/watchduty.h>
+
+namespace reachlead {
+
+/// The small parts that a gateway's decisions are made of.
+class GatewayPartsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayPartsTest);
+    CPPUNIT_TEST(sharesOfRetriesNeverSumAboveTheBound);
+    CPPUNIT_TEST(retriesComeBackWithTheWindow);
+    CPPUNIT_TEST(eventsAreCutAtTheirEnds);
+    CPPUNIT_TEST(partOfAnEventIsHeldBack);
+    CPPUNIT_TEST(endlessEventIsRefused);
+    CPPUNIT_TEST(partCountsOnlyBehindItsHead);
+    CPPUNIT_TEST(cacheForgetsTheLeastUsed);
+    CPPUNIT_TEST(threeGatewaysWatch);
+    CPPUNIT_TEST(staleGatewayWatchesWhateverItsRank);
+    CPPUNIT_TEST(quantilesFollowTheSamples);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(100)};
+
+    /// Any number of gateways, each with any first sends and endless wish to repeat.
+    void sharesOfRetriesNeverSumAboveTheBound()
+    {
+        CPPUNIT_ASSERT(rc::check("shares of retries", [] {
+            const auto gateways = *rc::gen::inRange<std::size_t>(1, 30);
+            const auto firsts =
+                *rc::gen::container<std::vector<unsigned>>(gateways, rc::gen::inRange(0U, 200U));
+            const RetryBounds bounds;
+            const ServiceName service("s");
+            double repeats = 0;
+            for (const unsigned sends : firsts) {
+                RetryShare share(bounds);
+                share.setGateways(gateways);
+                for (unsigned n = 0; n < sends; ++n)
+                    share.first(service, start + milliseconds(n));
+                while (share.take(service, start + milliseconds(300)))
+                    ++repeats;
+            }
+            const double all = std::accumulate(firsts.begin(), firsts.end(), 0.0);
+            RC_ASSERT(repeats <= bounds.ratio * all + bounds.slack);
+        }));
+    }
+
+    void retriesComeBackWithTheWindow()
+    {
+        RetryShare share;
+        const ServiceName service("s");
+        while (share.take(service, start)) { }
+        CPPUNIT_ASSERT(!share.take(service, start + seconds(9)));
+        CPPUNIT_ASSERT(share.take(service, start + seconds(11)));
+        CPPUNIT_ASSERT(share.take(ServiceName("other"), start));
+    }
+
+    /// However the bytes arrive, the whole events come out and nothing else.
+    void eventsAreCutAtTheirEnds()
+    {
+        CPPUNIT_ASSERT(rc::check("events over any pieces", [] {
+            const auto count = *rc::gen::inRange(0U, 20U);
+            std::string all;
+            for (unsigned n = 1; n <= count; ++n)
+                all +=
+                    fmt::format("{}id: {}\ndata: x{}\n\n", n % 3 == 0 ? "versions: 2\n" : "", n, n);
+            const std::string tail = *rc::gen::element<std::string>("", "id: 99\ndata: y\n", "i");
+            EventSplitter splitter;
+            std::string out;
+            const std::string bytes = all + tail;
+            std::size_t at = 0;
+            while (at < bytes.size()) {
+                const auto n = *rc::gen::inRange<std::size_t>(1, 30);
+                bool tooLong = false;
+                out += splitter.feed(bytes.substr(at, n), &tooLong);
+                RC_ASSERT(!tooLong);
+                at += n;
+            }
+            RC_ASSERT(out == all);
+            RC_ASSERT(splitter.events() == count);
+            RC_ASSERT(splitter.holdsPart() == !tail.empty());
+            RC_ASSERT(splitter.lastId().value_or(0) == count);
+        }));
+    }
+
+    void partOfAnEventIsHeldBack()
+    {
+        EventSplitter splitter;
+        bool tooLong = false;
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\r\n\r\n"),
+                             splitter.feed("id: 1\r\n\r\nid: 2\r\nda", &tooLong));
+        CPPUNIT_ASSERT(splitter.holdsPart());
+        splitter.dropPart();
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 2\n\n"), splitter.feed("id: 2\n\n", &tooLong));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *splitter.lastId());
+    }
+
+    void endlessEventIsRefused()
+    {
+        EventSplitter splitter;
+        bool tooLong = false;
+        splitter.feed(std::string(EventSplitter::mostHeld + 1, 'x'), &tooLong);
+        CPPUNIT_ASSERT(tooLong);
+    }
+
+    void partCountsOnlyBehindItsHead()
+    {
+        PromptCache cache;
+        const std::vector<PromptPart> prompt{{1, 100}, {2, 50}, {3, 7}};
+        cache.note("m", prompt);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{157}, cache.cachedTokens("m", prompt));
+        CPPUNIT_ASSERT_EQUAL(
+            TokenCount{150},
+            cache.cachedTokens("m", std::vector<PromptPart>{{1, 100}, {2, 50}, {9, 9}}));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0},
+                             cache.cachedTokens("m", std::vector<PromptPart>{{9, 100}, {2, 50}}));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0}, cache.cachedTokens("other", prompt));
+    }
+
+    void cacheForgetsTheLeastUsed()
+    {
+        PromptCache cache;
+        const std::vector<PromptPart> kept{{1, 10}};
+        for (std::uint64_t n = 1; n <= 2 * PromptCache::mostParts; ++n) {
+            cache.note("m", std::vector<PromptPart>{{n, 10}});
+            cache.note("m", kept);
+        }
+        CPPUNIT_ASSERT_EQUAL(PromptCache::mostParts, cache.size());
+        CPPUNIT_ASSERT_EQUAL(TokenCount{10}, cache.cachedTokens("m", kept));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0},
+                             cache.cachedTokens("m", std::vector<PromptPart>{{2, 10}}));
+    }
+
+    static std::set<VmName> fleet(std::size_t n)
+    {
+        std::set<VmName> vms;
+        for (std::size_t it = 0; it < n; ++it)
+            vms.insert(VmName(fmt::format("gateway-{}", it)));
+        return vms;
+    }
+
+    void threeGatewaysWatch()
+    {
+        const std::set<VmName> all = fleet(480);
+        std::size_t watching = 0;
+        for (const VmName &vm : all) {
+            std::set<VmName> others = all;
+            others.erase(vm);
+            WatchDuty duty(vm);
+            duty.begin(start);
+            watching += duty.isOn(others, start) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(WatchDuty::watchers, watching);
+    }
+
+    void staleGatewayWatchesWhateverItsRank()
+    {
+        const std::set<VmName> others = fleet(480);
+        WatchDuty duty(VmName("gateway-last"));
+        duty.begin(start);
+        CPPUNIT_ASSERT(!duty.isOn({}, start)); // peers get time to be heard
+        CPPUNIT_ASSERT(!duty.isOn(others, start));
+        duty.vouched(start + seconds(5));
+        CPPUNIT_ASSERT(!duty.isOn(others, start + seconds(5) + WatchDuty::staleLimit));
+        CPPUNIT_ASSERT(duty.isOn(others, start + seconds(6) + WatchDuty::staleLimit));
+        CPPUNIT_ASSERT(duty.isOn({}, start + seconds(5)));
+    }
+
+    void quantilesFollowTheSamples()
+    {
+        Latencies latencies;
+        CPPUNIT_ASSERT_EQUAL(0.0, latencies.quantile(Timed::Whole, 0.5));
+        for (int ms = 1; ms <= 1000; ++ms)
+            latencies.note(Timed::Whole, milliseconds(ms));
+        const double p50 = latencies.quantile(Timed::Whole, 0.5);
+        CPPUNIT_ASSERT(p50 >= 500 && p50 < 1000);
+        CPPUNIT_ASSERT(latencies.page().find("reachlead_whole_milliseconds_count 1000")
+                       != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPartsTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/routing_test.cpp
@@ -0,0 +1,80 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <reachlead/routing.h>
+
+namespace reachlead {
+
+/// Which route takes a call, and which service of it.
+class RoutingTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RoutingTest);
+    CPPUNIT_TEST(longestPrefixWins);
+    CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
+    CPPUNIT_TEST(keysLeadToAccounts);
+    CPPUNIT_TEST(weightsDecideTheService);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Route route(const std::string &name, const std::string &host, const std::string &prefix)
+    {
+        Route made;
+        made.name = name;
+        made.host = host;
+        made.pathPrefix = prefix;
+        return made;
+    }
+
+    static RoutingConfig config()
+    {
+        RoutingConfig made;
+        made.version = 1;
+        made.routes = {route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
+                       route("other", "b.example", "/x/y/")};
+        made.accounts = {{AccountName("one"), {"k1", "k2"}, 3U}, {AccountName("two"), {"k3"}, {}}};
+        return made;
+    }
+
+    void longestPrefixWins()
+    {
+        const RouteTable table(config());
+        CPPUNIT_ASSERT_EQUAL(std::string("long"), table.match("a.example", "/x/y/z")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("short"), table.match("a.example", "/x/yz")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), table.match("b.example", "/x/y/")->name);
+        CPPUNIT_ASSERT(table.match("b.example", "/x/") == nullptr);
+        CPPUNIT_ASSERT(table.match("c.example", "/x/y/") == nullptr);
+    }
+
+    void hostIsComparedWithoutCaseAndPort()
+    {
+        const RouteTable table(config());
+        CPPUNIT_ASSERT(table.match("A.Example:8080", "/x/") != nullptr);
+    }
+
+    void keysLeadToAccounts()
+    {
+        const RouteTable table(config());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), table.accountOf("k2")->name.text);
+        CPPUNIT_ASSERT_EQUAL(3U, *table.accountOf("k2")->priority);
+        CPPUNIT_ASSERT(!table.accountOf("k3")->priority);
+        CPPUNIT_ASSERT(table.accountOf("") == nullptr);
+        CPPUNIT_ASSERT(table.accountOf("k4") == nullptr);
+    }
+
+    void weightsDecideTheService()
+    {
+        Route split;
+        split.services = {{ServiceName("a"), 90.0}, {ServiceName("b"), 10.0}};
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), pickService(split, 0.0)->text);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), pickService(split, 0.899)->text);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), pickService(split, 0.901)->text);
+        split.services[0].weight = 0.0;
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), pickService(split, 0.0)->text);
+        CPPUNIT_ASSERT(pickService(Route(), 0.5) == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -0,0 +1,195 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fmt/format.h>
+
+#include <reachlead/upstreambook.h>
+
+namespace reachlead {
+
+/// Which upstream a call is placed on, by what this gateway and its peers know.
+class UpstreamBookTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamBookTest);
+    CPPUNIT_TEST(gatewaysAgreeOnTheHomeOfAPrompt);
+    CPPUNIT_TEST(lossOfAnUpstreamMovesOnlyItsPrompts);
+    CPPUNIT_TEST(promptGoesHomeAcrossTheZoneBorder);
+    CPPUNIT_TEST(backlogAtHomeSpills);
+    CPPUNIT_TEST(plainCallsStayInTheZone);
+    CPPUNIT_TEST(leavingAndTriedAreNotTaken);
+    CPPUNIT_TEST(failingUpstreamIsAvoidedAndTriedAgain);
+    CPPUNIT_TEST(allFailingIsBetterThanNone);
+    CPPUNIT_TEST(loadOfPeersCountsWhileItIsFresh);
+    CPPUNIT_TEST(endedCallsLeaveNoLoad);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(100)};
+
+    static UpstreamDirectory directory(unsigned n, unsigned without = 1000)
+    {
+        std::vector<UpstreamEntry> entries;
+        for (unsigned it = 0; it < n; ++it) {
+            if (it == without)
+                continue;
+            UpstreamEntry entry;
+            entry.id = UpstreamId(fmt::format("u{}", it));
+            entry.service = ServiceName("llm");
+            entry.zone = ZoneName(fmt::format("z{}", it % 3));
+            entry.slots = 64;
+            entries.push_back(entry);
+        }
+        UpstreamDirectory made;
+        made.replaceAll(entries, 1, start);
+        return made;
+    }
+
+    static UpstreamBook book(const std::string &zone = "z0")
+    {
+        return {ZoneName(zone), UpstreamBook::Costs()};
+    }
+
+    static std::vector<PromptPart> prompt(std::uint64_t subject)
+    {
+        return {{subject, 13'000}, {subject * 7919 + 1, 3'000}};
+    }
+
+    static ChoiceAsk ask(const std::vector<PromptPart> &prompt)
+    {
+        return {ServiceName("llm"), "m", prompt, nullptr};
+    }
+
+    void gatewaysAgreeOnTheHomeOfAPrompt()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book("z0");
+        UpstreamBook two = book("z2");
+        std::set<UpstreamId> used;
+        for (std::uint64_t subject = 1; subject <= 200; ++subject) {
+            const auto parts = prompt(subject);
+            const auto first = one.choose(ask(parts), upstreams, start);
+            const auto second = two.choose(ask(parts), upstreams, start);
+            CPPUNIT_ASSERT(first->isHome && second->isHome);
+            CPPUNIT_ASSERT_EQUAL(first->upstream.text, second->upstream.text);
+            used.insert(first->upstream);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, used.size());
+    }
+
+    void lossOfAnUpstreamMovesOnlyItsPrompts()
+    {
+        UpstreamBook one = book();
+        for (std::uint64_t subject = 1; subject <= 200; ++subject) {
+            const auto parts = prompt(subject);
+            const auto before = one.choose(ask(parts), directory(9), start);
+            const auto after = one.choose(ask(parts), directory(9, 4), start);
+            if (before->upstream != UpstreamId("u4"))
+                CPPUNIT_ASSERT_EQUAL(before->upstream.text, after->upstream.text);
+        }
+    }
+
+    void promptGoesHomeAcrossTheZoneBorder()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book("z0");
+        unsigned across = 0;
+        for (std::uint64_t subject = 1; subject <= 90; ++subject) {
+            const auto parts = prompt(subject);
+            const auto choice = one.choose(ask(parts), upstreams, start);
+            across += upstreams.find(choice->upstream)->zone != ZoneName("z0") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(across > 45);
+    }
+
+    void backlogAtHomeSpills()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        const auto home = one.choose(ask(parts), upstreams, start);
+        Choice heavy = *home;
+        heavy.unreadTokens = 400'000; // some ten seconds of reading
+        one.sent(home->upstream, ask(prompt(2)), heavy, start);
+        const auto spilled = one.choose(ask(parts), upstreams, start);
+        CPPUNIT_ASSERT(spilled->upstream != home->upstream);
+    }
+
+    void plainCallsStayInTheZone()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book("z1");
+        const auto choice = one.choose(ask({}), upstreams, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("z1"), upstreams.find(choice->upstream)->zone.text);
+    }
+
+    void leavingAndTriedAreNotTaken()
+    {
+        UpstreamDirectory upstreams = directory(2);
+        UpstreamEntry leaving = *upstreams.find(UpstreamId("u0"));
+        leaving.leaving = true;
+        upstreams.apply({{leaving, false}}, 2, start);
+        UpstreamBook one = book();
+        CPPUNIT_ASSERT_EQUAL(std::string("u1"),
+                             one.choose(ask({}), upstreams, start)->upstream.text);
+        const std::set<UpstreamId> tried{UpstreamId("u1")};
+        ChoiceAsk again = ask({});
+        again.tried = &tried;
+        CPPUNIT_ASSERT(!one.choose(again, upstreams, start));
+    }
+
+    void failingUpstreamIsAvoidedAndTriedAgain()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        const UpstreamId home = one.choose(ask(parts), upstreams, start)->upstream;
+        for (unsigned n = 0; n < Circuit::failuresToOpen; ++n)
+            one.failed(home, start);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start + seconds(1))->upstream == home);
+    }
+
+    void allFailingIsBetterThanNone()
+    {
+        const UpstreamDirectory upstreams = directory(2);
+        UpstreamBook one = book();
+        one.choose(ask({}), upstreams, start); // makes the records
+        for (unsigned n = 0; n < Circuit::failuresToOpen; ++n) {
+            one.failed(UpstreamId("u0"), start);
+            one.failed(UpstreamId("u1"), start);
+        }
+        CPPUNIT_ASSERT(one.choose(ask({}), upstreams, start));
+    }
+
+    void loadOfPeersCountsWhileItIsFresh()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        const UpstreamId home = one.choose(ask(parts), upstreams, start)->upstream;
+        one.setPeerLoad(VmName("peer"), {{home, {10, 400'000}}}, start);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
+        const Time later = start + UpstreamBook::peerLoadAge + milliseconds(1);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, later)->upstream == home);
+    }
+
+    void endedCallsLeaveNoLoad()
+    {
+        const UpstreamDirectory upstreams = directory(3);
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        const auto choice = one.choose(ask(parts), upstreams, start);
+        one.sent(choice->upstream, ask(parts), *choice, start);
+        one.sent(choice->upstream, ask(parts), *choice, start);
+        CPPUNIT_ASSERT_EQUAL(2U, one.ownLoad().at(choice->upstream).running);
+        one.firstEvent(choice->upstream, choice->unreadTokens);
+        one.ended(choice->upstream, 0);
+        one.ended(choice->upstream, choice->unreadTokens);
+        CPPUNIT_ASSERT(one.ownLoad().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamBookTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -0,0 +1,132 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// What is believed of the upstreams while their registry changes, is away, and comes back.
+class UpstreamDirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamDirectoryTest);
+    CPPUNIT_TEST(changesTakeEffectAtOnce);
+    CPPUNIT_TEST(olderListChangesNothing);
+    CPPUNIT_TEST(olderPageDoesNotUndoAChange);
+    CPPUNIT_TEST(entriesThatLapsedWithTheRegistryAreKept);
+    CPPUNIT_TEST(entriesStillMissingAfterTheGraceAreGone);
+    CPPUNIT_TEST(leavingEntriesAreNotHeldBack);
+    CPPUNIT_TEST(firstContactHoldsNothingBack);
+    CPPUNIT_TEST(missingIsTakenOverFromAPeer);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(100)};
+
+    static UpstreamEntry entry(const std::string &id, std::uint64_t revision, bool leaving = false)
+    {
+        UpstreamEntry made;
+        made.id = UpstreamId(id);
+        made.service = ServiceName("s");
+        made.revision = revision;
+        made.leaving = leaving;
+        return made;
+    }
+
+    static UpstreamChange removal(const std::string &id) { return {entry(id, 0), true}; }
+
+    /// Two upstreams, known since first contact at revision 10.
+    static UpstreamDirectory known()
+    {
+        UpstreamDirectory made;
+        made.regainedContact(start);
+        made.replaceAll({entry("a", 5), entry("b", 6)}, 10, start);
+        return made;
+    }
+
+    void changesTakeEffectAtOnce()
+    {
+        UpstreamDirectory directory = known();
+        const auto changed =
+            directory.apply({removal("a"), {entry("b", 11, true), false}}, 11, start);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("b"))->leaving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changed.left.size());
+    }
+
+    void olderListChangesNothing()
+    {
+        UpstreamDirectory directory = known();
+        directory.apply({removal("a")}, 12, start);
+        directory.replaceAll({entry("a", 5), entry("b", 6)}, 11, start);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, directory.revision());
+    }
+
+    void olderPageDoesNotUndoAChange()
+    {
+        UpstreamDirectory directory = known();
+        directory.apply({{entry("a", 12, true), false}}, 12, start);
+        directory.replaceAll({entry("a", 5), entry("b", 6)}, 12, start);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a"))->leaving);
+    }
+
+    void entriesThatLapsedWithTheRegistryAreKept()
+    {
+        UpstreamDirectory directory = known();
+        directory.lostContact();
+        directory.regainedContact(start + seconds(9));
+        directory.apply({removal("a"), removal("b")}, 20, start + seconds(9));
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) != nullptr);
+        directory.apply({{entry("a", 21), false}}, 21, start + seconds(10));
+        directory.expire(start + seconds(9) + UpstreamDirectory::returnGrace);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) != nullptr);
+    }
+
+    void entriesStillMissingAfterTheGraceAreGone()
+    {
+        UpstreamDirectory directory = known();
+        directory.lostContact();
+        directory.regainedContact(start + seconds(9));
+        directory.replaceAll({entry("b", 6)}, 20, start + seconds(9));
+        const Time due = start + seconds(9) + UpstreamDirectory::returnGrace;
+        CPPUNIT_ASSERT(directory.expire(due - milliseconds(1)).left.empty());
+        const auto changed = directory.expire(due);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.left.size());
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+        // After the grace a removal takes effect at once again.
+        directory.apply({removal("b")}, 21, due);
+        CPPUNIT_ASSERT(directory.entries().empty());
+    }
+
+    void leavingEntriesAreNotHeldBack()
+    {
+        UpstreamDirectory directory = known();
+        directory.apply({{entry("a", 11, true), false}}, 11, start);
+        directory.lostContact();
+        directory.regainedContact(start + seconds(9));
+        directory.apply({removal("a")}, 20, start + seconds(9));
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+    }
+
+    void firstContactHoldsNothingBack()
+    {
+        UpstreamDirectory directory = known();
+        directory.apply({removal("a")}, 11, start + milliseconds(1));
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+    }
+
+    void missingIsTakenOverFromAPeer()
+    {
+        UpstreamDirectory directory = known();
+        directory.markMissing({UpstreamId("a"), UpstreamId("unknown")}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.missing().size());
+        directory.expire(start + UpstreamDirectory::returnGrace);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
+        CPPUNIT_ASSERT(directory.find(UpstreamId("b")) != nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamDirectoryTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/gatewaymessages_test.cpp
@@ -0,0 +1,104 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+#include "peer/gatewaymessages.h"
+
+namespace reachlead {
+
+/// What gateways tell each other survives the way, and foreign bytes do no harm.
+class GatewayMessagesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayMessagesTest);
+    CPPUNIT_TEST(newsArriveAsTheyWere);
+    CPPUNIT_TEST(beatsArriveAsTheyWere);
+    CPPUNIT_TEST(foreignBytesAreRefused);
+    CPPUNIT_TEST(cutMessagesAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static GatewayNews news()
+    {
+        GatewayNews made;
+        made.config.emplace();
+        made.config->version = 9;
+        Route route;
+        route.name = "r";
+        route.kind = RouteKind::Stream;
+        route.services = {{ServiceName("s"), 2.5}};
+        made.config->routes = {route};
+        made.config->accounts = {{AccountName("a"), {"k"}, 4U}, {AccountName("b"), {}, {}}};
+        made.upstreams.emplace();
+        UpstreamEntry entry;
+        entry.id = UpstreamId("u");
+        entry.address = {"10.0.0.1", 81};
+        entry.leaving = true;
+        made.upstreams->push_back(entry);
+        made.registryRevision = 77;
+        made.missing = {UpstreamId("u")};
+        return made;
+    }
+
+    void newsArriveAsTheyWere()
+    {
+        std::string reason;
+        const auto read = decodeNews(encodeNews(news()), &reason);
+        CPPUNIT_ASSERT_MESSAGE(reason, read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, read->config->version);
+        CPPUNIT_ASSERT(read->config->routes[0].kind == RouteKind::Stream);
+        CPPUNIT_ASSERT_EQUAL(2.5, read->config->routes[0].services[0].weight);
+        CPPUNIT_ASSERT_EQUAL(4U, *read->config->accounts[0].priority);
+        CPPUNIT_ASSERT(!read->config->accounts[1].priority);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:81"), read->upstreams->at(0).address.text());
+        CPPUNIT_ASSERT(read->upstreams->at(0).leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), read->missing.at(0).text);
+        const auto none = decodeNews(encodeNews({}), &reason);
+        CPPUNIT_ASSERT(none && !none->config && !none->upstreams);
+    }
+
+    void beatsArriveAsTheyWere()
+    {
+        GatewayBeat beat;
+        beat.from = {VmName("vm"), {"10.0.0.2", 7340}};
+        beat.configVersion = 3;
+        beat.ageMs = 120;
+        beat.load = {{UpstreamId("u"), {3, 4000}}};
+        beat.sample = {{VmName("other"), {"10.0.0.3", 7340}}};
+        std::string reason;
+        const auto read = decodeBeat(encodeBeat(beat), &reason);
+        CPPUNIT_ASSERT_MESSAGE(reason, read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("vm"), read->from.vm.text);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4000}, read->load.at(UpstreamId("u")).unreadTokens);
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), read->sample.at(0).vm.text);
+    }
+
+    void foreignBytesAreRefused()
+    {
+        CPPUNIT_ASSERT(rc::check("any bytes", [](const std::string &bytes) {
+            std::string reason;
+            // Whatever comes out, nothing is thrown and no size is trusted.
+            decodeBeat(bytes, &reason);
+            decodeNews(bytes, &reason);
+            const auto ask = decodeAsk(bytes, &reason);
+            RC_ASSERT(!ask || bytes.size() == 16);
+        }));
+    }
+
+    void cutMessagesAreRefused()
+    {
+        const std::string whole = encodeNews(news());
+        for (std::size_t n = 0; n < whole.size(); ++n) {
+            std::string reason;
+            CPPUNIT_ASSERT(!decodeNews(whole.substr(0, n), &reason));
+            CPPUNIT_ASSERT(!reason.empty());
+        }
+        std::string reason;
+        CPPUNIT_ASSERT(!decodeNews(whole + "x", &reason));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayMessagesTest);
+
+} // namespace reachlead
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -45,6 +45,8 @@
     /// Ends all sending and listening.
     void stop();
 
+    std::uint16_t port() const { return m_options.self.address.port; }
+
     /// Replaces the seeds, as after a change of the settings.
     void setSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
 
