--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -38,17 +38,17 @@
     PID[$name]=$!
     FLEET_PIDS+=("$!")
     for ((n = 0; n < 400; ++n)); do
-        [ -s "$FLEET_DIR/$name.out" ] && return 0
+        grep -qE '^(listening|callers|sessions)=' "$FLEET_DIR/$name.out" && return 0
         kill -0 "${PID[$name]}" 2>/dev/null || break
         sleep 0.025
     done
-    cat "$FLEET_DIR/$name.log" >&2
+    cat "$FLEET_DIR/$name.out" "$FLEET_DIR/$name.log" >&2
     fail "$name did not start"
 }
 
 # port_of NAME KEY: a port that the process printed.
 port_of() {
-    sed -n "s/.*\b$2=\([0-9]*\).*/\1/p" "$FLEET_DIR/$1.out" | head -1
+    grep -E '^(listening|callers|sessions)=' "$FLEET_DIR/$1.out" | sed -n "s/.*\b$2=\([0-9]*\).*/\1/p" | head -1
 }
 
 start_platform() {
--- a/src/include/reachlead/log.h
+++ b/src/include/reachlead/log.h
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Structured logs: one line of key=value pairs for each event, to standard error.
+/// Structured logs: one line of key=value pairs for each event, to standard output.
 
 #pragma once
 
@@ -19,6 +19,17 @@
 /// Sets the least level that is written. Thread-safe.
 void setLogLevel(LogLevel level);
 
+/// Has a thread write the lines from now on, until the object ends. Without one, each line is
+/// written by the thread that logs: tests and short programs need no more.
+class BackgroundLog
+{
+public:
+    BackgroundLog();
+    ~BackgroundLog();
+    BackgroundLog(const BackgroundLog &) = delete;
+    BackgroundLog &operator=(const BackgroundLog &) = delete;
+};
+
 /// Sets the program name that each line carries.
 void setLogProgram(std::string_view program);
 
@@ -47,6 +58,7 @@
 private:
     void append(std::string_view key, std::string_view value);
 
+    LogLevel m_level;
     bool m_enabled;
     std::string m_line;
 };
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <mutex>
 #include <numeric>
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 
 #include <reachlead/eventsplitter.h>
 #include <reachlead/latency.h>
+#include <reachlead/logwriter.h>
 #include <reachlead/promptcache.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/watchduty.h>
@@ -30,6 +32,8 @@
     CPPUNIT_TEST(threeGatewaysWatch);
     CPPUNIT_TEST(staleGatewayWatchesWhateverItsRank);
     CPPUNIT_TEST(quantilesFollowTheSamples);
+    CPPUNIT_TEST(logBudgetFillsUpWithTime);
+    CPPUNIT_TEST(slowOutputNeverBlocksWhoeverLogs);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -178,6 +182,37 @@
         CPPUNIT_ASSERT(duty.isOn({}, start + seconds(5)));
     }
 
+    void logBudgetFillsUpWithTime()
+    {
+        LogBudget budget;
+        unsigned taken = 0;
+        while (budget.take(start))
+            ++taken;
+        CPPUNIT_ASSERT_EQUAL(static_cast<unsigned>(LogBudget::burst), taken);
+        CPPUNIT_ASSERT(!budget.take(start));
+        CPPUNIT_ASSERT(budget.take(start + milliseconds(10)));
+    }
+
+    /// An output that never comes back: lines are dropped and counted, nobody waits.
+    void slowOutputNeverBlocksWhoeverLogs()
+    {
+        std::mutex output;
+        std::string written;
+        output.lock();
+        {
+            LogWriter writer([&](const std::string &text) {
+                const std::scoped_lock lock(output);
+                written += text;
+            });
+            const std::string line(1000, 'x');
+            for (int n = 0; n < 2000; ++n)
+                writer.put(line, true);
+            CPPUNIT_ASSERT(writer.dropped() > 0);
+            output.unlock();
+        }
+        CPPUNIT_ASSERT(written.find("event=log-lines-dropped count=") != std::string::npos);
+    }
+
     void quantilesFollowTheSamples()
     {
         Latencies latencies;
--- a/src/libreachlead/log.cpp
+++ b/src/libreachlead/log.cpp
@@ -12,6 +12,8 @@
 
 #include <fmt/chrono.h>
 
+#include <reachlead/logwriter.h>
+
 namespace reachlead {
 
 namespace {
@@ -20,6 +22,15 @@
 
 std::atomic<LogLevel> leastLevel{LogLevel::Info};
 
+/// Set while a BackgroundLog lives.
+std::atomic<LogWriter *> writer{nullptr};
+
+void writeOut(const std::string &text)
+{
+    std::fwrite(text.data(), 1, text.size(), stdout);
+    std::fflush(stdout);
+}
+
 std::string &programName()
 {
     static std::string name = "reachlead";
@@ -69,7 +80,18 @@
     return quoted;
 }
 
-LogLine::LogLine(LogLevel level, std::string_view event) : m_enabled(level >= leastLevel.load())
+BackgroundLog::BackgroundLog()
+{
+    writer.store(new LogWriter(writeOut));
+}
+
+BackgroundLog::~BackgroundLog()
+{
+    delete writer.exchange(nullptr);
+}
+
+LogLine::LogLine(LogLevel level, std::string_view event)
+    : m_level(level), m_enabled(level >= leastLevel.load())
 {
     if (!m_enabled)
         return;
@@ -86,7 +108,10 @@
     if (!m_enabled)
         return;
     m_line += '\n';
-    std::fwrite(m_line.data(), 1, m_line.size(), stderr);
+    if (LogWriter *background = writer.load())
+        background->put(m_line, m_level >= LogLevel::Warn);
+    else
+        writeOut(m_line);
 }
 
 void LogLine::append(std::string_view key, std::string_view value)
--- a/src/operators/daemon.cpp
+++ b/src/operators/daemon.cpp
@@ -89,6 +89,7 @@
     if (given.contains("check-settings"))
         return code(ExitCode::Good);
     setLogProgram(program);
+    const BackgroundLog background;
     try {
         run();
     } catch (const std::exception &e) {
