placement: a tenth of the engines is kept for short prompts

Change: a tenth of a service's engines, the first by a hash that all gateways share, takes no long prompt's home; short prompts go there, by cost. The terms are settings in [placement].

--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -72,6 +72,15 @@
         /// Reading a part again that some upstream holds wastes engine work and its price is more
         /// than the wait alone: a multiple of the time to read it.
         double rereadFactor = 3.0;
+        /// Part of a service's model engines that is kept free of long prompts: reading one slows
+        /// the streams beside it to a step for each chunk, so short prompts go where none is read.
+        double quietPart = 0.1;
+        /// A prompt of at most this many tokens counts as short: two chunks of an engine.
+        TokenCount shortPrompt = 4096;
+        /// A short prompt outside the quiet engines waits behind a chunk at each of its steps.
+        double shortOutside = 80.0;
+        /// A long prompt in a quiet engine slows the streams that were promised quiet.
+        double longInQuiet = 600.0;
         /// An upstream whose circuit is open is taken only if there is no other.
         double unhealthy = 60'000.0;
     };
@@ -124,6 +133,10 @@
     UpstreamLoad totalLoad(const UpstreamId &id, Time now) const;
     double costOf(const UpstreamEntry &entry, const ChoiceAsk &ask, bool isHome, Choice *choice,
                   Time now);
+    double quietCost(const ChoiceAsk &ask, bool isQuiet) const;
+    std::set<UpstreamId> quietEngines(const ServiceName &service,
+                                      const UpstreamDirectory &directory) const;
+    bool isShort(const ChoiceAsk &ask) const;
 
     ZoneName m_zone;
     Costs m_costs;
--- a/src/libreachlead/logwriter.cpp
+++ b/src/libreachlead/logwriter.cpp
@@ -66,8 +66,8 @@
         std::string taken;
         taken.swap(m_waiting);
         if (m_dropped > m_told)
-            taken += fmt::format("level=warn event=log-lines-dropped count={}\n",
-                                 m_dropped - m_told);
+            taken +=
+                fmt::format("level=warn event=log-lines-dropped count={}\n", m_dropped - m_told);
         m_told = m_dropped;
         const bool ending = m_ending;
         lock.unlock();
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -4,6 +4,7 @@
 #include <reachlead/upstreambook.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <ranges>
@@ -14,6 +15,9 @@
 
 namespace {
 
+/// Sets the rank for quiet engines apart from the one for homes.
+constexpr std::uint64_t quietSalt = 0x71756965; // "quie"
+
 TokenCount tokensOf(std::span<const PromptPart> prompt)
 {
     return std::transform_reduce(prompt.begin(), prompt.end(), TokenCount{0}, std::plus(),
@@ -101,22 +105,63 @@
     return cost;
 }
 
+bool UpstreamBook::isShort(const ChoiceAsk &ask) const
+{
+    return tokensOf(ask.prompt) <= m_costs.shortPrompt;
+}
+
+/// The engines of a service that all gateways keep for short prompts: the first of a hash over
+/// their ids.
+std::set<UpstreamId> UpstreamBook::quietEngines(const ServiceName &service,
+                                                const UpstreamDirectory &directory) const
+{
+    std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
+    for (const UpstreamEntry &entry : directory.entries() | std::views::values) {
+        if (entry.service == service && !entry.leaving)
+            ranked.emplace_back(XXH64(entry.id.text.data(), entry.id.text.size(), quietSalt),
+                                entry.id);
+    }
+    const double part = m_costs.quietPart * static_cast<double>(ranked.size());
+    const auto wanted = static_cast<std::size_t>(std::lround(part));
+    std::ranges::sort(ranked);
+    std::set<UpstreamId> quiet;
+    for (const auto &[rank, id] : ranked | std::views::take(wanted))
+        quiet.insert(id);
+    return quiet;
+}
+
+double UpstreamBook::quietCost(const ChoiceAsk &ask, bool isQuiet) const
+{
+    if (ask.prompt.empty() || isShort(ask) == isQuiet)
+        return 0;
+    return isQuiet ? m_costs.longInQuiet : m_costs.shortOutside;
+}
+
 std::optional<Choice> UpstreamBook::choose(const ChoiceAsk &ask, const UpstreamDirectory &directory,
                                            Time now)
 {
+    std::set<UpstreamId> quiet;
+    if (!ask.prompt.empty())
+        quiet = quietEngines(ask.service, directory);
+    const bool wantsQuiet = isShort(ask) && !quiet.empty();
     std::vector<const UpstreamEntry *> usable;
+    std::vector<const UpstreamEntry *> homes; // where the prompt may be at home
     for (const UpstreamEntry &entry : directory.entries() | std::views::values) {
         const bool wasTried = ask.tried != nullptr && ask.tried->contains(entry.id);
-        if (entry.service == ask.service && !entry.leaving && !wasTried)
-            usable.push_back(&entry);
+        if (entry.service != ask.service || entry.leaving || wasTried)
+            continue;
+        usable.push_back(&entry);
+        if (quiet.contains(entry.id) == wantsQuiet)
+            homes.push_back(&entry);
     }
-    const std::optional<UpstreamId> home = homeOf(ask, usable);
+    const std::optional<UpstreamId> home = homeOf(ask, homes.empty() ? usable : homes);
     std::optional<Choice> best;
     for (const UpstreamEntry *entry : usable) {
         Choice choice;
         choice.upstream = entry->id;
         choice.isHome = home == entry->id;
         choice.cost = costOf(*entry, ask, choice.isHome, &choice, now);
+        choice.cost += quietCost(ask, quiet.contains(entry->id));
         if (!best || choice.cost < best->cost)
             best = choice;
     }
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -42,12 +42,14 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 6> readers{
+    constexpr std::array<Reader, 7> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
-        &GatewaySettings::readStop,      &GatewaySettings::readLogSection};
+        &GatewaySettings::readPlacement, &GatewaySettings::readStop,
+        &GatewaySettings::readLogSection};
     if (auto fault = unknownSection(
-            file, {"gateway", "peers", "operators", "store", "retries", "stop", "log"}))
+            file,
+            {"gateway", "peers", "operators", "store", "placement", "retries", "stop", "log"}))
         return fault;
     for (const Reader reader : readers) {
         if (auto fault = (this->*reader)(file))
@@ -105,6 +107,26 @@
     return takeEndpoints(file, storeReader, "store", {{"address", &store}});
 }
 
+std::optional<std::string> GatewaySettings::readPlacement(const IniFile &file)
+{
+    constexpr double longest = 600'000.0; // ms; ten minutes is past any deadline
+    constexpr double largest = 1e6;
+    UpstreamBook::Costs &costs = state.costs;
+    auto shortPrompt = static_cast<std::int64_t>(costs.shortPrompt);
+    IniReader reader(file, "placement");
+    reader.takeNumber("tokens_per_ms", 0.001, largest, &costs.tokensPerMs)
+        .takeNumber("per_running_ms", 0.0, longest, &costs.perRunning)
+        .takeNumber("per_queued_ms", 0.0, longest, &costs.perQueued)
+        .takeNumber("other_zone_ms", 0.0, longest, &costs.otherZone)
+        .takeNumber("reread_factor", 0.0, largest, &costs.rereadFactor)
+        .takeNumber("quiet_part", 0.0, 1.0, &costs.quietPart)
+        .takeInteger("short_prompt", 0, 1'000'000'000, &shortPrompt)
+        .takeNumber("short_outside_ms", 0.0, longest, &costs.shortOutside)
+        .takeNumber("long_in_quiet_ms", 0.0, longest, &costs.longInQuiet);
+    costs.shortPrompt = static_cast<TokenCount>(shortPrompt);
+    return reader.finish();
+}
+
 std::optional<std::string> GatewaySettings::readRetries(const IniFile &file)
 {
     double windowSeconds = toSeconds(state.retries.window);
