routing: an engine's urgency follows the route, then the account

Change: the route's priority ranks first, the account's second. Also lint findings in the new files.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 tsan:
 	@$(MAKE) PRESET=tsan unit
 
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h')
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
+	'platform/*.cpp' 'platform/*.h')
 
 format: deps
 	@clang-format-19 -i $(SOURCES)
--- /dev/null
+++ b/src/build-scripts/check-names.bash
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Copyright Contributors to the reachlead project.
+# SPDX-License-Identifier: Apache-2.0
+#
+# The platform's names of headers and paths stand in platform/ alone.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+names='Attempt-Id|Replica-Stamp|Not-Executed|Expect-Replica|Prompt-Prefix|Deadline-Ms|Token-Count'
+names+='|Request-Urgency|Replica-Id|/-/objects|/-/ready|Kv-From|Kv-Fetch|Kv-Backup|Expect-Version'
+if git grep -nE "$names" -- 'src/*.cpp' 'src/*.h'; then
+    echo "the lines above spell a name of the platform outside platform/"
+    exit 1
+fi
--- a/src/build-scripts/lint.bash
+++ b/src/build-scripts/lint.bash
@@ -9,7 +9,7 @@
 cmake -S . -B build/lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
 files=("$@")
 if [ ${#files[@]} -eq 0 ]; then
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp')
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp')
 fi
 printf '%s\n' "${files[@]}" | grep -v '^src/cmake/' \
     | xargs -P "$(nproc)" -n 1 clang-tidy-19 -p build/lint --quiet 2>build/lint/stderr.log
--- a/src/build-scripts/mutants.bash
+++ b/src/build-scripts/mutants.bash
@@ -8,8 +8,9 @@
 top=$(cd "$(dirname "$0")/../.." && pwd)
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-cp -r "$top/src" "$top/CMakeLists.txt" "$top/CMakePresets.json" "$top/testsuite" "$scratch/"
-cp -r "$scratch/src" "$scratch/whole"
+cp -r "$top/src" "$top/platform" "$top/CMakeLists.txt" "$top/CMakePresets.json" "$top/testsuite" "$scratch/"
+mkdir "$scratch/whole"
+cp -r "$scratch/src" "$scratch/platform" "$scratch/whole/"
 export CCACHE_BASEDIR=$scratch CCACHE_NOHASHDIR=1
 export CCACHE_SLOPPINESS=pch_defines,time_macros
 build() {
@@ -21,7 +22,7 @@
 while IFS='|' read -r name file edit test; do
     case "$name" in '' | '#'*) continue ;; esac
     case "$name" in *"${1:-}"*) ;; *) continue ;; esac
-    whole=$scratch/whole/${file#src/}
+    whole=$scratch/whole/$file
     sed -i "$edit" "$scratch/$file"
     if cmp -s "$whole" "$scratch/$file"; then
         echo "SURVIVED $name: the edit changed nothing"
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -78,7 +78,7 @@
     const Error &error() const { return m_error; }
 
     /// Bytes that are read ahead of the request that is at work; more wait in the kernel.
-    static constexpr std::size_t mostAhead = 64 * 1024;
+    static constexpr std::size_t mostAhead = 64U << 10U;
     /// Time for a caller to close after the last answer: a few round trips.
     static constexpr Duration lingerTime = milliseconds(500);
 
@@ -92,7 +92,7 @@
     boost::asio::ip::tcp::socket m_socket;
     /// Filled by the read that is outstanding. Not a part of m_input, which may move its bytes
     /// while they are parsed.
-    std::array<char, 8 * 1024> m_arriving{};
+    std::array<char, 8U << 10U> m_arriving{};
     boost::beast::flat_buffer m_input;
     Signal m_arrived; ///< bytes, or the end
     Signal m_room; ///< the reader may go on
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -24,7 +24,7 @@
 
 /// Answers up to this size are held until they are whole, so that one that breaks off can be
 /// replaced; longer ones are passed on as they come.
-constexpr std::size_t mostHeld = 128 * 1024; // bytes
+constexpr std::size_t mostHeld = 128U << 10U; // bytes
 
 /// Another send is of use only with this much of the route's target left.
 constexpr int targetPartForSend = 8;
@@ -36,8 +36,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-constexpr unsigned highestUrgency = 9;
-
 std::string_view targetPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -253,10 +251,7 @@
     facts.patience = timeLeft();
     if (m_account != nullptr)
         facts.account = m_account->name;
-    unsigned urgency = m_route->priority;
-    if (m_account != nullptr && m_account->priority)
-        urgency = *m_account->priority;
-    facts.urgency = std::min(urgency, highestUrgency);
+    facts.urgency = m_table->urgencyOf(*m_route, m_account);
     facts.resumeAfter = m_events.lastId();
     m_shared.dialect.writeSend(m_request, facts, &call.fields);
     return call;
--- a/src/include/reachlead/eventsplitter.h
+++ b/src/include/reachlead/eventsplitter.h
@@ -35,7 +35,7 @@
     /// The events that feed() returned so far.
     std::uint64_t events() const { return m_events; }
 
-    static constexpr std::size_t mostHeld = 1024 * 1024; ///< bytes of one event
+    static constexpr std::size_t mostHeld = 1U << 20U; ///< bytes of one event
 
 private:
     void noteEvents(std::string_view whole);
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -95,8 +95,8 @@
 /// says otherwise.
 struct CallerLimits
 {
-    std::uint32_t maxHeaderBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::uint32_t maxHeaderBytes = 16U << 10U;
+    std::uint64_t maxBodyBytes = 4U << 20U;
     std::int64_t headerTimeoutMs = 3000;
     std::int64_t idleTimeoutMs = 15000;
 
@@ -137,11 +137,19 @@
     /// The account that holds \p key; null when none does.
     const AccountKeys *accountOf(const std::string &key) const;
 
+    /// How urgent a call is at a model engine: 0 (first) to lowestUrgency. The route's priority
+    /// decides; among calls of equal routes the account's does (docs/QUESTIONS.md, question 1).
+    unsigned urgencyOf(const Route &route, const AccountKeys *account) const;
+
+    /// The last of the ranks that engines know.
+    static constexpr unsigned lowestUrgency = 9;
+
     /// What is known of a service; null when it is not listed.
     const ServiceInfo *service(const ServiceName &name) const;
 
 private:
     RoutingConfig m_config;
+    unsigned m_ranksPerPriority = 1; ///< that fit into the ranks engines know
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< longest prefix first
     std::unordered_map<std::string, const AccountKeys *> m_byKey;
 };
--- a/src/libreachlead/routing.cpp
+++ b/src/libreachlead/routing.cpp
@@ -27,15 +27,26 @@
     for (const Route &route : m_config.routes)
         m_byHost[lowerHost(route.host)].push_back(&route);
     for (auto &[host, routes] : m_byHost) {
-        std::ranges::stable_sort(routes, std::ranges::greater(),
-                                 [](const Route *route) { return route->pathPrefix.size(); });
+        std::ranges::sort(routes, std::ranges::greater(),
+                          [](const Route *route) { return route->pathPrefix.size(); });
     }
+    unsigned lowest = 0;
+    for (const Route &route : m_config.routes)
+        lowest = std::max(lowest, route.priority);
+    m_ranksPerPriority = std::max(1U, (lowestUrgency + 1) / (lowest + 1));
     for (const AccountKeys &account : m_config.accounts) {
         for (const std::string &key : account.keys)
             m_byKey.emplace(key, &account);
     }
 }
 
+unsigned RouteTable::urgencyOf(const Route &route, const AccountKeys *account) const
+{
+    const bool own = account != nullptr && account->priority.has_value();
+    const unsigned within = std::min(own ? *account->priority : 0U, m_ranksPerPriority - 1);
+    return std::min(lowestUrgency, route.priority * m_ranksPerPriority + within);
+}
+
 const Route *RouteTable::match(std::string_view host, std::string_view path) const
 {
     const auto it = m_byHost.find(lowerHost(host));
--- a/src/libreachlead/routing_test.cpp
+++ b/src/libreachlead/routing_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(hostIsComparedWithoutCaseAndPort);
     CPPUNIT_TEST(keysLeadToAccounts);
     CPPUNIT_TEST(weightsDecideTheService);
+    CPPUNIT_TEST(urgencyFollowsTheRouteThenTheAccount);
     CPPUNIT_TEST_SUITE_END();
 
     static Route route(const std::string &name, const std::string &host, const std::string &prefix)
@@ -62,6 +63,29 @@
         CPPUNIT_ASSERT(table.accountOf("k4") == nullptr);
     }
 
+    /// An engine that runs out of memory puts back the newest of the least urgent: a call of an
+    /// urgent route must not go before one of a less urgent route, whoever's it is.
+    void urgencyFollowsTheRouteThenTheAccount()
+    {
+        RoutingConfig made = config();
+        for (unsigned n = 0; n < 3; ++n)
+            made.routes[n].priority = n;
+        made.accounts[0].priority = 1U;
+        made.accounts[1].priority = 0U;
+        const RouteTable table(made);
+        const auto urgency = [&](unsigned route, const AccountKeys *account) {
+            return table.urgencyOf(table.config().routes[route], account);
+        };
+        const AccountKeys *later = table.accountOf("k1");
+        const AccountKeys *first = table.accountOf("k3");
+        for (unsigned route = 0; route < 3; ++route)
+            CPPUNIT_ASSERT(urgency(route, first) < urgency(route, later));
+        for (unsigned route = 0; route < 2; ++route)
+            CPPUNIT_ASSERT(urgency(route, later) < urgency(route + 1, first));
+        CPPUNIT_ASSERT_EQUAL(urgency(1, nullptr), urgency(1, first));
+        CPPUNIT_ASSERT(urgency(2, later) <= RouteTable::lowestUrgency);
+    }
+
     void weightsDecideTheService()
     {
         Route split;
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <reachlead/log.h>
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -42,8 +42,7 @@
 } // namespace
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
-                             std::function<std::unique_ptr<FleetSource>(asio::io_context &)> source,
-                             std::function<std::optional<GatewaySettings>()> reload)
+                             const MakeSource &source, Reload reload)
     : m_settings(settings), m_dialect(dialect), m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_state(settings.state),
       m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -26,9 +26,11 @@
 class GatewayDaemon
 {
 public:
-    GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
-                  std::function<std::unique_ptr<FleetSource>(boost::asio::io_context &)> source,
-                  std::function<std::optional<GatewaySettings>()> reload);
+    using MakeSource = std::function<std::unique_ptr<FleetSource>(boost::asio::io_context &)>;
+    using Reload = std::function<std::optional<GatewaySettings>()>;
+
+    GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect, const MakeSource &source,
+                  Reload reload);
 
     /// Serves until it is told to stop, and then until all work has ended.
     void run();
@@ -54,7 +56,7 @@
     HttpServer m_ready;
     HttpServer m_operators;
     std::unique_ptr<FleetSource> m_source;
-    std::function<std::optional<GatewaySettings>()> m_reload;
+    Reload m_reload;
     bool m_lastReady = false;
 };
 
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <array>
 
+#include <fmt/format.h>
+
 #include "operators/daemon.h"
 #include "operators/readsettings.h"
 
--- a/src/upstream/upstreamchannel.cpp
+++ b/src/upstream/upstreamchannel.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
 
 #include <reachlead/socketlimits.h>
 
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -17,7 +17,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::size_t pieceSize = 16 * 1024; ///< most bytes of one piece
+constexpr std::size_t pieceSize = 16U << 10U; ///< most bytes of one piece
 
 auto keepError(error_code *ec)
 {
