--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -487,6 +487,13 @@
     co_return sent &&keepAlive;
 }
 
+/// How long ago the gateway's state was known to be current; -1: never.
+std::int64_t ForwardCall::stateAgeMs() const
+{
+    const std::optional<Time> at = m_shared.state.currentAt();
+    return at ? static_cast<std::int64_t>(toMillis(RuntimeClock::now() - *at)) : -1;
+}
+
 void ForwardCall::report(std::string_view outcome, ErrorKind kind, unsigned status)
 {
     const Time now = RuntimeClock::now();
@@ -498,6 +505,8 @@
         .with("route", m_route != nullptr ? m_route->name : "-")
         .with("account", m_account != nullptr ? m_account->name.text : "-")
         .with("config", m_table ? m_table->version() : 0)
+        .with("registry", m_shared.state.directory().revision())
+        .with("state_age_ms", stateAgeMs())
         .with("upstream", m_lastUpstream.text)
         .with("cost", static_cast<std::int64_t>(m_lastCost))
         .with("sends", m_sends)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -62,6 +62,7 @@
     boost::asio::awaitable<bool> deliverWhole();
     boost::asio::awaitable<bool> sendHead();
     AnswerHead makeHead() const;
+    std::int64_t stateAgeMs() const;
     void report(std::string_view outcome, ErrorKind kind, unsigned status);
 
     Duration timeLeft() const { return m_limit - RuntimeClock::now(); }
