--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -84,13 +84,14 @@
 
 GatewayPeers::GatewayPeers(asio::io_context &io, Options options, GatewayState &state)
     : m_io(io), m_options(std::move(options)), m_state(state), m_incarnation(makeIncarnation()),
-      m_udp(io,
-            udp::endpoint(asio::ip::make_address(m_options.self.address.address),
-                          m_options.self.address.port)),
       m_acceptor(io,
                  tcp::endpoint(asio::ip::make_address(m_options.self.address.address),
-                               m_options.self.address.port))
+                               m_options.self.address.port)),
+      m_udp(
+          io,
+          udp::endpoint(m_acceptor.local_endpoint().address(), m_acceptor.local_endpoint().port()))
 {
+    m_options.self.address.port = m_acceptor.local_endpoint().port();
     asio::co_spawn(io, beatLoop(), asio::detached);
     asio::co_spawn(io, hearLoop(), asio::detached);
     asio::co_spawn(io, acceptLoop(), asio::detached);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -45,6 +45,8 @@
     /// Ends all sending and listening.
     void stop();
 
+    /// This gateway, with the port that it listens at.
+    const GatewayEntry &self() const { return m_options.self; }
     std::uint16_t port() const { return m_options.self.address.port; }
 
     /// Replaces the seeds, as after a change of the settings.
@@ -94,8 +96,8 @@
     Options m_options;
     GatewayState &m_state;
     Incarnation m_incarnation;
-    boost::asio::ip::udp::socket m_udp;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::udp::socket m_udp; ///< at the acceptor's port, also when the kernel chose it
     std::map<VmName, Peer> m_peers;
     std::mt19937_64 m_random{std::random_device{}()};
     std::size_t m_turn = 0; ///< of the rotation over targets
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -57,7 +57,7 @@
         std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
     });
     m_state.onChange([this] { m_peers.announce(); });
-    m_source->start(&m_state, settings.peers.self);
+    m_source->start(&m_state, m_peers.self());
     asio::co_spawn(m_io, signalLoop(), asio::detached);
     asio::co_spawn(m_io, tickLoop(), asio::detached);
 }
@@ -68,7 +68,10 @@
         .with("version", REACHLEAD_VERSION)
         .with("vm", m_settings.state.vm.text)
         .with("zone", m_settings.state.zone.text)
-        .with("listen", m_settings.forwarder.listen.text())
+        .with("callers", m_forwarder.port())
+        .with("ready", m_ready.port())
+        .with("operators", m_operators.port())
+        .with("peers", m_peers.port())
         .with("store", m_settings.store.text())
         .with("seeds", m_settings.peers.seeds.size());
     m_io.run();
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -82,7 +82,7 @@
     std::vector<std::string> seeds;
     std::int64_t port = 0;
     IniReader reader(file, "peers");
-    reader.require("port").takeInteger("port", 1, 65535, &port);
+    reader.require("port").takeInteger("port", 0, 65535, &port);
     if (reader.has("seeds"))
         reader.takeList("seeds", &seeds);
     if (auto fault = takeEndpoints(file, reader, "peers", {{"address", &peers.self.address}}))
