--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -22,30 +22,15 @@
 /// A caller that names no patience of its own.
 constexpr Duration defaultPatience = seconds(60);
 
-/// Answers up to this size are held until they are whole, so that one that breaks off can be
-/// replaced; longer ones are passed on as they come.
-constexpr std::size_t mostHeld = 128U << 10U; // bytes
-
 /// Another send is of use only with this much of the route's target left.
 constexpr int targetPartForSend = 8;
 constexpr Duration leastTimeForSend = milliseconds(20);
 
-/// Statuses that promise a caller that its request did not run.
-constexpr bool promisesNotRun(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 std::string_view targetPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
 }
 
-bool isEventStream(const Fields &fields)
-{
-    return fields[http::field::content_type].starts_with("text/event-stream");
-}
-
 } // namespace
 
 ForwardCall::ForwardCall(ForwardShared &shared, CallerStream &caller, CallerRequest request)
@@ -153,9 +138,9 @@
     m_lastUpstream = entry.id;
     m_lastCost = choice->cost;
     m_unread = choice->unreadTokens;
-    state.book().sent(entry.id, ask, *choice, now);
+    state.book().sent(entry.id, ask, *choice);
     const SendEnd end = co_await exchange(entry);
-    noteEnd(entry, *choice, end);
+    noteEnd(entry, end);
     if (m_stop != Stop::None && end != SendEnd::Complete) {
         const bool notRun = end == SendEnd::NotConnected && !m_mayHaveRun;
         const ForwardStep step = notRun ? ForwardStep::Refuse : ForwardStep::Fail;
@@ -257,129 +242,7 @@
     return call;
 }
 
-SendEnd ForwardCall::brokenEnd() const
-{
-    return m_exchange->isCorrupt() ? SendEnd::Corrupt : SendEnd::Lost;
-}
-
-/// What the head alone says of the send.
-SendEnd ForwardCall::judgeHead() const
-{
-    const unsigned status = m_exchange->status();
-    const AnswerFacts &facts = m_exchange->facts();
-    if (facts.notRun || status == 421)
-        return SendEnd::RefusedNotRun;
-    if (promisesNotRun(status))
-        return SendEnd::Corrupt; // a promise that the upstream does not vouch for
-    if (status >= 500)
-        return SendEnd::OwnFailure;
-    const bool isSuccess = status >= 200 && status < 300;
-    return isSuccess && !facts.isSigned ? SendEnd::Corrupt : SendEnd::Complete;
-}
-
-asio::awaitable<SendEnd> ForwardCall::takeAnswer()
-{
-    const SendEnd judged = judgeHead();
-    if (judged == SendEnd::Corrupt)
-        m_lastReason = "the answer lacks the upstream's signature or its word for a refusal";
-    if (judged == SendEnd::RefusedNotRun)
-        m_lastReason = fmt::format("the upstream refused with {}", m_exchange->status());
-    if (judged == SendEnd::Complete && isEventStream(m_exchange->head()))
-        co_return co_await takeEvents();
-    if (m_headDelivered)
-        co_return judged == SendEnd::Complete ? SendEnd::Corrupt : judged;
-    const SendEnd end = co_await takeWhole();
-    co_return end == SendEnd::Complete ? judged : end;
-}
-
-/// Holds the answer until it is whole, or passes it on once it is too long for that.
-asio::awaitable<SendEnd> ForwardCall::takeWhole()
-{
-    m_wholeBody.clear();
-    while (true) {
-        const auto piece = co_await m_exchange->readPiece();
-        if (!piece)
-            co_return brokenEnd();
-        noteFirst();
-        if (piece->empty())
-            co_return SendEnd::Complete;
-        m_wholeBody += *piece;
-        if (m_wholeBody.size() > mostHeld) {
-            std::string first = std::move(m_wholeBody);
-            co_return co_await takeLong(std::move(first));
-        }
-    }
-}
-
-asio::awaitable<SendEnd> ForwardCall::takeLong(std::string first)
-{
-    std::optional<std::string> piece = std::move(first);
-    bool sent = co_await sendHead();
-    while (sent && piece && !piece->empty()) {
-        sent = co_await m_caller.sendPiece(*piece);
-        if (sent)
-            piece = co_await m_exchange->readPiece();
-    }
-    if (!sent)
-        co_return SendEnd::Lost;
-    if (!piece)
-        co_return brokenEnd();
-    m_bodyWhole = true;
-    co_return SendEnd::Complete;
-}
-
-/// Passes on whole events as they come.
-asio::awaitable<SendEnd> ForwardCall::takeEvents()
-{
-    m_events.dropPart();
-    while (true) {
-        const auto piece = co_await m_exchange->readPiece();
-        if (!piece)
-            co_return brokenEnd();
-        if (piece->empty())
-            break;
-        bool tooLong = false;
-        const std::string events = m_events.feed(*piece, &tooLong);
-        if (tooLong)
-            co_return SendEnd::Corrupt;
-        if (events.empty())
-            continue;
-        const bool sent = co_await deliverEvents(events);
-        if (!sent)
-            co_return SendEnd::Lost;
-    }
-    if (m_events.holdsPart()) {
-        m_lastReason = "the stream ended inside an event";
-        co_return SendEnd::Lost;
-    }
-    if (!m_headDelivered)
-        co_return SendEnd::Complete; // a stream without events: delivered as an empty answer
-    m_bodyWhole = true;
-    co_return SendEnd::Complete;
-}
-
-asio::awaitable<bool> ForwardCall::deliverEvents(const std::string &events)
-{
-    noteFirst();
-    if (!m_headDelivered) {
-        const bool sent = co_await sendHead();
-        if (!sent)
-            co_return false;
-    }
-    co_return co_await m_caller.sendPiece(events);
-}
-
-void ForwardCall::noteFirst()
-{
-    if (m_unread > 0)
-        m_shared.state.book().firstEvent(m_lastUpstream, std::exchange(m_unread, 0));
-    if (m_firstByte)
-        return;
-    m_firstByte = RuntimeClock::now();
-    m_shared.latencies.note(Timed::FirstByte, *m_firstByte - m_arrived);
-}
-
-void ForwardCall::noteEnd(const UpstreamEntry &entry, const Choice & /*choice*/, SendEnd end)
+void ForwardCall::noteEnd(const UpstreamEntry &entry, SendEnd end)
 {
     UpstreamBook &book = m_shared.state.book();
     book.ended(entry.id, std::exchange(m_unread, 0));
@@ -402,26 +265,6 @@
     m_channel.reset();
 }
 
-asio::awaitable<bool> ForwardCall::sendHead()
-{
-    m_headDelivered = true;
-    // Named, as GCC 12 destroys a class temporary of an awaited call twice (its bug 98056 and kin).
-    AnswerHead head = makeHead();
-    co_return co_await m_caller.sendHead(std::move(head));
-}
-
-AnswerHead ForwardCall::makeHead() const
-{
-    AnswerHead head;
-    head.version(11);
-    copyEndToEnd(m_exchange->head(), &head.base());
-    head.result(m_exchange->status());
-    const bool chunked = m_request.version() >= 11;
-    head.chunked(chunked);
-    head.keep_alive(chunked && m_request.keep_alive() && !m_shared.stopping);
-    return head;
-}
-
 asio::awaitable<bool> ForwardCall::finish(ForwardDecision decision)
 {
     switch (decision.step) {
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -53,7 +53,7 @@
     SendEnd brokenEnd() const;
     SendEnd judgeHead() const;
     ForwardState stateNow(SendEnd end);
-    void noteEnd(const UpstreamEntry &entry, const Choice &choice, SendEnd end);
+    void noteEnd(const UpstreamEntry &entry, SendEnd end);
     void noteFirst();
 
     // The answer to the caller.
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -95,7 +95,7 @@
                                  Time now);
 
     /// A call was bound to an upstream.
-    void sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice, Time now);
+    void sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice);
 
     /// Its prompt was read: the first event came.
     void firstEvent(const UpstreamId &id, TokenCount unread);
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -168,8 +168,7 @@
     return best;
 }
 
-void UpstreamBook::sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice,
-                        Time /*now*/)
+void UpstreamBook::sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice)
 {
     Record &record = m_records[id];
     ++record.load.running;
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -112,7 +112,7 @@
         const auto home = one.choose(ask(parts), upstreams, start);
         Choice heavy = *home;
         heavy.unreadTokens = 400'000; // some ten seconds of reading
-        one.sent(home->upstream, ask(prompt(2)), heavy, start);
+        one.sent(home->upstream, ask(prompt(2)), heavy);
         const auto spilled = one.choose(ask(parts), upstreams, start);
         CPPUNIT_ASSERT(spilled->upstream != home->upstream);
     }
@@ -208,7 +208,7 @@
         const auto brief = shortPrompt(1);
         const auto quiet = one.choose(ask(brief), upstreams, start);
         for (int n = 0; n < 200; ++n)
-            one.sent(quiet->upstream, ask(brief), *quiet, start);
+            one.sent(quiet->upstream, ask(brief), *quiet);
         CPPUNIT_ASSERT(one.choose(ask(brief), upstreams, start)->upstream != quiet->upstream);
     }
 
@@ -218,8 +218,8 @@
         UpstreamBook one = book();
         const auto parts = prompt(1);
         const auto choice = one.choose(ask(parts), upstreams, start);
-        one.sent(choice->upstream, ask(parts), *choice, start);
-        one.sent(choice->upstream, ask(parts), *choice, start);
+        one.sent(choice->upstream, ask(parts), *choice);
+        one.sent(choice->upstream, ask(parts), *choice);
         CPPUNIT_ASSERT_EQUAL(2U, one.ownLoad().at(choice->upstream).running);
         one.firstEvent(choice->upstream, choice->unreadTokens);
         one.ended(choice->upstream, 0);
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -19,6 +19,9 @@
 constexpr std::int64_t descriptorsKept = 800;
 constexpr std::int64_t fewestConnections = 64;
 
+/// Memory that a caller's connection may take: what is read ahead and a request of usual size.
+constexpr std::int64_t connectionsPerMb = 16;
+
 /// Takes several endpoints out of one section; the first fault, if any.
 std::optional<std::string> takeEndpoints(const IniFile &file, IniReader &reader,
                                          std::string_view section,
@@ -69,7 +72,9 @@
         .takeText("zone", &state.zone.text)
         .takeInteger("memory_mb", 16, 1'000'000, &memoryMb)
         .takeInteger("descriptors", 256, 1'000'000, &descriptors);
-    const std::int64_t most = std::max(fewestConnections, descriptors - descriptorsKept);
+    const std::int64_t byMemory = memoryMb / 2 * connectionsPerMb;
+    const std::int64_t most =
+        std::max(fewestConnections, std::min(byMemory, descriptors - descriptorsKept));
     forwarder.mostConnections = static_cast<std::size_t>(most);
     peers.self.vm = state.vm;
     return takeEndpoints(file, reader, "gateway",
