placement: gateways tell each other where prompts lie, spilled ones are fetched

Cause: a gateway believed that a prompt's home held its shared parts, whether or not any engine had read them, and knew of no other holder.

Change: beats carry what was placed in the last 2.5 s (40 notes at most); parts that nobody is known to hold still go to their home but count as unread; a prompt that leaves its holder names it, so that the engine copies the cache instead of reading (only 1.5 s after it was placed there). Reading again weighs 6 instead of 3. The directory has an index by service. request-ended tells prompt, to_read, fetch_from and the longest pause.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -120,11 +120,16 @@
     return m_sends > 0 ? ErrorKind::DeadlineRunning : ErrorKind::DeadlineQueued;
 }
 
+ChoiceAsk ForwardCall::makeAsk() const
+{
+    return {m_service, m_facts.model, m_facts.prompt, &m_tried, m_table->service(m_service)};
+}
+
 /// Chooses an upstream and sends once. Nothing: send again; else what ends the call.
 asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendOnce()
 {
     GatewayState &state = m_shared.state;
-    ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried};
+    const ChoiceAsk ask = makeAsk();
     const Time now = RuntimeClock::now();
     const std::optional<Choice> choice = state.book().choose(ask, state.directory(), now);
     if (!choice) {
@@ -138,7 +143,11 @@
     m_lastUpstream = entry.id;
     m_lastCost = choice->cost;
     m_unread = choice->unreadTokens;
-    state.book().sent(entry.id, ask, *choice);
+    m_toRead = choice->unreadTokens;
+    m_fetchFrom.reset();
+    if (choice->fetchFrom)
+        m_fetchFrom = state.directory().find(*choice->fetchFrom)->address;
+    state.book().sent(entry.id, ask, *choice, now);
     const SendEnd end = co_await exchange(entry);
     noteEnd(entry, end);
     if (m_stop != Stop::None && end != SendEnd::Complete) {
@@ -174,8 +183,8 @@
         milliseconds(m_route->targetLatencyMs) / targetPartForSend, leastTimeForSend);
     now.timeLeft = timeLeft() > needed;
     now.mayHaveRun = m_mayHaveRun;
-    const ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried};
-    now.othersLeft = state.book().choose(ask, state.directory(), RuntimeClock::now()).has_value();
+    const auto other = state.book().choose(makeAsk(), state.directory(), RuntimeClock::now());
+    now.othersLeft = other.has_value();
     now.retryLeft = true;
     if (end == SendEnd::NotConnected)
         return now;
@@ -238,6 +247,7 @@
         facts.account = m_account->name;
     facts.urgency = m_table->urgencyOf(*m_route, m_account);
     facts.resumeAfter = m_events.lastId();
+    facts.fetchFrom = m_fetchFrom;
     m_shared.dialect.writeSend(m_request, facts, &call.fields);
     return call;
 }
@@ -352,9 +362,13 @@
         .with("state_age_ms", stateAgeMs())
         .with("upstream", m_lastUpstream.text)
         .with("cost", static_cast<std::int64_t>(m_lastCost))
+        .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
         .with("sends", m_sends)
         .with("misses", m_misses)
+        .with("prompt", m_facts.promptTokens)
+        .with("to_read", m_toRead)
         .with("events", m_events.events())
+        .with("longest_pause_ms", static_cast<std::int64_t>(toMillis(m_longestPause)))
         .with("first_ms",
               m_firstByte ? static_cast<std::int64_t>(toMillis(*m_firstByte - m_arrived)) : -1)
         .with("ms", static_cast<std::int64_t>(toMillis(now - m_arrived)))
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -41,6 +41,7 @@
     void watch();
 
     // Sends.
+    ChoiceAsk makeAsk() const;
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
     boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
     boost::asio::awaitable<SendEnd> exchange(const UpstreamEntry &entry);
@@ -89,7 +90,9 @@
     UpstreamId m_lastUpstream;
     std::string m_lastReason;
     double m_lastCost = 0;
+    TokenCount m_toRead = 0; ///< tokens that the last upstream was believed to have to read
     TokenCount m_unread = 0; ///< tokens of the send under way, without a first event
+    std::optional<Endpoint> m_fetchFrom; ///< of the send under way: whose cache to copy from
 
     UpstreamChannelPtr m_channel; ///< of the send under way
     std::optional<UpstreamExchange> m_exchange;
@@ -98,6 +101,8 @@
     bool m_headDelivered = false;
     bool m_bodyWhole = false; ///< an answer in pieces was delivered to its end
     std::optional<Time> m_firstByte;
+    Time m_lastEvent{}; ///< when events were last passed on
+    Duration m_longestPause{}; ///< between events that were passed on
 };
 
 } // namespace reachlead
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -136,6 +136,10 @@
 asio::awaitable<bool> ForwardCall::deliverEvents(const std::string &events)
 {
     noteFirst();
+    const Time now = RuntimeClock::now();
+    if (m_lastEvent != Time{})
+        m_longestPause = std::max(m_longestPause, Duration(now - m_lastEvent));
+    m_lastEvent = now;
     if (!m_headDelivered) {
         const bool sent = co_await sendHead();
         if (!sent)
--- a/src/include/reachlead/dialect.h
+++ b/src/include/reachlead/dialect.h
@@ -51,6 +51,7 @@
     std::optional<AccountName> account;
     std::optional<unsigned> urgency; ///< at a model engine; 0 is the most urgent
     std::optional<std::uint64_t> resumeAfter; ///< the last event that the caller was given
+    std::optional<Endpoint> fetchFrom; ///< an upstream that holds cached parts of the prompt
 };
 
 /// What an upstream's answer says of itself.
--- a/src/include/reachlead/promptcache.h
+++ b/src/include/reachlead/promptcache.h
@@ -8,26 +8,53 @@
 
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <reachlead/clock.h>
 #include <reachlead/dialect.h>
 
 namespace reachlead {
 
+/// Stands for a part of a prompt behind all the parts before it, for one model.
+using PromptKey = std::uint64_t;
+
+/// A part of a prompt with its key.
+struct KeyedPart
+{
+    PromptKey key = 0;
+    TokenCount tokens = 0;
+};
+
+/// A part of a prompt was placed on an upstream.
+struct PromptNote
+{
+    UpstreamId upstream;
+    PromptKey key = 0;
+
+    template <class Archive> void serialize(Archive &ar) { ar(upstream, key); }
+};
+
+/// The parts of a prompt with their keys, in order.
+std::vector<KeyedPart> keyParts(const std::string &model, std::span<const PromptPart> prompt);
+
 /// The parts of prompts that were sent to one upstream, least recently used first out. A belief: an
-/// engine may have dropped a part sooner. Not thread-safe.
+/// engine may have dropped a part sooner. Not thread-safe, reads no clock.
 class PromptCache
 {
 public:
-    /// Tokens at the head of \p prompt that are believed to be cached. A part counts only if all
+    /// Tokens at the head of \p parts that are believed to be cached. A part counts only if all
     /// parts before it do.
-    TokenCount cachedTokens(const std::string &model, std::span<const PromptPart> prompt) const;
+    TokenCount cachedTokens(std::span<const KeyedPart> parts) const;
 
-    /// The prompt was sent: its parts are cached from now on.
-    void note(const std::string &model, std::span<const PromptPart> prompt);
+    /// A prompt with this part was sent; the part is cached from now on. True when it is new.
+    bool note(PromptKey key, Time now);
+
+    /// Since when a part is believed to be cached; nothing when it is not.
+    std::optional<Time> cachedSince(PromptKey key) const;
 
     /// Forgets all, as after a restart of the upstream.
     void clear();
@@ -38,12 +65,15 @@
     static constexpr std::size_t mostParts = 800;
 
 private:
-    using Key = std::uint64_t;
-
-    void touch(Key key);
+    struct Held
+    {
+        PromptKey key = 0;
+        Time since;
+    };
+    using Order = std::list<Held>;
 
-    std::list<Key> m_order; ///< least recently used first
-    std::unordered_map<Key, std::list<Key>::iterator> m_parts;
+    Order m_order; ///< least recently used first
+    std::unordered_map<PromptKey, Order::iterator> m_parts;
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -68,10 +68,15 @@
     unsigned maxConnections = 0; ///< of one upstream, from all callers together; 0: not told
     unsigned engineSlots = 0; ///< requests that a model engine runs at once; 0: a plain service
     std::uint64_t engineMemoryTokens = 0; ///< tokens that an engine's cache holds
+    std::uint64_t engineTokenBytes = 0; ///< of one cached token; 0: caches cannot be copied
+    double engineLinkMbps = 0; ///< between engines; 0: caches cannot be copied
+
+    /// True when an engine can fetch cached parts from another.
+    bool canFetch() const { return engineTokenBytes > 0 && engineLinkMbps > 0; }
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(name, maxConnections, engineSlots, engineMemoryTokens);
+        ar(name, maxConnections, engineSlots, engineMemoryTokens, engineTokenBytes, engineLinkMbps);
     }
 };
 
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,7 @@
     std::string model; ///< prompts of different models share nothing
     std::span<const PromptPart> prompt; ///< empty for a plain service
     const std::set<UpstreamId> *tried = nullptr; ///< upstreams that are not to be taken
+    const ServiceInfo *info = nullptr; ///< what is known of the service; null: nothing
 };
 
 /// The outcome, with the inputs that decided it.
@@ -51,6 +53,7 @@
     TokenCount unreadTokens = 0; ///< of the prompt, that the upstream has to read
     double cost = 0; ///< ms; see UpstreamBook::Costs
     bool isHome = false; ///< the upstream is the one that all gateways prefer for this prompt
+    std::optional<UpstreamId> fetchFrom; ///< whose cache the shared parts are to be copied from
 };
 
 /// Load, health and cached prompts by upstream. Not thread-safe, reads no clock.
@@ -71,7 +74,7 @@
         double otherZone = 5.0;
         /// Reading a part again that some upstream holds wastes engine work and its price is more
         /// than the wait alone: a multiple of the time to read it.
-        double rereadFactor = 3.0;
+        double rereadFactor = 6.0;
         /// Part of a service's model engines that is kept free of long prompts: reading one slows
         /// the streams beside it to a step for each chunk, so short prompts go where none is read.
         double quietPart = 0.1;
@@ -81,10 +84,24 @@
         double shortOutside = 80.0;
         /// A long prompt in a quiet engine slows the streams that were promised quiet.
         double longInQuiet = 600.0;
+        /// Copying a part from the cache of another engine: the set-up of a transfer.
+        double fetchSetup = 20.0;
+        /// The price of a copy, for each 1,000 tokens: about half of that of reading again.
+        double fetchPerKiloToken = 90.0;
         /// An upstream whose circuit is open is taken only if there is no other.
         double unhealthy = 60'000.0;
     };
 
+    /// A part is fetched only from an engine that got it this long ago: it has read it by then,
+    /// unless it is far behind.
+    static constexpr Duration fetchAge = milliseconds(1500);
+
+    /// What is new of where prompts lie is told in each beat for this long: six beats reach thirty
+    /// gateways.
+    static constexpr Duration noteSpan = milliseconds(2500);
+    /// Notes in one beat: about 1 KB.
+    static constexpr std::size_t mostNotes = 40;
+
     UpstreamBook(ZoneName zone, const Costs &costs) : m_zone(std::move(zone)), m_costs(costs) { }
 
     /// Follows the directory: forgets upstreams that are gone.
@@ -95,7 +112,7 @@
                                  Time now);
 
     /// A call was bound to an upstream.
-    void sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice);
+    void sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice, Time now);
 
     /// Its prompt was read: the first event came.
     void firstEvent(const UpstreamId &id, TokenCount unread);
@@ -113,6 +130,11 @@
     /// This gateway's own load, to be told to others.
     LoadByUpstream ownLoad() const;
 
+    /// Where prompts were placed lately, to be told to other gateways.
+    std::vector<PromptNote> freshNotes(Time now);
+    /// What another gateway said of where prompts lie.
+    void learn(const std::vector<PromptNote> &notes, Time now);
+
     /// Load that a peer told counts this long: five of its reports.
     static constexpr Duration peerLoadAge = milliseconds(2500);
 
@@ -123,25 +145,64 @@
         Circuit circuit{circuitSettings()};
         PromptCache cache;
     };
+    struct FreshNote
+    {
+        PromptNote note;
+        Time at;
+    };
     struct PeerLoad
     {
         LoadByUpstream load;
         Time heard;
     };
 
+    /// An upstream that may be chosen.
+    struct Candidate
+    {
+        const UpstreamEntry *entry = nullptr;
+        bool isHealthy = true;
+        bool isQuiet = false;
+        TokenCount held = 0; ///< of the prompt, that it is believed to have cached
+        TokenCount heldShared = 0; ///< the same of the shared parts alone
+        double loadCost = 0; ///< ms; without the prompt that is asked for
+    };
+    /// A prompt that is to be placed, and where it lies.
+    struct Placement
+    {
+        std::vector<KeyedPart> parts;
+        TokenCount tokens = 0;
+        TokenCount sharedTokens = 0;
+        TokenCount mostHeld = 0; ///< of the shared parts, by any healthy candidate
+        std::optional<UpstreamId> home; ///< where all gateways send it while nobody holds it
+        const Candidate *source = nullptr; ///< holds mostHeld for longer than fetchAge
+
+        std::span<const KeyedPart> shared() const;
+    };
+
     static Circuit::Settings circuitSettings();
     UpstreamLoad totalLoad(const UpstreamId &id, Time now) const;
-    double costOf(const UpstreamEntry &entry, const ChoiceAsk &ask, bool isHome, Choice *choice,
-                  Time now);
+    std::vector<Candidate> candidates(const ChoiceAsk &ask, const Placement &placement,
+                                      const UpstreamDirectory &directory, Time now);
+    double loadCost(const UpstreamEntry &entry, bool isHealthy, Time now) const;
+    static Placement placementOf(const ChoiceAsk &ask);
+    void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
+                  Placement *placement) const;
+    void findSource(const std::vector<Candidate> &among, Time now, Placement *placement) const;
+    double readingCost(const Candidate &candidate, const ChoiceAsk &ask, const Placement &placement,
+                       Choice *choice) const;
+    double fetchCost(TokenCount tokens, const ServiceInfo &info) const;
     double quietCost(const ChoiceAsk &ask, bool isQuiet) const;
-    std::set<UpstreamId> quietEngines(const ServiceName &service,
-                                      const UpstreamDirectory &directory) const;
+    const std::set<UpstreamId> &quietEngines(const ServiceName &service,
+                                             const UpstreamDirectory &directory);
     bool isShort(const ChoiceAsk &ask) const;
 
     ZoneName m_zone;
     Costs m_costs;
     std::unordered_map<UpstreamId, Record> m_records;
     std::map<VmName, PeerLoad> m_peers;
+    std::deque<FreshNote> m_fresh; ///< oldest first
+    std::map<ServiceName, std::set<UpstreamId>> m_quiet; ///< as of m_quietAt changes
+    std::uint64_t m_quietAt = 0;
 };
 
 /// The upstream that all gateways prefer for a prompt: the highest of a hash over the prompt's
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -54,6 +54,14 @@
 class UpstreamDirectory
 {
 public:
+    UpstreamDirectory() = default;
+    // The index by service points into the entries, which keep their places when moved.
+    UpstreamDirectory(const UpstreamDirectory &) = delete;
+    UpstreamDirectory &operator=(const UpstreamDirectory &) = delete;
+    UpstreamDirectory(UpstreamDirectory &&) = default;
+    UpstreamDirectory &operator=(UpstreamDirectory &&) = default;
+    ~UpstreamDirectory() = default;
+
     /// What changed in the set of usable upstreams.
     struct Changed
     {
@@ -89,6 +97,13 @@
     const UpstreamEntry *find(const UpstreamId &id) const;
     const std::map<UpstreamId, UpstreamEntry> &entries() const { return m_entries; }
 
+    /// The upstreams of a service that take work, in the order of their ids. Valid until the next
+    /// change.
+    const std::vector<const UpstreamEntry *> &usableOf(const ServiceName &service) const;
+
+    /// Rises with each change of the entries.
+    std::uint64_t changes() const { return m_changes; }
+
     /// The registry's revision that the entries stand for; 0: nothing was heard yet.
     std::uint64_t revision() const { return m_revision; }
 
@@ -97,10 +112,15 @@
 private:
     bool holdsRemovals(Time now) const { return now < m_graceUntil; }
     void put(const UpstreamEntry &entry, Changed *changed);
+    void erase(const UpstreamId &id);
     void remove(const UpstreamId &id, Time now, Changed *changed);
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< held back until
+    std::uint64_t m_changes = 0;
+    /// Built when asked for, at m_indexedAt changes.
+    mutable std::map<ServiceName, std::vector<const UpstreamEntry *>> m_usable;
+    mutable std::uint64_t m_indexedAt = 0;
     std::uint64_t m_revision = 0;
     bool m_inContact = false;
     bool m_wasInContact = false; ///< at any time before
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -119,18 +119,29 @@
         CPPUNIT_ASSERT(tooLong);
     }
 
+    static std::vector<KeyedPart> parts(const std::string &model,
+                                        const std::vector<PromptPart> &prompt)
+    {
+        return keyParts(model, prompt);
+    }
+
+    static void note(PromptCache *cache, const std::string &model,
+                     const std::vector<PromptPart> &prompt)
+    {
+        for (const KeyedPart &part : keyParts(model, prompt))
+            cache->note(part.key, Time{});
+    }
+
     void partCountsOnlyBehindItsHead()
     {
         PromptCache cache;
         const std::vector<PromptPart> prompt{{1, 100}, {2, 50}, {3, 7}};
-        cache.note("m", prompt);
-        CPPUNIT_ASSERT_EQUAL(TokenCount{157}, cache.cachedTokens("m", prompt));
-        CPPUNIT_ASSERT_EQUAL(
-            TokenCount{150},
-            cache.cachedTokens("m", std::vector<PromptPart>{{1, 100}, {2, 50}, {9, 9}}));
-        CPPUNIT_ASSERT_EQUAL(TokenCount{0},
-                             cache.cachedTokens("m", std::vector<PromptPart>{{9, 100}, {2, 50}}));
-        CPPUNIT_ASSERT_EQUAL(TokenCount{0}, cache.cachedTokens("other", prompt));
+        note(&cache, "m", prompt);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{157}, cache.cachedTokens(parts("m", prompt)));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{150},
+                             cache.cachedTokens(parts("m", {{1, 100}, {2, 50}, {9, 9}})));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0}, cache.cachedTokens(parts("m", {{9, 100}, {2, 50}})));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0}, cache.cachedTokens(parts("other", prompt)));
     }
 
     void cacheForgetsTheLeastUsed()
@@ -138,13 +149,12 @@
         PromptCache cache;
         const std::vector<PromptPart> kept{{1, 10}};
         for (std::uint64_t n = 1; n <= 2 * PromptCache::mostParts; ++n) {
-            cache.note("m", std::vector<PromptPart>{{n, 10}});
-            cache.note("m", kept);
+            note(&cache, "m", {{n, 10}});
+            note(&cache, "m", kept);
         }
         CPPUNIT_ASSERT_EQUAL(PromptCache::mostParts, cache.size());
-        CPPUNIT_ASSERT_EQUAL(TokenCount{10}, cache.cachedTokens("m", kept));
-        CPPUNIT_ASSERT_EQUAL(TokenCount{0},
-                             cache.cachedTokens("m", std::vector<PromptPart>{{2, 10}}));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{10}, cache.cachedTokens(parts("m", kept)));
+        CPPUNIT_ASSERT_EQUAL(TokenCount{0}, cache.cachedTokens(parts("m", {{2, 10}})));
     }
 
     static std::set<VmName> fleet(std::size_t n)
--- a/src/libreachlead/promptcache.cpp
+++ b/src/libreachlead/promptcache.cpp
@@ -3,67 +3,62 @@
 
 #include <reachlead/promptcache.h>
 
+#include <iterator>
+
 #include <xxhash.h>
 
 namespace reachlead {
 
-namespace {
-
-/// Chains a part to all before it, so that equal parts after different ones differ.
-std::uint64_t chain(std::uint64_t before, const PromptPart &part)
-{
-    return XXH64(&part.id, sizeof part.id, before);
-}
-
-std::uint64_t beginOf(const std::string &model)
+std::vector<KeyedPart> keyParts(const std::string &model, std::span<const PromptPart> prompt)
 {
-    return XXH64(model.data(), model.size(), 0);
+    std::vector<KeyedPart> parts;
+    parts.reserve(prompt.size());
+    PromptKey key = XXH64(model.data(), model.size(), 0);
+    // Each key is made from the one before, so that equal parts behind different ones differ.
+    for (const PromptPart &part : prompt) {
+        key = XXH64(&part.id, sizeof part.id, key);
+        parts.push_back({key, part.tokens});
+    }
+    return parts;
 }
 
-} // namespace
-
-TokenCount PromptCache::cachedTokens(const std::string &model,
-                                     std::span<const PromptPart> prompt) const
+TokenCount PromptCache::cachedTokens(std::span<const KeyedPart> parts) const
 {
     TokenCount cached = 0;
-    std::uint64_t key = beginOf(model);
-    for (const PromptPart &part : prompt) {
-        key = chain(key, part);
-        if (!m_parts.contains(key))
+    for (const KeyedPart &part : parts) {
+        if (!m_parts.contains(part.key))
             break;
         cached += part.tokens;
     }
     return cached;
 }
 
-void PromptCache::note(const std::string &model, std::span<const PromptPart> prompt)
-{
-    std::uint64_t key = beginOf(model);
-    for (const PromptPart &part : prompt) {
-        key = chain(key, part);
-        touch(key);
-    }
-}
-
-void PromptCache::clear()
-{
-    m_order.clear();
-    m_parts.clear();
-}
-
-void PromptCache::touch(Key key)
+bool PromptCache::note(PromptKey key, Time now)
 {
     const auto it = m_parts.find(key);
     if (it != m_parts.end()) {
         m_order.splice(m_order.end(), m_order, it->second);
-        return;
+        return false;
     }
-    m_order.push_back(key);
+    m_order.push_back({key, now});
     m_parts.emplace(key, std::prev(m_order.end()));
     if (m_order.size() > mostParts) {
-        m_parts.erase(m_order.front());
+        m_parts.erase(m_order.front().key);
         m_order.pop_front();
     }
+    return true;
+}
+
+std::optional<Time> PromptCache::cachedSince(PromptKey key) const
+{
+    const auto it = m_parts.find(key);
+    return it == m_parts.end() ? std::nullopt : std::optional(it->second->since);
+}
+
+void PromptCache::clear()
+{
+    m_order.clear();
+    m_parts.clear();
 }
 
 } // namespace reachlead
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -18,6 +18,10 @@
 /// Sets the rank for quiet engines apart from the one for homes.
 constexpr std::uint64_t quietSalt = 0x71756965; // "quie"
 
+constexpr double bitsPerByte = 8.0;
+constexpr double bitsPerMsOfMbps = 1000.0; ///< a link of 1 Mbit/s carries this much in 1 ms
+constexpr double tokensPerKilo = 1000.0;
+
 TokenCount tokensOf(std::span<const PromptPart> prompt)
 {
     return std::transform_reduce(prompt.begin(), prompt.end(), TokenCount{0}, std::plus(),
@@ -80,27 +84,71 @@
     return total;
 }
 
-double UpstreamBook::costOf(const UpstreamEntry &entry, const ChoiceAsk &ask, bool isHome,
-                            Choice *choice, Time now)
+std::span<const KeyedPart> UpstreamBook::Placement::shared() const
+{
+    const std::span<const KeyedPart> all(parts);
+    return all.empty() ? all : all.first(all.size() - 1);
+}
+
+UpstreamBook::Placement UpstreamBook::placementOf(const ChoiceAsk &ask)
+{
+    Placement placement;
+    placement.parts = keyParts(ask.model, ask.prompt);
+    placement.tokens = tokensOf(ask.prompt);
+    placement.sharedTokens = tokensOf(sharedParts(ask.prompt));
+    return placement;
+}
+
+double UpstreamBook::fetchCost(TokenCount tokens, const ServiceInfo &info) const
+{
+    const auto n = static_cast<double>(tokens);
+    const double bits = n * bitsPerByte * static_cast<double>(info.engineTokenBytes);
+    const double wireMs = bits / (info.engineLinkMbps * bitsPerMsOfMbps);
+    return m_costs.fetchSetup + wireMs + m_costs.fetchPerKiloToken * n / tokensPerKilo;
+}
+
+/// The cost of what the engine has to read or fetch of the prompt; sets the choice's part of it.
+///
+/// Shared parts that nobody is known to hold are placed as if they lay at their home, so that all
+/// gateways send them there; the load counts them as what they are, parts to be read.
+double UpstreamBook::readingCost(const Candidate &candidate, const ChoiceAsk &ask,
+                                 const Placement &placement, Choice *choice) const
+{
+    const double readMs = 1.0 / m_costs.tokensPerMs;
+    const bool isCold = placement.mostHeld == 0;
+    const TokenCount mostHeld = isCold ? placement.sharedTokens : placement.mostHeld;
+    const TokenCount held = isCold && choice->isHome
+        ? std::max(candidate.held, placement.sharedTokens)
+        : candidate.held;
+    const TokenCount again = mostHeld - std::min(mostHeld, held);
+    const TokenCount unread = placement.tokens - std::min(placement.tokens, held);
+    choice->unreadTokens = placement.tokens - std::min(placement.tokens, candidate.held);
+    double cost = readMs * static_cast<double>(unread);
+    cost += m_costs.rereadFactor * readMs * static_cast<double>(again);
+    const bool canFetch =
+        again > 0 && placement.source != nullptr && ask.info != nullptr && ask.info->canFetch();
+    if (!canFetch)
+        return cost;
+    const TokenCount rest = unread - std::min(unread, again);
+    const double fetched = readMs * static_cast<double>(rest) + fetchCost(again, *ask.info);
+    if (fetched >= cost)
+        return cost;
+    choice->unreadTokens = rest;
+    choice->fetchFrom = placement.source->entry->id;
+    return fetched;
+}
+
+/// What it costs to be behind the work that an upstream has.
+double UpstreamBook::loadCost(const UpstreamEntry &entry, bool isHealthy, Time now) const
 {
-    Record &record = m_records[entry.id];
     const UpstreamLoad load = totalLoad(entry.id, now);
-    const TokenCount shared = tokensOf(sharedParts(ask.prompt));
-    const TokenCount held = record.cache.cachedTokens(ask.model, ask.prompt);
-    // The home has what other gateways sent there, whether or not this one did.
-    const TokenCount cached = isHome ? std::max(held, shared) : held;
-    const TokenCount prompt = tokensOf(ask.prompt);
-    const TokenCount unread = prompt - std::min(prompt, cached);
-    const TokenCount reread = shared - std::min(shared, cached);
-    choice->unreadTokens = unread;
-    double cost = static_cast<double>(load.unreadTokens + unread) / m_costs.tokensPerMs;
-    cost += m_costs.rereadFactor * static_cast<double>(reread) / m_costs.tokensPerMs;
+    double cost = static_cast<double>(load.unreadTokens) / m_costs.tokensPerMs;
     cost += m_costs.perRunning * load.running;
     if (load.running >= entry.slots)
         cost += m_costs.perQueued * (load.running - entry.slots + 1);
     if (entry.zone != m_zone)
         cost += m_costs.otherZone;
-    if (!record.circuit.allows(now))
+    if (!isHealthy)
         cost += m_costs.unhealthy;
     return cost;
 }
@@ -112,22 +160,24 @@
 
 /// The engines of a service that all gateways keep for short prompts: the first of a hash over
 /// their ids.
-std::set<UpstreamId> UpstreamBook::quietEngines(const ServiceName &service,
-                                                const UpstreamDirectory &directory) const
+const std::set<UpstreamId> &UpstreamBook::quietEngines(const ServiceName &service,
+                                                       const UpstreamDirectory &directory)
 {
+    if (std::exchange(m_quietAt, directory.changes()) != directory.changes())
+        m_quiet.clear();
+    const auto [it, fresh] = m_quiet.try_emplace(service);
+    if (!fresh)
+        return it->second;
     std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
-    for (const UpstreamEntry &entry : directory.entries() | std::views::values) {
-        if (entry.service == service && !entry.leaving)
-            ranked.emplace_back(XXH64(entry.id.text.data(), entry.id.text.size(), quietSalt),
-                                entry.id);
-    }
+    for (const UpstreamEntry *entry : directory.usableOf(service))
+        ranked.emplace_back(XXH64(entry->id.text.data(), entry->id.text.size(), quietSalt),
+                            entry->id);
     const double part = m_costs.quietPart * static_cast<double>(ranked.size());
     const auto wanted = static_cast<std::size_t>(std::lround(part));
     std::ranges::sort(ranked);
-    std::set<UpstreamId> quiet;
     for (const auto &[rank, id] : ranked | std::views::take(wanted))
-        quiet.insert(id);
-    return quiet;
+        it->second.insert(id);
+    return it->second;
 }
 
 double UpstreamBook::quietCost(const ChoiceAsk &ask, bool isQuiet) const
@@ -137,46 +187,121 @@
     return isQuiet ? m_costs.longInQuiet : m_costs.shortOutside;
 }
 
-std::optional<Choice> UpstreamBook::choose(const ChoiceAsk &ask, const UpstreamDirectory &directory,
-                                           Time now)
+std::vector<UpstreamBook::Candidate> UpstreamBook::candidates(const ChoiceAsk &ask,
+                                                              const Placement &placement,
+                                                              const UpstreamDirectory &directory,
+                                                              Time now)
 {
-    std::set<UpstreamId> quiet;
-    if (!ask.prompt.empty())
-        quiet = quietEngines(ask.service, directory);
-    const bool wantsQuiet = isShort(ask) && !quiet.empty();
-    std::vector<const UpstreamEntry *> usable;
-    std::vector<const UpstreamEntry *> homes; // where the prompt may be at home
-    for (const UpstreamEntry &entry : directory.entries() | std::views::values) {
-        const bool wasTried = ask.tried != nullptr && ask.tried->contains(entry.id);
-        if (entry.service != ask.service || entry.leaving || wasTried)
+    static const std::set<UpstreamId> none;
+    const std::set<UpstreamId> &quiet =
+        ask.prompt.empty() ? none : quietEngines(ask.service, directory);
+    std::vector<Candidate> all;
+    for (const UpstreamEntry *entry : directory.usableOf(ask.service)) {
+        if (ask.tried != nullptr && ask.tried->contains(entry->id))
             continue;
-        usable.push_back(&entry);
-        if (quiet.contains(entry.id) == wantsQuiet)
-            homes.push_back(&entry);
+        Record &record = m_records[entry->id];
+        Candidate candidate{entry};
+        candidate.isHealthy = record.circuit.allows(now);
+        candidate.isQuiet = quiet.contains(entry->id);
+        candidate.held = record.cache.cachedTokens(placement.parts);
+        candidate.heldShared = record.cache.cachedTokens(placement.shared());
+        candidate.loadCost = loadCost(*entry, candidate.isHealthy, now);
+        all.push_back(candidate);
+    }
+    return all;
+}
+
+/// The home is among the healthy engines of the prompt's kind, if there are any.
+void UpstreamBook::findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
+                            Placement *placement) const
+{
+    if (sharedParts(ask.prompt).empty())
+        return;
+    const bool wantsQuiet = isShort(ask) && std::ranges::any_of(among, &Candidate::isQuiet);
+    std::vector<const UpstreamEntry *> fit;
+    std::vector<const UpstreamEntry *> any;
+    for (const Candidate &candidate : among) {
+        any.push_back(candidate.entry);
+        if (candidate.isHealthy && candidate.isQuiet == wantsQuiet)
+            fit.push_back(candidate.entry);
     }
-    const std::optional<UpstreamId> home = homeOf(ask, homes.empty() ? usable : homes);
+    placement->home = homeOf(ask, fit.empty() ? any : fit);
+}
+
+/// The least loaded of the engines that hold most of the shared parts, and have read them by now.
+void UpstreamBook::findSource(const std::vector<Candidate> &among, Time now,
+                              Placement *placement) const
+{
+    for (const Candidate &candidate : among) {
+        if (candidate.isHealthy)
+            placement->mostHeld = std::max(placement->mostHeld, candidate.heldShared);
+    }
+    if (placement->mostHeld == 0)
+        return;
+    const PromptKey last = placement->shared().back().key;
+    for (const Candidate &candidate : among) {
+        if (!candidate.isHealthy || candidate.heldShared < placement->mostHeld)
+            continue;
+        const auto since = m_records.at(candidate.entry->id).cache.cachedSince(last);
+        const bool isRead = since && *since + fetchAge < now;
+        const Candidate *best = placement->source;
+        if (isRead && (best == nullptr || candidate.loadCost < best->loadCost))
+            placement->source = &candidate;
+    }
+}
+
+std::optional<Choice> UpstreamBook::choose(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                           Time now)
+{
+    Placement placement = placementOf(ask);
+    const std::vector<Candidate> all = candidates(ask, placement, directory, now);
+    findHome(ask, all, &placement);
+    findSource(all, now, &placement);
     std::optional<Choice> best;
-    for (const UpstreamEntry *entry : usable) {
+    for (const Candidate &candidate : all) {
         Choice choice;
-        choice.upstream = entry->id;
-        choice.isHome = home == entry->id;
-        choice.cost = costOf(*entry, ask, choice.isHome, &choice, now);
-        choice.cost += quietCost(ask, quiet.contains(entry->id));
+        choice.upstream = candidate.entry->id;
+        choice.isHome = placement.home == candidate.entry->id;
+        choice.cost = candidate.loadCost + quietCost(ask, candidate.isQuiet);
+        choice.cost += readingCost(candidate, ask, placement, &choice);
         if (!best || choice.cost < best->cost)
             best = choice;
     }
     return best;
 }
 
-void UpstreamBook::sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice)
+void UpstreamBook::sent(const UpstreamId &id, const ChoiceAsk &ask, const Choice &choice, Time now)
 {
     Record &record = m_records[id];
     ++record.load.running;
     record.load.unreadTokens += choice.unreadTokens;
-    record.cache.note(ask.model, ask.prompt);
+    const Placement placement = placementOf(ask);
+    for (const KeyedPart &part : placement.shared()) {
+        if (record.cache.note(part.key, now))
+            m_fresh.push_back({{id, part.key}, now});
+    }
+    if (!placement.parts.empty())
+        record.cache.note(placement.parts.back().key, now);
     record.circuit.sent();
 }
 
+std::vector<PromptNote> UpstreamBook::freshNotes(Time now)
+{
+    while (!m_fresh.empty() && (m_fresh.front().at + noteSpan < now || m_fresh.size() > mostNotes))
+        m_fresh.pop_front();
+    std::vector<PromptNote> notes;
+    std::ranges::transform(m_fresh, std::back_inserter(notes), &FreshNote::note);
+    return notes;
+}
+
+void UpstreamBook::learn(const std::vector<PromptNote> &notes, Time now)
+{
+    for (const PromptNote &note : notes) {
+        if (const auto it = m_records.find(note.upstream); it != m_records.end())
+            it->second.cache.note(note.key, now);
+    }
+}
+
 void UpstreamBook::firstEvent(const UpstreamId &id, TokenCount unread)
 {
     if (const auto it = m_records.find(id); it != m_records.end())
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -25,6 +25,11 @@
     CPPUNIT_TEST(endedCallsLeaveNoLoad);
     CPPUNIT_TEST(shortPromptsKeepToQuietEngines);
     CPPUNIT_TEST(loadedQuietEngineSpills);
+    CPPUNIT_TEST(promptFollowsWhatPeersTold);
+    CPPUNIT_TEST(spilledPromptIsFetchedFromItsHolder);
+    CPPUNIT_TEST(nothingIsFetchedBeforeItWasRead);
+    CPPUNIT_TEST(coldPromptCountsAsUnread);
+    CPPUNIT_TEST(notesAreToldForAWhileAndBounded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -112,7 +117,7 @@
         const auto home = one.choose(ask(parts), upstreams, start);
         Choice heavy = *home;
         heavy.unreadTokens = 400'000; // some ten seconds of reading
-        one.sent(home->upstream, ask(prompt(2)), heavy);
+        one.sent(home->upstream, ask(prompt(2)), heavy, start);
         const auto spilled = one.choose(ask(parts), upstreams, start);
         CPPUNIT_ASSERT(spilled->upstream != home->upstream);
     }
@@ -208,18 +213,116 @@
         const auto brief = shortPrompt(1);
         const auto quiet = one.choose(ask(brief), upstreams, start);
         for (int n = 0; n < 200; ++n)
-            one.sent(quiet->upstream, ask(brief), *quiet);
+            one.sent(quiet->upstream, ask(brief), *quiet, start);
         CPPUNIT_ASSERT(one.choose(ask(brief), upstreams, start)->upstream != quiet->upstream);
     }
 
+    /// An upstream that is not the home of a prompt, and not kept quiet.
+    static UpstreamId otherThan(const UpstreamId &home)
+    {
+        return UpstreamId(home == UpstreamId("u1") ? "u2" : "u1");
+    }
+
+    void promptFollowsWhatPeersTold()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook teller = book();
+        UpstreamBook hearer = book();
+        const auto parts = prompt(1);
+        Choice choice = *hearer.choose(ask(parts), upstreams, start);
+        const UpstreamId home = choice.upstream;
+        choice.upstream = otherThan(home);
+        teller.sent(choice.upstream, ask(parts), choice, start);
+        const std::vector<PromptNote> notes = teller.freshNotes(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notes.size()); // the last part is no one else's
+        hearer.learn(notes, start);
+        CPPUNIT_ASSERT_EQUAL(choice.upstream.text,
+                             hearer.choose(ask(parts), upstreams, start)->upstream.text);
+    }
+
+    static ServiceInfo fetchable()
+    {
+        ServiceInfo info;
+        info.engineTokenBytes = 18'432;
+        info.engineLinkMbps = 180'000;
+        return info;
+    }
+
+    /// The choice for a prompt whose holder is behind by ten seconds and more.
+    static Choice choiceBesideLoadedHolder(Duration sinceHeld, UpstreamId *holder)
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        const ServiceInfo info = fetchable();
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        ChoiceAsk wanted = ask(parts);
+        wanted.info = &info;
+        Choice choice = *one.choose(wanted, upstreams, start);
+        *holder = choice.upstream;
+        choice.unreadTokens = 400'000;
+        one.sent(choice.upstream, wanted, choice, start);
+        return *one.choose(wanted, upstreams, start + sinceHeld);
+    }
+
+    void spilledPromptIsFetchedFromItsHolder()
+    {
+        UpstreamId holder;
+        const Choice spilled =
+            choiceBesideLoadedHolder(UpstreamBook::fetchAge + milliseconds(1), &holder);
+        CPPUNIT_ASSERT(spilled.upstream != holder);
+        CPPUNIT_ASSERT(spilled.fetchFrom == holder);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{3'000}, spilled.unreadTokens);
+    }
+
+    void nothingIsFetchedBeforeItWasRead()
+    {
+        UpstreamId holder;
+        const Choice spilled =
+            choiceBesideLoadedHolder(UpstreamBook::fetchAge - milliseconds(1), &holder);
+        CPPUNIT_ASSERT(spilled.upstream != holder);
+        CPPUNIT_ASSERT(!spilled.fetchFrom);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{16'000}, spilled.unreadTokens);
+    }
+
+    void coldPromptCountsAsUnread()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book();
+        const auto parts = prompt(1);
+        const Choice cold = *one.choose(ask(parts), upstreams, start);
+        CPPUNIT_ASSERT(cold.isHome);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{16'000}, cold.unreadTokens);
+        one.sent(cold.upstream, ask(parts), cold, start);
+        const std::vector<PromptPart> next{parts.front(), {4711, 2'000}};
+        const Choice warm = *one.choose(ask(next), upstreams, start);
+        CPPUNIT_ASSERT_EQUAL(cold.upstream.text, warm.upstream.text);
+        CPPUNIT_ASSERT_EQUAL(TokenCount{2'000}, warm.unreadTokens);
+    }
+
+    void notesAreToldForAWhileAndBounded()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        UpstreamBook one = book();
+        for (std::uint64_t subject = 1; subject <= 2 * UpstreamBook::mostNotes; ++subject) {
+            const auto parts = prompt(subject);
+            const Choice choice = *one.choose(ask(parts), upstreams, start);
+            one.sent(choice.upstream, ask(parts), choice, start);
+        }
+        CPPUNIT_ASSERT_EQUAL(UpstreamBook::mostNotes, one.freshNotes(start).size());
+        CPPUNIT_ASSERT_EQUAL(UpstreamBook::mostNotes,
+                             one.freshNotes(start + UpstreamBook::noteSpan).size());
+        const Time later = start + UpstreamBook::noteSpan + milliseconds(1);
+        CPPUNIT_ASSERT(one.freshNotes(later).empty());
+    }
+
     void endedCallsLeaveNoLoad()
     {
         const UpstreamDirectory upstreams = directory(3);
         UpstreamBook one = book();
         const auto parts = prompt(1);
         const auto choice = one.choose(ask(parts), upstreams, start);
-        one.sent(choice->upstream, ask(parts), *choice);
-        one.sent(choice->upstream, ask(parts), *choice);
+        one.sent(choice->upstream, ask(parts), *choice, start);
+        one.sent(choice->upstream, ask(parts), *choice, start);
         CPPUNIT_ASSERT_EQUAL(2U, one.ownLoad().at(choice->upstream).running);
         one.firstEvent(choice->upstream, choice->unreadTokens);
         one.ended(choice->upstream, 0);
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -83,7 +83,7 @@
             ++it;
             continue;
         }
-        m_entries.erase(it->first);
+        erase(it->first);
         changed.left.push_back(it->first);
         it = m_missing.erase(it);
     }
@@ -96,12 +96,35 @@
     return it == m_entries.end() ? nullptr : &it->second;
 }
 
+const std::vector<const UpstreamEntry *> &
+UpstreamDirectory::usableOf(const ServiceName &service) const
+{
+    static const std::vector<const UpstreamEntry *> none;
+    if (m_indexedAt != m_changes) {
+        m_usable.clear();
+        for (const UpstreamEntry &entry : m_entries | std::views::values) {
+            if (!entry.leaving)
+                m_usable[entry.service].push_back(&entry);
+        }
+        m_indexedAt = m_changes;
+    }
+    const auto it = m_usable.find(service);
+    return it == m_usable.end() ? none : it->second;
+}
+
+void UpstreamDirectory::erase(const UpstreamId &id)
+{
+    ++m_changes;
+    m_entries.erase(id);
+}
+
 void UpstreamDirectory::put(const UpstreamEntry &entry, Changed *changed)
 {
     m_missing.erase(entry.id);
     const auto [it, fresh] = m_entries.try_emplace(entry.id, entry);
     if (entry.revision < it->second.revision)
         return; // a page that was read before the change that is known
+    ++m_changes;
     const bool wasLeaving = !fresh && it->second.leaving;
     it->second = entry;
     if (fresh && !entry.leaving)
@@ -120,7 +143,7 @@
         return;
     }
     m_missing.erase(id);
-    m_entries.erase(it);
+    erase(id);
     changed->left.push_back(id);
 }
 
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -12,6 +12,7 @@
 {
     CPPUNIT_TEST_SUITE(UpstreamDirectoryTest);
     CPPUNIT_TEST(changesTakeEffectAtOnce);
+    CPPUNIT_TEST(usableUpstreamsAreFoundByService);
     CPPUNIT_TEST(olderListChangesNothing);
     CPPUNIT_TEST(olderPageDoesNotUndoAChange);
     CPPUNIT_TEST(entriesThatLapsedWithTheRegistryAreKept);
@@ -54,6 +55,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, changed.left.size());
     }
 
+    void usableUpstreamsAreFoundByService()
+    {
+        UpstreamDirectory directory = known();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.usableOf(ServiceName("s")).size());
+        CPPUNIT_ASSERT(directory.usableOf(ServiceName("other")).empty());
+        UpstreamEntry other = entry("c", 11);
+        other.service = ServiceName("other");
+        directory.apply({{other, false}, {entry("b", 11, true), false}}, 11, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usableOf(ServiceName("s")).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.usableOf(ServiceName("other")).size());
+        directory.apply({removal("a")}, 12, start);
+        CPPUNIT_ASSERT(directory.usableOf(ServiceName("s")).empty());
+    }
+
     void olderListChangesNothing()
     {
         UpstreamDirectory directory = known();
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -25,13 +25,14 @@
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
     LoadByUpstream load;
+    std::vector<PromptNote> prompts; ///< placed lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
 
     static constexpr std::int32_t unknownAge = -1;
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, configVersion, registryRevision, ageMs, load, sample);
+        ar(from, incarnation, configVersion, registryRevision, ageMs, load, prompts, sample);
     }
 };
 
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -65,12 +65,15 @@
         beat.configVersion = 3;
         beat.ageMs = 120;
         beat.load = {{UpstreamId("u"), {3, 4000}}};
+        beat.prompts = {{UpstreamId("u"), 12345}};
         beat.sample = {{VmName("other"), {"10.0.0.3", 7340}}};
         std::string reason;
         const auto read = decodeBeat(encodeBeat(beat), &reason);
         CPPUNIT_ASSERT_MESSAGE(reason, read.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("vm"), read->from.vm.text);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4000}, read->load.at(UpstreamId("u")).unreadTokens);
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), read->prompts.at(0).upstream.text);
+        CPPUNIT_ASSERT_EQUAL(PromptKey{12345}, read->prompts.at(0).key);
         CPPUNIT_ASSERT_EQUAL(std::string("other"), read->sample.at(0).vm.text);
     }
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -137,6 +137,7 @@
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = m_state.book().ownLoad();
+    beat.prompts = m_state.book().freshNotes(RuntimeClock::now());
     while (beat.load.size() > mostLoads)
         beat.load.erase(std::prev(beat.load.end()));
     const Time now = RuntimeClock::now();
@@ -240,6 +241,7 @@
     takeSample(beat.sample, now);
     m_state.noteGateways(m_peers.size() + 1);
     m_state.book().setPeerLoad(beat.from.vm, beat.load, now);
+    m_state.book().learn(beat.prompts, now);
     if (!isBehind(beat)) {
         m_behindSince.reset();
         // Whoever has the same state vouches for this gateway's.
