placement: each zone has its quiet engine where there are enough of them

Cause: the quiet engines were the first of a hash over all ids, so zones had several or none, and short prompts crossed zones to them.

Change: quiet engines are taken zone by zone; a short prompt's home is a quiet engine of its own zone if there is one, and what other zones hold of it does not count. Another zone costs 15 ms instead of 5. `[peers] beat_ms` sets the interval of beats.

--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -71,7 +71,7 @@
         /// Waiting for a slot of a plain service that has none free: about one call's work.
         double perQueued = 30.0;
         /// Another availability zone: bytes across zones cost, and the way there and back.
-        double otherZone = 5.0;
+        double otherZone = 15.0;
         /// Reading a part again that some upstream holds wastes engine work and its price is more
         /// than the wait alone: a multiple of the time to read it.
         double rereadFactor = 6.0;
@@ -187,7 +187,8 @@
     static Placement placementOf(const ChoiceAsk &ask);
     void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
                   Placement *placement) const;
-    void findSource(const std::vector<Candidate> &among, Time now, Placement *placement) const;
+    void findSource(const ChoiceAsk &ask, const std::vector<Candidate> &among, Time now,
+                    Placement *placement) const;
     double readingCost(const Candidate &candidate, const ChoiceAsk &ask, const Placement &placement,
                        Choice *choice) const;
     double fetchCost(TokenCount tokens, const ServiceInfo &info) const;
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -34,6 +34,21 @@
     return prompt.empty() ? prompt : prompt.first(prompt.size() - 1);
 }
 
+std::uint64_t quietHash(const UpstreamId &id)
+{
+    return XXH64(id.text.data(), id.text.size(), quietSalt);
+}
+
+/// An engine's place in the order in which engines are kept quiet.
+struct RankedEngine
+{
+    std::size_t round = 0; ///< its place in its zone
+    std::uint64_t hash = 0;
+    UpstreamId id;
+
+    auto operator<=>(const RankedEngine &) const = default;
+};
+
 /// What a finished count gives back, never below zero.
 template <class T> void takeOff(T *value, T n)
 {
@@ -159,7 +174,7 @@
 }
 
 /// The engines of a service that all gateways keep for short prompts: the first of a hash over
-/// their ids.
+/// their ids in each availability zone, zone by zone in turn.
 const std::set<UpstreamId> &UpstreamBook::quietEngines(const ServiceName &service,
                                                        const UpstreamDirectory &directory)
 {
@@ -168,15 +183,22 @@
     const auto [it, fresh] = m_quiet.try_emplace(service);
     if (!fresh)
         return it->second;
-    std::vector<std::pair<std::uint64_t, UpstreamId>> ranked;
+    std::map<ZoneName, std::vector<RankedEngine>> byZone;
     for (const UpstreamEntry *entry : directory.usableOf(service))
-        ranked.emplace_back(XXH64(entry->id.text.data(), entry->id.text.size(), quietSalt),
-                            entry->id);
+        byZone[entry->zone].push_back({0, quietHash(entry->id), entry->id});
+    std::vector<RankedEngine> ranked;
+    for (std::vector<RankedEngine> &engines : byZone | std::views::values) {
+        std::ranges::sort(engines);
+        for (std::size_t n = 0; n < engines.size(); ++n) {
+            engines[n].round = n;
+            ranked.push_back(engines[n]);
+        }
+    }
+    std::ranges::sort(ranked);
     const double part = m_costs.quietPart * static_cast<double>(ranked.size());
     const auto wanted = static_cast<std::size_t>(std::lround(part));
-    std::ranges::sort(ranked);
-    for (const auto &[rank, id] : ranked | std::views::take(wanted))
-        it->second.insert(id);
+    for (const RankedEngine &engine : ranked | std::views::take(wanted))
+        it->second.insert(engine.id);
     return it->second;
 }
 
@@ -218,22 +240,32 @@
     if (sharedParts(ask.prompt).empty())
         return;
     const bool wantsQuiet = isShort(ask) && std::ranges::any_of(among, &Candidate::isQuiet);
+    std::vector<const UpstreamEntry *> near;
     std::vector<const UpstreamEntry *> fit;
     std::vector<const UpstreamEntry *> any;
     for (const Candidate &candidate : among) {
         any.push_back(candidate.entry);
-        if (candidate.isHealthy && candidate.isQuiet == wantsQuiet)
-            fit.push_back(candidate.entry);
+        if (!candidate.isHealthy || candidate.isQuiet != wantsQuiet)
+            continue;
+        fit.push_back(candidate.entry);
+        if (wantsQuiet && candidate.entry->zone == m_zone)
+            near.push_back(candidate.entry);
     }
-    placement->home = homeOf(ask, fit.empty() ? any : fit);
+    if (!near.empty())
+        placement->home = homeOf(ask, near);
+    else
+        placement->home = homeOf(ask, fit.empty() ? any : fit);
 }
 
 /// The least loaded of the engines that hold most of the shared parts, and have read them by now.
-void UpstreamBook::findSource(const std::vector<Candidate> &among, Time now,
+void UpstreamBook::findSource(const ChoiceAsk &ask, const std::vector<Candidate> &among, Time now,
                               Placement *placement) const
 {
+    // Reading a short prompt's shared part again costs less than sending it to another zone.
+    const bool staysInZone = isShort(ask);
     for (const Candidate &candidate : among) {
-        if (candidate.isHealthy)
+        const bool counts = !staysInZone || candidate.entry->zone == m_zone;
+        if (candidate.isHealthy && counts)
             placement->mostHeld = std::max(placement->mostHeld, candidate.heldShared);
     }
     if (placement->mostHeld == 0)
@@ -256,7 +288,7 @@
     Placement placement = placementOf(ask);
     const std::vector<Candidate> all = candidates(ask, placement, directory, now);
     findHome(ask, all, &placement);
-    findSource(all, now, &placement);
+    findSource(ask, all, now, &placement);
     std::optional<Choice> best;
     for (const Candidate &candidate : all) {
         Choice choice;
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(endedCallsLeaveNoLoad);
     CPPUNIT_TEST(shortPromptsKeepToQuietEngines);
     CPPUNIT_TEST(loadedQuietEngineSpills);
+    CPPUNIT_TEST(everyZoneHasItsQuietEngine);
     CPPUNIT_TEST(promptFollowsWhatPeersTold);
     CPPUNIT_TEST(spilledPromptIsFetchedFromItsHolder);
     CPPUNIT_TEST(nothingIsFetchedBeforeItWasRead);
@@ -217,6 +218,20 @@
         CPPUNIT_ASSERT(one.choose(ask(brief), upstreams, start)->upstream != quiet->upstream);
     }
 
+    void everyZoneHasItsQuietEngine()
+    {
+        const UpstreamDirectory upstreams = directory(30); // three quiet ones
+        for (const char *zone : {"z0", "z1", "z2"}) {
+            UpstreamBook one = book(zone);
+            for (std::uint64_t subject = 1; subject <= 50; ++subject) {
+                const auto brief = shortPrompt(subject);
+                const auto choice = one.choose(ask(brief), upstreams, start);
+                const UpstreamEntry &taken = *upstreams.find(choice->upstream);
+                CPPUNIT_ASSERT_EQUAL(std::string(zone), taken.zone.text);
+            }
+        }
+    }
+
     /// An upstream that is not the home of a prompt, and not kept quiet.
     static UpstreamId otherThan(const UpstreamId &home)
     {
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -86,8 +86,12 @@
 {
     std::vector<std::string> seeds;
     std::int64_t port = 0;
+    double beatMs = toMillis(peers.beatInterval);
     IniReader reader(file, "peers");
-    reader.require("port").takeInteger("port", 0, 65535, &port);
+    reader.require("port")
+        .takeInteger("port", 0, 65535, &port)
+        .takeNumber("beat_ms", 50.0, 10'000.0, &beatMs);
+    peers.beatInterval = fromSeconds(beatMs / 1000.0);
     if (reader.has("seeds"))
         reader.takeList("seeds", &seeds);
     if (auto fault = takeEndpoints(file, reader, "peers", {{"address", &peers.self.address}}))
