peer: gateways prove that they belong to the fleet

Cause: whoever reached a gateway's peer port could tell it a configuration and the accounts' keys.

Change: beats, questions and news carry an HMAC-SHA256 tag of 16 bytes by the keys of `[peers] keys`; news are bound to the question's nonce; a beat whose sequence is not above the last of the same life is dropped. Strangers are counted and logged. SIGHUP takes over changed keys. Without keys nothing is checked, as for routers and agents.

Ruled out: a key in the platform's store. A gateway that the store turns away from its start on could not read it, and must follow its peers just then.

--- a/src/include/reachlead/fleetkeys.h
+++ b/src/include/reachlead/fleetkeys.h
@@ -37,7 +37,14 @@
     /// True when one of the keys made the proof, or when there are no keys. Constant time.
     bool verify(std::string_view text, std::string_view proof) const;
 
+    /// The same as raw bytes, cut to tagSize; empty without keys.
+    std::string tag(std::string_view text) const;
+
+    /// True when one of the keys made the tag, or when there are no keys. Constant time.
+    bool verifyTag(std::string_view text, std::string_view tag) const;
+
     static constexpr std::size_t shortestKey = 16; ///< bytes
+    static constexpr std::size_t tagSize = 16; ///< bytes; RFC 2104 asks for half of the digest
 
 private:
     std::vector<std::string> m_keys;
--- a/src/libreachlead/fleetkeys.cpp
+++ b/src/libreachlead/fleetkeys.cpp
@@ -21,18 +21,34 @@
 
 constexpr Duration lookInterval = seconds(1);
 
-std::string hmacHex(const std::string &key, std::string_view text)
+std::string hmac(const std::string &key, std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned size = 0;
     HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
          reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
+    return {digest.begin(), digest.begin() + size};
+}
+
+std::string hmacHex(const std::string &key, std::string_view text)
+{
     std::string out;
-    for (unsigned n = 0; n < size; ++n)
-        out += fmt::format("{:02x}", digest[n]);
+    for (const char byte : hmac(key, text))
+        out += fmt::format("{:02x}", static_cast<unsigned char>(byte));
     return out;
 }
 
+std::string hmacTag(const std::string &key, std::string_view text)
+{
+    return hmac(key, text).substr(0, FleetKeys::tagSize);
+}
+
+bool isEqual(std::string_view expected, std::string_view given)
+{
+    return expected.size() == given.size()
+        && CRYPTO_memcmp(expected.data(), given.data(), given.size()) == 0;
+}
+
 } // namespace
 
 std::optional<FleetKeys> FleetKeys::parse(std::string_view text, std::string *reason)
@@ -64,11 +80,21 @@
 {
     if (m_keys.empty())
         return true;
-    return std::ranges::any_of(m_keys, [&](const std::string &key) {
-        const std::string expected = hmacHex(key, text);
-        return expected.size() == proof.size()
-            && CRYPTO_memcmp(expected.data(), proof.data(), proof.size()) == 0;
-    });
+    return std::ranges::any_of(
+        m_keys, [&](const std::string &key) { return isEqual(hmacHex(key, text), proof); });
+}
+
+std::string FleetKeys::tag(std::string_view text) const
+{
+    return m_keys.empty() ? std::string() : hmacTag(m_keys.front(), text);
+}
+
+bool FleetKeys::verifyTag(std::string_view text, std::string_view tag) const
+{
+    if (m_keys.empty())
+        return true;
+    return std::ranges::any_of(
+        m_keys, [&](const std::string &key) { return isEqual(hmacTag(key, text), tag); });
 }
 
 std::optional<std::string> FleetKeyFile::read()
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -21,6 +21,7 @@
 {
     GatewayEntry from;
     Incarnation incarnation;
+    std::uint64_t sequence = 0; ///< rises with each beat of an incarnation
     std::uint64_t configVersion = 0;
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
@@ -32,7 +33,8 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, configVersion, registryRevision, ageMs, load, prompts, sample);
+        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, load, prompts,
+           sample);
     }
 };
 
@@ -41,8 +43,12 @@
 {
     std::uint64_t configVersion = 0;
     std::uint64_t registryRevision = 0;
+    std::uint64_t nonce = 0; ///< the proof of the answer is bound to it
 
-    template <class Archive> void serialize(Archive &ar) { ar(configVersion, registryRevision); }
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(configVersion, registryRevision, nonce);
+    }
 };
 
 /// Payloads without a length ahead. Decoding gives nothing with \p reason set for other bytes.
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -85,7 +85,7 @@
             decodeBeat(bytes, &reason);
             decodeNews(bytes, &reason);
             const auto ask = decodeAsk(bytes, &reason);
-            RC_ASSERT(!ask || bytes.size() == 16);
+            RC_ASSERT(!ask || bytes.size() == 24);
         }));
     }
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -18,6 +18,8 @@
 #include <reachlead/log.h>
 #include <reachlead/socketlimits.h>
 
+#include "peer/proof.h"
+
 namespace reachlead {
 
 namespace {
@@ -132,6 +134,7 @@
     GatewayBeat beat;
     beat.from = m_options.self;
     beat.incarnation = m_incarnation;
+    beat.sequence = ++m_sequence;
     beat.configVersion = m_state.configVersion();
     beat.registryRevision = m_state.directory().revision();
     if (const auto at = m_state.currentAt())
@@ -155,7 +158,7 @@
 {
     for (const GatewayEntry &entry : sample) {
         if (entry.vm != m_options.self.vm && m_peers.size() < mostPeers)
-            m_peers.try_emplace(entry.vm, Peer{entry, now - peerLimit / 2});
+            m_peers.try_emplace(entry.vm, Peer{entry, now - peerLimit / 2, {}, 0});
     }
 }
 
@@ -184,7 +187,7 @@
 
 void GatewayPeers::sendBeats()
 {
-    const std::string payload = encodeBeat(makeBeat());
+    const std::string payload = seal(m_options.keys, SealedKind::Beat, {}, encodeBeat(makeBeat()));
     for (const udp::endpoint &target : nextTargets()) {
         error_code ec; // a datagram that cannot leave now is made up for by the next beat
         m_udp.send_to(asio::buffer(payload), target, 0, ec);
@@ -210,8 +213,14 @@
             co_await m_udp.async_receive_from(asio::buffer(buf), from, keepError(&ec));
         if (ec)
             continue;
+        const auto message =
+            unseal(m_options.keys, SealedKind::Beat, {}, std::string_view(buf.data(), n));
+        if (!message) {
+            refuseStranger("beat", from.address().to_string());
+            continue;
+        }
         std::string reason;
-        const auto beat = decodeBeat({buf.data(), n}, &reason);
+        const auto beat = decodeBeat(*message, &reason);
         if (beat)
             take(*beat);
         else
@@ -219,6 +228,22 @@
     }
 }
 
+/// Counts and tells of bytes that no gateway of this fleet sent.
+void GatewayPeers::refuseStranger(std::string_view what, const std::string &from)
+{
+    if (m_options.counters != nullptr)
+        m_options.counters->add(Count::HostileFrames);
+    LogLine(LogLevel::Warn, "peer-not-of-the-fleet").with("what", what).with("from", from);
+}
+
+/// True for a beat that a later one of the same life overtook, and for one that is played again.
+bool GatewayPeers::isOld(const GatewayBeat &beat) const
+{
+    const auto it = m_peers.find(beat.from.vm);
+    return it != m_peers.end() && it->second.incarnation == beat.incarnation
+        && beat.sequence <= it->second.sequence;
+}
+
 bool GatewayPeers::isBehind(const GatewayBeat &beat) const
 {
     return beat.configVersion > m_state.configVersion()
@@ -227,9 +252,11 @@
 
 void GatewayPeers::take(const GatewayBeat &beat)
 {
+    if (isOld(beat))
+        return;
     const Time now = RuntimeClock::now();
     const bool fresh = !m_peers.contains(beat.from.vm);
-    m_peers[beat.from.vm] = Peer{beat.from, now};
+    m_peers[beat.from.vm] = Peer{beat.from, now, beat.incarnation, beat.sequence};
     std::erase_if(m_peers, [&](const auto &peer) {
         const bool gone = peer.second.heard + peerLimit < now;
         if (gone)
@@ -271,9 +298,10 @@
         co_await socket->async_connect(tcp::endpoint(number, peer.address.port), keepError(&ec));
     std::optional<std::string> text;
     std::string reason = ec.message();
+    const NewsAsk ask{m_state.configVersion(), m_state.directory().revision(), m_random()};
+    const std::string nonce = std::to_string(ask.nonce);
     if (!ec) {
-        const NewsAsk ask{m_state.configVersion(), m_state.directory().revision()};
-        const std::string payload = encodeAsk(ask);
+        const std::string payload = seal(m_options.keys, SealedKind::NewsAsk, {}, encodeAsk(ask));
         reason = "the connection broke off";
         const bool sent = co_await writeText(*socket, payload);
         if (sent)
@@ -282,7 +310,15 @@
     timer.cancel();
     m_fetching = false;
     m_behindSince.reset();
-    const auto news = text ? decodeNews(*text, &reason) : std::nullopt;
+    std::optional<GatewayNews> news;
+    if (text) {
+        const auto message = unseal(m_options.keys, SealedKind::News, nonce, *text);
+        reason = "the answer is not of this fleet";
+        if (message)
+            news = decodeNews(*message, &reason);
+        else
+            refuseStranger("news", peer.address.text());
+    }
     if (news)
         m_state.peerTold(peer.vm, *news);
     else
@@ -309,11 +345,19 @@
     Timer timer(m_io);
     limitTime(timer, held);
     const auto text = co_await readText(*held);
+    std::optional<std::string_view> message;
+    if (text)
+        message = unseal(m_options.keys, SealedKind::NewsAsk, {}, *text);
     std::string reason;
-    const auto ask = text ? decodeAsk(*text, &reason) : std::nullopt;
+    const auto ask = message ? decodeAsk(*message, &reason) : std::nullopt;
     if (ask) {
-        const std::string payload = encodeNews(newsFor(*ask));
+        const std::string nonce = std::to_string(ask->nonce);
+        const std::string payload =
+            seal(m_options.keys, SealedKind::News, nonce, encodeNews(newsFor(*ask)));
         co_await writeText(*held, payload);
+    } else if (text) {
+        error_code ec;
+        refuseStranger("question", held->remote_endpoint(ec).address().to_string());
     }
     timer.cancel();
 }
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -20,6 +20,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <reachlead/counters.h>
+#include <reachlead/fleetkeys.h>
 #include <reachlead/gatewaystate.h>
 
 #include "peer/gatewaymessages.h"
@@ -38,6 +40,8 @@
         /// Between beats. A change reaches a gateway that is cut off from the registry within two
         /// of them and a fetch; a load told is this old at most.
         Duration beatInterval = milliseconds(400);
+        FleetKeys keys; ///< by which gateways know each other; none: nothing is checked
+        Counters *counters = nullptr; ///< must outlive the peers; null: nothing is counted
     };
 
     GatewayPeers(boost::asio::io_context &io, Options options, GatewayState &state);
@@ -52,6 +56,9 @@
     /// Replaces the seeds, as after a change of the settings.
     void setSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
 
+    /// Replaces the keys, as after a change of the settings.
+    void setKeys(FleetKeys keys) { m_options.keys = std::move(keys); }
+
     /// Gateways that were heard within peerLimit, without this one.
     std::set<VmName> heard() const;
 
@@ -77,6 +84,8 @@
     {
         GatewayEntry entry;
         Time heard;
+        Incarnation incarnation;
+        std::uint64_t sequence = 0; ///< of the last beat that was taken
     };
 
     boost::asio::awaitable<void> beatLoop();
@@ -90,6 +99,8 @@
     void takeSample(const std::vector<GatewayEntry> &sample, Time now);
     void take(const GatewayBeat &beat);
     bool isBehind(const GatewayBeat &beat) const;
+    bool isOld(const GatewayBeat &beat) const;
+    void refuseStranger(std::string_view what, const std::string &from);
     GatewayNews newsFor(const NewsAsk &ask) const;
 
     boost::asio::io_context &m_io;
@@ -101,6 +112,7 @@
     std::map<VmName, Peer> m_peers;
     std::mt19937_64 m_random{std::random_device{}()};
     std::size_t m_turn = 0; ///< of the rotation over targets
+    std::uint64_t m_sequence = 0; ///< of the last beat that was sent
     Time m_announcedAt{};
     std::optional<Time> m_behindSince;
     bool m_fetching = false;
--- /dev/null
+++ b/src/peer/gatewaypeers_test.cpp
@@ -0,0 +1,153 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/ip/udp.hpp>
+
+#include "peer/gatewaypeers.h"
+#include "peer/proof.h"
+
+namespace reachlead {
+
+/// Who may tell a gateway anything, and what a gateway makes of old words.
+class GatewayPeersTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayPeersTest);
+    CPPUNIT_TEST(gatewaysOfOneFleetTellEachOther);
+    CPPUNIT_TEST(strangerTellsNothing);
+    CPPUNIT_TEST(answerToAnotherQuestionIsRefused);
+    CPPUNIT_TEST(beatThatIsPlayedAgainChangesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+
+    static FleetKeys keys(const std::string &text)
+    {
+        std::string reason;
+        return FleetKeys::parse(text, &reason).value();
+    }
+
+    /// A gateway's beliefs and its talk with others, on a port of the kernel's choice.
+    struct Node
+    {
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
+             std::vector<Endpoint> seeds)
+            : peers(io, options(vm, key, std::move(seeds), &counters), state)
+        { }
+        ~Node() { peers.stop(); }
+        Node(const Node &) = delete;
+        Node &operator=(const Node &) = delete;
+
+        static GatewayPeers::Options options(const std::string &vm, const std::string &key,
+                                             std::vector<Endpoint> seeds, Counters *counters)
+        {
+            GatewayPeers::Options made;
+            made.self = {VmName(vm), {"127.0.0.1", 0}};
+            made.seeds = std::move(seeds);
+            made.keys = keys(key);
+            made.counters = counters;
+            return made;
+        }
+        Endpoint address() const { return {"127.0.0.1", peers.port()}; }
+
+        Counters counters;
+        GatewayState state{GatewayState::Options{}};
+        GatewayPeers peers;
+    };
+
+    /// The thread's io_context on a paused clock.
+    struct Clocked
+    {
+        Clocked() { RuntimeClock::pause(start); }
+        ~Clocked()
+        {
+            io.stop();
+            RuntimeClock::resume();
+        }
+
+        void advance(Duration d)
+        {
+            constexpr Duration step = milliseconds(10);
+            for (Duration moved{}; moved < d; moved += step) {
+                RuntimeClock::advance(step);
+                io.restart();
+                io.run_for(std::chrono::milliseconds(3));
+            }
+        }
+
+        boost::asio::io_context io{1};
+    };
+
+    static RoutingConfig config(std::uint64_t version)
+    {
+        RoutingConfig made;
+        made.version = version;
+        return made;
+    }
+
+    void gatewaysOfOneFleetTellEachOther()
+    {
+        Clocked clocked;
+        Node told(clocked.io, "told", "the key of this fleet", {});
+        Node teller(clocked.io, "teller", "the key of this fleet", {told.address()});
+        teller.state.configRead(config(7));
+        clocked.advance(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, told.state.configVersion());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.counters.value(Count::HostileFrames));
+    }
+
+    void strangerTellsNothing()
+    {
+        Clocked clocked;
+        Node told(clocked.io, "told", "the key of this fleet", {});
+        Node stranger(clocked.io, "stranger", "a key of somebody else", {told.address()});
+        stranger.state.configRead(config(7));
+        clocked.advance(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.state.configVersion());
+        CPPUNIT_ASSERT(told.peers.heard().empty());
+        CPPUNIT_ASSERT(told.counters.value(Count::HostileFrames) > 0);
+    }
+
+    void answerToAnotherQuestionIsRefused()
+    {
+        const FleetKeys fleet = keys("the key of this fleet");
+        const std::string sealed = seal(fleet, SealedKind::News, "17", "text");
+        CPPUNIT_ASSERT(unseal(fleet, SealedKind::News, "17", sealed) == "text");
+        CPPUNIT_ASSERT(!unseal(fleet, SealedKind::News, "18", sealed));
+        CPPUNIT_ASSERT(!unseal(fleet, SealedKind::Beat, "17", sealed));
+        CPPUNIT_ASSERT(!unseal(fleet, SealedKind::News, "17", "text"));
+        CPPUNIT_ASSERT(!unseal(keys("a key of somebody else"), SealedKind::News, "17", sealed));
+        CPPUNIT_ASSERT(unseal(FleetKeys(), SealedKind::News, "17", "text") == "text");
+    }
+
+    void beatThatIsPlayedAgainChangesNothing()
+    {
+        Clocked clocked;
+        Node hearer(clocked.io, "hearer", "the key of this fleet", {});
+        boost::asio::ip::udp::socket socket(clocked.io, boost::asio::ip::udp::v4());
+        const auto say = [&](std::uint64_t sequence, std::int32_t ageMs) {
+            GatewayBeat beat;
+            beat.from = {VmName("other"), {"127.0.0.1", 1}};
+            beat.incarnation = Incarnation{5};
+            beat.sequence = sequence;
+            beat.ageMs = ageMs;
+            const std::string bytes =
+                seal(keys("the key of this fleet"), SealedKind::Beat, {}, encodeBeat(beat));
+            socket.send_to(boost::asio::buffer(bytes),
+                           {boost::asio::ip::make_address("127.0.0.1"), hearer.peers.port()});
+            clocked.advance(milliseconds(50));
+        };
+        say(5, GatewayBeat::unknownAge);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hearer.peers.heard().size());
+        say(5, 0);
+        say(4, 0);
+        CPPUNIT_ASSERT(!hearer.state.currentAt());
+        say(6, 0);
+        CPPUNIT_ASSERT(hearer.state.currentAt().has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPeersTest);
+
+} // namespace reachlead
--- a/src/peer/proof.cpp
+++ b/src/peer/proof.cpp
@@ -27,4 +27,34 @@
     return encodeHeartbeat(beat);
 }
 
+namespace {
+
+std::string sealedText(SealedKind kind, std::string_view nonce, std::string_view message)
+{
+    return fmt::format("{}{:08x}{}{}", static_cast<char>(kind), nonce.size(), nonce, message);
+}
+
+} // namespace
+
+std::string seal(const FleetKeys &keys, SealedKind kind, std::string_view nonce,
+                 std::string message)
+{
+    const std::string tag = keys.tag(sealedText(kind, nonce, message));
+    return std::move(message) + tag;
+}
+
+std::optional<std::string_view> unseal(const FleetKeys &keys, SealedKind kind,
+                                       std::string_view nonce, std::string_view bytes)
+{
+    if (keys.empty())
+        return bytes;
+    if (bytes.size() < FleetKeys::tagSize)
+        return std::nullopt;
+    const std::string_view message = bytes.substr(0, bytes.size() - FleetKeys::tagSize);
+    const std::string_view tag = bytes.substr(message.size());
+    if (!keys.verifyTag(sealedText(kind, nonce, message), tag))
+        return std::nullopt;
+    return message;
+}
+
 } // namespace reachlead
--- a/src/peer/proof.h
+++ b/src/peer/proof.h
@@ -6,8 +6,11 @@
 
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
 
+#include <reachlead/fleetkeys.h>
 #include <reachlead/messages.h>
 
 namespace reachlead {
@@ -21,4 +24,17 @@
 /// What an agent signs of a heartbeat: all of it but the proof.
 std::string heartbeatText(Heartbeat beat);
 
+/// What gateways send each other, so that a tag of one kind proves nothing for another.
+enum class SealedKind : char { Beat = 'b', NewsAsk = 'a', News = 'n' };
+
+/// A message of gateways with its proof behind it; without keys, the message alone. \p nonce binds
+/// an answer to its question.
+std::string seal(const FleetKeys &keys, SealedKind kind, std::string_view nonce,
+                 std::string message);
+
+/// The message of what seal() made with the same kind and nonce; nothing when no key made the
+/// proof.
+std::optional<std::string_view> unseal(const FleetKeys &keys, SealedKind kind,
+                                       std::string_view nonce, std::string_view bytes);
+
 } // namespace reachlead
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -39,6 +39,13 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+GatewayPeers::Options peerOptions(const GatewaySettings &settings, Counters *counters)
+{
+    GatewayPeers::Options options = settings.peers;
+    options.counters = counters;
+    return options;
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
@@ -46,7 +53,8 @@
     : m_settings(settings), m_dialect(dialect), m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_state(settings.state),
       m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
-      m_forwarder(settings.forwarder, m_shared), m_peers(m_io, settings.peers, m_state),
+      m_forwarder(settings.forwarder, m_shared),
+      m_peers(m_io, peerOptions(settings, &m_counters), m_state),
       m_ready(m_io, settings.ready, [this](HttpAsk ask) { return answerReady(std::move(ask)); }),
       m_operators(m_io, settings.operators,
                   [this](HttpAsk ask) { return answerOperator(std::move(ask)); }),
@@ -109,6 +117,7 @@
     if (!settings)
         return;
     m_peers.setSeeds(settings->peers.seeds);
+    m_peers.setKeys(settings->peers.keys);
     setLogLevel(static_cast<LogLevel>(settings->logLevel));
 }
 
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -85,6 +85,7 @@
 std::optional<std::string> GatewaySettings::readPeers(const IniFile &file)
 {
     std::vector<std::string> seeds;
+    std::vector<std::string> keys;
     std::int64_t port = 0;
     double beatMs = toMillis(peers.beatInterval);
     IniReader reader(file, "peers");
@@ -94,8 +95,17 @@
     peers.beatInterval = fromSeconds(beatMs / 1000.0);
     if (reader.has("seeds"))
         reader.takeList("seeds", &seeds);
+    if (reader.has("keys"))
+        reader.takeList("keys", &keys);
     if (auto fault = takeEndpoints(file, reader, "peers", {{"address", &peers.self.address}}))
         return fault;
+    if (!keys.empty()) {
+        std::string reason;
+        const auto parsed = FleetKeys::parse(fmt::format("{}", fmt::join(keys, "\n")), &reason);
+        if (!parsed)
+            return fmt::format("{}: key 'keys' in section 'peers': {}", file.source(), reason);
+        peers.keys = *parsed;
+    }
     peers.seeds.clear();
     for (const std::string &seed : seeds) {
         const auto endpoint = Endpoint::parse(seed);
