peer: news by difference, beats by short tags

Cause: each change of the registry or the configuration made every gateway fetch all of it, and a beat spelled each upstream's id.

Change: the directory remembers 2,000 changes, the state eight configurations, and news tell what changed behind the asker's versions; all only to one that is further behind. Beats name upstreams by a 32-bit tag, loads take 8 bytes instead of 28, notes 12 instead of 24.

--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <reachlead/routing.h>
+#include <reachlead/routingdelta.h>
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
@@ -29,8 +30,11 @@
 /// What one gateway tells another that is behind.
 struct GatewayNews
 {
-    std::optional<RoutingConfig> config;
-    std::optional<std::vector<UpstreamEntry>> upstreams;
+    std::optional<RoutingConfig> config; ///< whole, where its change could not be told
+    std::optional<RoutingDelta> configChange;
+    std::optional<std::vector<UpstreamEntry>> upstreams; ///< all, where changes could not be told
+    std::vector<UpstreamChange> upstreamChanges; ///< behind changesFrom
+    std::uint64_t changesFrom = 0; ///< the asker's revision
     std::uint64_t registryRevision = 0; ///< of the upstreams
     std::vector<UpstreamId> missing; ///< upstreams whose removal is held back since an outage
 };
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -49,6 +50,9 @@
     /// What another gateway told: the same, where it is newer.
     void peerTold(const VmName &peer, const GatewayNews &news);
 
+    /// What one that has these versions lacks: changes where they can be told, else all.
+    GatewayNews newsSince(std::uint64_t configVersion, std::uint64_t registryRevision) const;
+
     /// When this gateway's state was last known to be current.
     std::optional<Time> currentAt() const { return m_currentAt; }
 
@@ -72,6 +76,10 @@
     const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
+    /// Configurations that a change can be told from: a storm writes some each second, and one that
+    /// is further behind is rare.
+    static constexpr std::size_t mostFormer = 8;
+
     /// True when calls can be served: a configuration and an upstream are known.
     bool isReady() const;
 
@@ -91,6 +99,7 @@
 
     Options m_options;
     RouteTablePtr m_table;
+    std::deque<RouteTablePtr> m_formerTables; ///< to tell changes from; oldest first
     UpstreamDirectory m_directory;
     UpstreamBook m_book;
     RetryShare m_retries;
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -35,6 +35,7 @@
     ServiceName service;
     double weight = 1.0; ///< relative to the other shares of the route
 
+    bool operator==(const ServiceShare &) const = default;
     template <class Archive> void serialize(Archive &ar) { ar(service, weight); }
 };
 
@@ -54,6 +55,7 @@
     std::int64_t gapTargetMs = 0; ///< longest pause between events that is still on time
     std::vector<ServiceShare> services;
 
+    bool operator==(const Route &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         ar(name, host, pathPrefix, kind, anonymous, resumable, priority, maxAttempts, timeoutMs,
@@ -74,6 +76,7 @@
     /// True when an engine can fetch cached parts from another.
     bool canFetch() const { return engineTokenBytes > 0 && engineLinkMbps > 0; }
 
+    bool operator==(const ServiceInfo &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         ar(name, maxConnections, engineSlots, engineMemoryTokens, engineTokenBytes, engineLinkMbps);
@@ -87,6 +90,7 @@
     std::vector<std::string> keys;
     std::optional<unsigned> priority; ///< goes before the route's when set
 
+    bool operator==(const AccountKeys &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         bool has = priority.has_value();
@@ -105,6 +109,7 @@
     std::int64_t headerTimeoutMs = 3000;
     std::int64_t idleTimeoutMs = 15000;
 
+    bool operator==(const CallerLimits &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         ar(maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs);
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -8,9 +8,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <reachlead/clock.h>
@@ -22,6 +24,11 @@
 /// One life of one upstream process; a restart has another id.
 using UpstreamId = Name<struct UpstreamTag>;
 
+/// Stands for an upstream's id in short messages. Two ids may share one by chance (among 12,000:
+/// one chance in sixty), so it serves only where a mix-up does no harm.
+using UpstreamTagNumber = std::uint32_t;
+UpstreamTagNumber tagOf(const UpstreamId &id);
+
 /// An upstream as its registry entry tells.
 struct UpstreamEntry
 {
@@ -44,6 +51,8 @@
 {
     UpstreamEntry entry; ///< when removed, only the id counts
     bool removed = false;
+
+    template <class Archive> void serialize(Archive &ar) { ar(entry, removed); }
 };
 
 /// The registry's entries by id. Not thread-safe, reads no clock.
@@ -101,6 +110,16 @@
     /// change.
     const std::vector<const UpstreamEntry *> &usableOf(const ServiceName &service) const;
 
+    /// What changed behind \p revision; nothing when that is too long ago to be told.
+    std::optional<std::vector<UpstreamChange>> changesSince(std::uint64_t revision) const;
+
+    /// An upstream by the tag that stands for its id in short messages; null when there is none.
+    const UpstreamEntry *findTag(UpstreamTagNumber tag) const;
+
+    /// Changes that are remembered, about 100 bytes each: a day of the largest fleet has some
+    /// thousands.
+    static constexpr std::size_t mostLogged = 2000;
+
     /// Rises with each change of the entries.
     std::uint64_t changes() const { return m_changes; }
 
@@ -110,16 +129,27 @@
     bool inContact() const { return m_inContact; }
 
 private:
+    struct LoggedChange
+    {
+        std::uint64_t revision = 0;
+        UpstreamId id;
+    };
+
     bool holdsRemovals(Time now) const { return now < m_graceUntil; }
     void put(const UpstreamEntry &entry, Changed *changed);
     void erase(const UpstreamId &id);
+    void log(const UpstreamId &id);
+    void buildIndex() const;
     void remove(const UpstreamId &id, Time now, Changed *changed);
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< held back until
     std::uint64_t m_changes = 0;
-    /// Built when asked for, at m_indexedAt changes.
+    std::deque<LoggedChange> m_log; ///< oldest first
+    std::uint64_t m_logFloor = 0; ///< the log is complete behind this revision
+    // Built when asked for, at m_indexedAt changes.
     mutable std::map<ServiceName, std::vector<const UpstreamEntry *>> m_usable;
+    mutable std::unordered_map<UpstreamTagNumber, const UpstreamEntry *> m_byTag;
     mutable std::uint64_t m_indexedAt = 0;
     std::uint64_t m_revision = 0;
     bool m_inContact = false;
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -4,6 +4,8 @@
 #include <reachlead/gatewaystate.h>
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 #include <reachlead/log.h>
 
@@ -33,6 +35,10 @@
         .with("source", source)
         .with("routes", config.routes.size())
         .with("accounts", config.accounts.size());
+    if (m_table)
+        m_formerTables.push_back(m_table);
+    if (m_formerTables.size() > mostFormer)
+        m_formerTables.pop_front();
     m_table = std::make_shared<const RouteTable>(std::move(config));
     if (m_onChange)
         m_onChange();
@@ -97,13 +103,47 @@
 {
     if (news.config)
         adopt(*news.config, peer.text);
-    if (news.upstreams && news.registryRevision > m_directory.revision())
+    if (news.configChange && m_table) {
+        if (auto config = applied(m_table->config(), *news.configChange))
+            adopt(std::move(*config), peer.text);
+    }
+    const bool isNewer = news.registryRevision > m_directory.revision();
+    if (isNewer && news.upstreams)
         noteChange(m_directory.replaceAll(*news.upstreams, news.registryRevision, now()),
                    peer.text);
+    else if (isNewer && m_directory.revision() > 0 && news.changesFrom <= m_directory.revision())
+        noteChange(m_directory.apply(news.upstreamChanges, news.registryRevision, now()),
+                   peer.text);
     if (news.registryRevision == m_directory.revision())
         m_directory.markMissing(news.missing, now());
 }
 
+GatewayNews GatewayState::newsSince(std::uint64_t configVersion,
+                                    std::uint64_t registryRevision) const
+{
+    GatewayNews news;
+    if (m_table && m_table->version() > configVersion) {
+        const auto it = std::ranges::find(m_formerTables, configVersion, &RouteTable::version);
+        if (it != m_formerTables.end())
+            news.configChange = differenceOf((*it)->config(), m_table->config());
+        if (!news.configChange)
+            news.config = m_table->config();
+    }
+    news.registryRevision = m_directory.revision();
+    news.missing = m_directory.missing();
+    if (news.registryRevision <= registryRevision)
+        return news;
+    if (auto changes = m_directory.changesSince(registryRevision)) {
+        news.changesFrom = registryRevision;
+        news.upstreamChanges = std::move(*changes);
+        return news;
+    }
+    news.upstreams.emplace();
+    std::ranges::copy(m_directory.entries() | std::views::values,
+                      std::back_inserter(*news.upstreams));
+    return news;
+}
+
 void GatewayState::tick()
 {
     noteChange(m_directory.expire(now()), "missing-after-outage");
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(peersTellWhatThePlatformDoesNot);
     CPPUNIT_TEST(olderNewsOfAPeerChangesNothing);
+    CPPUNIT_TEST(newsTellChangesWhereTheyCan);
+    CPPUNIT_TEST(newsTellAllToOneTooFarBehind);
     CPPUNIT_TEST(readyNeedsConfigurationAndUpstreams);
     CPPUNIT_TEST(vouchedStateIsAsOldAsThePeerSays);
     CPPUNIT_TEST_SUITE_END();
@@ -80,6 +82,62 @@
         CPPUNIT_ASSERT(state.directory().find(UpstreamId("b")) == nullptr);
     }
 
+    static RoutingConfig withRoutes(std::uint64_t version, unsigned count)
+    {
+        RoutingConfig made = config(version);
+        for (unsigned n = 0; n < count; ++n) {
+            Route route;
+            route.name = "r" + std::to_string(n);
+            made.routes.push_back(route);
+        }
+        return made;
+    }
+
+    void newsTellChangesWhereTheyCan()
+    {
+        GatewayState teller({});
+        GatewayState hearer({});
+        for (GatewayState *state : {&teller, &hearer}) {
+            state->configRead(withRoutes(3, 10));
+            state->upstreamsListed({entry("a"), entry("b")}, 20);
+        }
+        teller.configRead(withRoutes(4, 11));
+        UpstreamChange gone;
+        gone.entry = entry("a");
+        gone.removed = true;
+        teller.upstreamsChanged({gone}, 21);
+        const GatewayNews news = teller.newsSince(3, 20);
+        CPPUNIT_ASSERT(!news.config && !news.upstreams);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.configChange->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.upstreamChanges.size());
+        hearer.peerTold(VmName("peer"), news);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, hearer.configVersion());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{11}, hearer.table()->config().routes.size());
+        CPPUNIT_ASSERT(hearer.directory().find(UpstreamId("a")) == nullptr);
+        CPPUNIT_ASSERT(hearer.directory().find(UpstreamId("b")) != nullptr);
+    }
+
+    void newsTellAllToOneTooFarBehind()
+    {
+        GatewayState teller({});
+        for (std::uint64_t version = 1; version <= GatewayState::mostFormer + 2; ++version)
+            teller.configRead(withRoutes(version, 2));
+        teller.upstreamsListed({entry("a")}, 20);
+        const GatewayNews news = teller.newsSince(1, 7);
+        CPPUNIT_ASSERT(news.config && news.upstreams);
+        GatewayState fresh({});
+        fresh.peerTold(VmName("peer"), news);
+        CPPUNIT_ASSERT(fresh.isReady());
+        // Changes that begin behind what is held are of no use.
+        GatewayState behind({});
+        behind.upstreamsListed({entry("b")}, 5);
+        GatewayNews gap;
+        gap.changesFrom = 7;
+        gap.registryRevision = 20;
+        behind.peerTold(VmName("peer"), gap);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, behind.directory().revision());
+    }
+
     void readyNeedsConfigurationAndUpstreams()
     {
         GatewayState state({});
--- /dev/null
+++ b/src/libreachlead/routingdelta.cpp
@@ -0,0 +1,84 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/routingdelta.h>
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+
+namespace reachlead {
+
+namespace {
+
+template <class Item> using Index = std::map<decltype(Item::name), const Item *>;
+
+template <class Item> Index<Item> indexOf(const std::vector<Item> &items)
+{
+    Index<Item> index;
+    for (const Item &item : items)
+        index.emplace(item.name, &item);
+    return index;
+}
+
+/// Fills in what is new or changed and what is gone; false when names are not unique.
+template <class Item>
+bool compare(const std::vector<Item> &from, const std::vector<Item> &to, std::vector<Item> *changed,
+             std::vector<decltype(Item::name)> *gone)
+{
+    const Index<Item> before = indexOf(from);
+    const Index<Item> after = indexOf(to);
+    if (before.size() != from.size() || after.size() != to.size())
+        return false;
+    std::ranges::copy_if(to, std::back_inserter(*changed), [&](const Item &item) {
+        const auto it = before.find(item.name);
+        return it == before.end() || !(*it->second == item);
+    });
+    for (const Item &item : from) {
+        if (!after.contains(item.name))
+            gone->push_back(item.name);
+    }
+    return true;
+}
+
+template <class Item>
+std::vector<Item> merged(const std::vector<Item> &base, const std::vector<Item> &changed,
+                         const std::vector<decltype(Item::name)> &gone)
+{
+    const Index<Item> newer = indexOf(changed);
+    std::vector<Item> all;
+    std::ranges::copy_if(base, std::back_inserter(all), [&](const Item &item) {
+        return !newer.contains(item.name) && std::ranges::find(gone, item.name) == gone.end();
+    });
+    std::ranges::copy(changed, std::back_inserter(all));
+    return all;
+}
+
+} // namespace
+
+std::optional<RoutingDelta> differenceOf(const RoutingConfig &from, const RoutingConfig &to)
+{
+    RoutingDelta delta;
+    delta.from = from.version;
+    delta.version = to.version;
+    delta.limits = to.limits;
+    const bool good = compare(from.routes, to.routes, &delta.routes, &delta.routesGone)
+        && compare(from.services, to.services, &delta.services, &delta.servicesGone)
+        && compare(from.accounts, to.accounts, &delta.accounts, &delta.accountsGone);
+    return good ? std::optional(std::move(delta)) : std::nullopt;
+}
+
+std::optional<RoutingConfig> applied(const RoutingConfig &base, const RoutingDelta &delta)
+{
+    if (base.version != delta.from)
+        return std::nullopt;
+    RoutingConfig made;
+    made.version = delta.version;
+    made.limits = delta.limits;
+    made.routes = merged(base.routes, delta.routes, delta.routesGone);
+    made.services = merged(base.services, delta.services, delta.servicesGone);
+    made.accounts = merged(base.accounts, delta.accounts, delta.accountsGone);
+    return made;
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/routingdelta_test.cpp
@@ -0,0 +1,103 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <reachlead/routingdelta.h>
+
+namespace reachlead {
+
+/// A configuration that is told by what changed is the one that was meant.
+class RoutingDeltaTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RoutingDeltaTest);
+    CPPUNIT_TEST(differenceLeadsToTheNewerOne);
+    CPPUNIT_TEST(unchangedItemsAreNotTold);
+    CPPUNIT_TEST(otherBaseIsRefused);
+    CPPUNIT_TEST(sharedNamesCannotBeTold);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Routes, services and accounts, each by number with a value; 0 leaves it out.
+    static RoutingConfig made(std::uint64_t version, const std::vector<unsigned char> &values)
+    {
+        RoutingConfig config;
+        config.version = version;
+        config.limits.maxHeaderBytes = static_cast<std::uint32_t>(version);
+        for (std::size_t n = 0; n < values.size(); ++n) {
+            const unsigned value = values[n] % 4U;
+            if (value == 0)
+                continue;
+            Route route;
+            route.name = fmt::format("r{}", n);
+            route.timeoutMs = value;
+            config.routes.push_back(route);
+            ServiceInfo service;
+            service.name = ServiceName(route.name);
+            service.maxConnections = value;
+            config.services.push_back(service);
+            config.accounts.push_back(
+                {AccountName(route.name), {fmt::format("key{}", value)}, value});
+        }
+        return config;
+    }
+
+    template <class Item> static std::vector<Item> sorted(std::vector<Item> items)
+    {
+        std::ranges::sort(items, {}, &Item::name);
+        return items;
+    }
+
+    static bool isSame(const RoutingConfig &one, const RoutingConfig &two)
+    {
+        return one.version == two.version && one.limits == two.limits
+            && sorted(one.routes) == sorted(two.routes)
+            && sorted(one.services) == sorted(two.services)
+            && sorted(one.accounts) == sorted(two.accounts);
+    }
+
+    void differenceLeadsToTheNewerOne()
+    {
+        using Values = std::vector<unsigned char>;
+        CPPUNIT_ASSERT(rc::check("any two", [](const Values &before, const Values &after) {
+            const RoutingConfig from = made(3, before);
+            const RoutingConfig to = made(9, after);
+            const auto delta = differenceOf(from, to);
+            RC_ASSERT(delta.has_value());
+            const auto result = applied(from, *delta);
+            RC_ASSERT(result.has_value());
+            RC_ASSERT(isSame(*result, to));
+        }));
+    }
+
+    void unchangedItemsAreNotTold()
+    {
+        const auto delta = differenceOf(made(1, {1, 2, 3, 1}), made(2, {1, 2, 1, 0}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delta->routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r2"), delta->routes[0].name);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delta->accountsGone.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r3"), delta->accountsGone[0].text);
+    }
+
+    void otherBaseIsRefused()
+    {
+        const auto delta = differenceOf(made(1, {1}), made(2, {2}));
+        CPPUNIT_ASSERT(!applied(made(3, {1}), *delta));
+    }
+
+    void sharedNamesCannotBeTold()
+    {
+        RoutingConfig twice = made(2, {1});
+        twice.routes.push_back(twice.routes.front());
+        CPPUNIT_ASSERT(!differenceOf(made(1, {1}), twice));
+        CPPUNIT_ASSERT(!differenceOf(twice, made(3, {1})));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingDeltaTest);
+
+} // namespace reachlead
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -7,14 +7,23 @@
 #include <ranges>
 #include <set>
 
+#include <xxhash.h>
+
 namespace reachlead {
 
+UpstreamTagNumber tagOf(const UpstreamId &id)
+{
+    return XXH32(id.text.data(), id.text.size(), 0);
+}
+
 UpstreamDirectory::Changed UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries,
                                                          std::uint64_t revision, Time now)
 {
     Changed changed;
     if (revision < m_revision)
         return changed;
+    if (m_revision == 0)
+        m_logFloor = revision;
     m_revision = revision;
     std::set<UpstreamId> listed;
     for (const UpstreamEntry &entry : entries) {
@@ -96,25 +105,72 @@
     return it == m_entries.end() ? nullptr : &it->second;
 }
 
+void UpstreamDirectory::buildIndex() const
+{
+    if (m_indexedAt == m_changes)
+        return;
+    m_usable.clear();
+    m_byTag.clear();
+    for (const UpstreamEntry &entry : m_entries | std::views::values) {
+        m_byTag[tagOf(entry.id)] = &entry;
+        if (!entry.leaving)
+            m_usable[entry.service].push_back(&entry);
+    }
+    m_indexedAt = m_changes;
+}
+
 const std::vector<const UpstreamEntry *> &
 UpstreamDirectory::usableOf(const ServiceName &service) const
 {
     static const std::vector<const UpstreamEntry *> none;
-    if (m_indexedAt != m_changes) {
-        m_usable.clear();
-        for (const UpstreamEntry &entry : m_entries | std::views::values) {
-            if (!entry.leaving)
-                m_usable[entry.service].push_back(&entry);
-        }
-        m_indexedAt = m_changes;
-    }
+    buildIndex();
     const auto it = m_usable.find(service);
     return it == m_usable.end() ? none : it->second;
 }
 
+const UpstreamEntry *UpstreamDirectory::findTag(UpstreamTagNumber tag) const
+{
+    buildIndex();
+    const auto it = m_byTag.find(tag);
+    return it == m_byTag.end() ? nullptr : it->second;
+}
+
+void UpstreamDirectory::log(const UpstreamId &id)
+{
+    m_log.push_back({m_revision, id});
+    if (m_log.size() <= mostLogged)
+        return;
+    m_logFloor = m_log.front().revision;
+    m_log.pop_front();
+}
+
+std::optional<std::vector<UpstreamChange>>
+UpstreamDirectory::changesSince(std::uint64_t revision) const
+{
+    if (m_revision == 0 || revision < m_logFloor)
+        return std::nullopt;
+    std::set<UpstreamId> ids;
+    for (const LoggedChange &change : m_log) {
+        if (change.revision > revision)
+            ids.insert(change.id);
+    }
+    std::vector<UpstreamChange> changes;
+    for (const UpstreamId &id : ids) {
+        UpstreamChange change;
+        const UpstreamEntry *entry = find(id);
+        change.removed = entry == nullptr;
+        if (entry != nullptr)
+            change.entry = *entry;
+        change.entry.id = id;
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
 void UpstreamDirectory::erase(const UpstreamId &id)
 {
     ++m_changes;
+    log(id);
     m_entries.erase(id);
 }
 
@@ -124,6 +180,8 @@
     const auto [it, fresh] = m_entries.try_emplace(entry.id, entry);
     if (entry.revision < it->second.revision)
         return; // a page that was read before the change that is known
+    if (fresh || entry.revision > it->second.revision)
+        log(entry.id);
     ++m_changes;
     const bool wasLeaving = !fresh && it->second.leaving;
     it->second = entry;
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <rapidcheck.h>
+
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
@@ -13,6 +15,8 @@
     CPPUNIT_TEST_SUITE(UpstreamDirectoryTest);
     CPPUNIT_TEST(changesTakeEffectAtOnce);
     CPPUNIT_TEST(usableUpstreamsAreFoundByService);
+    CPPUNIT_TEST(changesLeadToTheSameEntries);
+    CPPUNIT_TEST(changesThatAreForgottenAreNotTold);
     CPPUNIT_TEST(olderListChangesNothing);
     CPPUNIT_TEST(olderPageDoesNotUndoAChange);
     CPPUNIT_TEST(entriesThatLapsedWithTheRegistryAreKept);
@@ -69,6 +73,48 @@
         CPPUNIT_ASSERT(directory.usableOf(ServiceName("s")).empty());
     }
 
+    /// Two directories that hear the same, one of them now and then by the other's changes alone.
+    void changesLeadToTheSameEntries()
+    {
+        CPPUNIT_ASSERT(rc::check("any changes", [](const std::vector<unsigned char> &steps) {
+            UpstreamDirectory teller = known();
+            UpstreamDirectory hearer = known();
+            std::uint64_t revision = 10;
+            for (const unsigned char step : steps) {
+                const std::string id(1, static_cast<char>('a' + step % 5));
+                ++revision;
+                const UpstreamChange change = step % 3 == 0
+                    ? removal(id)
+                    : UpstreamChange{entry(id, revision, step % 3 == 1), false};
+                teller.apply({change}, revision, start);
+                if (step < 128)
+                    continue;
+                const auto changes = teller.changesSince(hearer.revision());
+                RC_ASSERT(changes.has_value());
+                hearer.apply(*changes, teller.revision(), start);
+            }
+            hearer.apply(*teller.changesSince(hearer.revision()), teller.revision(), start);
+            RC_ASSERT(hearer.entries().size() == teller.entries().size());
+            for (const auto &[id, entry] : teller.entries()) {
+                const UpstreamEntry *heard = hearer.find(id);
+                RC_ASSERT(heard != nullptr);
+                RC_ASSERT(heard->leaving == entry.leaving && heard->revision == entry.revision);
+            }
+        }));
+    }
+
+    void changesThatAreForgottenAreNotTold()
+    {
+        UpstreamDirectory directory = known();
+        CPPUNIT_ASSERT(
+            !directory.changesSince(9)); // the list at 10 says nothing of what was before
+        CPPUNIT_ASSERT(directory.changesSince(10)->empty());
+        for (std::uint64_t n = 0; n <= UpstreamDirectory::mostLogged; ++n)
+            directory.apply({{entry("a", 11 + n), false}}, 11 + n, start);
+        CPPUNIT_ASSERT(!directory.changesSince(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.changesSince(11)->size());
+    }
+
     void olderListChangesNothing()
     {
         UpstreamDirectory directory = known();
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -3,6 +3,10 @@
 
 #include "peer/gatewaymessages.h"
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
 
@@ -38,6 +42,54 @@
 
 } // namespace
 
+std::vector<TaggedLoad> tagLoad(const LoadByUpstream &load)
+{
+    constexpr std::uint64_t most = std::numeric_limits<std::uint16_t>::max();
+    std::vector<TaggedLoad> tagged;
+    for (const auto &[id, at] : load) {
+        const std::uint64_t units =
+            (at.unreadTokens + TaggedLoad::tokensPerUnit - 1) / TaggedLoad::tokensPerUnit;
+        tagged.push_back({tagOf(id),
+                          static_cast<std::uint16_t>(std::min<std::uint64_t>(at.running, most)),
+                          static_cast<std::uint16_t>(std::min(units, most))});
+    }
+    const auto weight = [](const TaggedLoad &at) { return std::pair(at.unread, at.running); };
+    std::ranges::sort(tagged, std::ranges::greater(), weight);
+    if (tagged.size() > mostLoads)
+        tagged.resize(mostLoads);
+    return tagged;
+}
+
+std::vector<TaggedNote> tagNotes(const std::vector<PromptNote> &notes)
+{
+    std::vector<TaggedNote> tagged;
+    std::ranges::transform(notes, std::back_inserter(tagged), [](const PromptNote &note) {
+        return TaggedNote{tagOf(note.upstream), note.key};
+    });
+    return tagged;
+}
+
+LoadByUpstream untagLoad(const std::vector<TaggedLoad> &load, const UpstreamDirectory &directory)
+{
+    LoadByUpstream known;
+    for (const TaggedLoad &at : load) {
+        if (const UpstreamEntry *entry = directory.findTag(at.upstream))
+            known[entry->id] = {at.running, at.unread * TaggedLoad::tokensPerUnit};
+    }
+    return known;
+}
+
+std::vector<PromptNote> untagNotes(const std::vector<TaggedNote> &notes,
+                                   const UpstreamDirectory &directory)
+{
+    std::vector<PromptNote> known;
+    for (const TaggedNote &note : notes) {
+        if (const UpstreamEntry *entry = directory.findTag(note.upstream))
+            known.push_back({entry->id, note.key});
+    }
+    return known;
+}
+
 std::string encodeBeat(const GatewayBeat &beat)
 {
     return encode(beat);
@@ -62,13 +114,15 @@
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return encode(news.config, news.upstreams, news.registryRevision, news.missing);
+    return encode(news.config, news.configChange, news.upstreams, news.upstreamChanges,
+                  news.changesFrom, news.registryRevision, news.missing);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
-    if (!decode(payload, reason, news.config, news.upstreams, news.registryRevision, news.missing))
+    if (!decode(payload, reason, news.config, news.configChange, news.upstreams,
+                news.upstreamChanges, news.changesFrom, news.registryRevision, news.missing))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -16,6 +16,38 @@
 
 namespace reachlead {
 
+/// The load that a gateway causes at one upstream, short: beats are the most of what gateways send.
+struct TaggedLoad
+{
+    UpstreamTagNumber upstream = 0;
+    std::uint16_t running = 0; ///< the most that fits where there is more
+    std::uint16_t unread = 0; ///< in units of tokensPerUnit, rounded up
+
+    static constexpr std::uint64_t tokensPerUnit = 64;
+
+    template <class Archive> void serialize(Archive &ar) { ar(upstream, running, unread); }
+};
+
+/// Where a part of a prompt was placed, short.
+struct TaggedNote
+{
+    UpstreamTagNumber upstream = 0;
+    PromptKey key = 0;
+
+    template <class Archive> void serialize(Archive &ar) { ar(upstream, key); }
+};
+
+/// The short forms, the largest loads first where there are more than mostLoads; and back, without
+/// those of upstreams that the directory does not know.
+std::vector<TaggedLoad> tagLoad(const LoadByUpstream &load);
+std::vector<TaggedNote> tagNotes(const std::vector<PromptNote> &notes);
+LoadByUpstream untagLoad(const std::vector<TaggedLoad> &load, const UpstreamDirectory &directory);
+std::vector<PromptNote> untagNotes(const std::vector<TaggedNote> &notes,
+                                   const UpstreamDirectory &directory);
+
+/// Upstreams in one beat: 0.5 KB.
+inline constexpr std::size_t mostLoads = 64;
+
 /// A datagram: who lives, what it knows, and the load that it causes.
 struct GatewayBeat
 {
@@ -25,8 +57,8 @@
     std::uint64_t configVersion = 0;
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
-    LoadByUpstream load;
-    std::vector<PromptNote> prompts; ///< placed lately
+    std::vector<TaggedLoad> load;
+    std::vector<TaggedNote> prompts; ///< placed lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
 
     static constexpr std::int32_t unknownAge = -1;
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -29,8 +29,7 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-constexpr std::size_t mostDatagram = 8192; ///< bytes; loads beyond mostLoads are not told
-constexpr std::size_t mostLoads = 64; ///< upstreams in one beat: about 2 KB
+constexpr std::size_t mostDatagram = 8192; ///< bytes; a beat has about 1 KB at most
 constexpr std::uint32_t mostNews = 16U << 20U; ///< bytes of a whole state
 constexpr Duration fetchLimit = milliseconds(1000); ///< for one fetch, some round trips
 constexpr std::size_t sampleSize =
@@ -139,10 +138,8 @@
     beat.registryRevision = m_state.directory().revision();
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
-    beat.load = m_state.book().ownLoad();
-    beat.prompts = m_state.book().freshNotes(RuntimeClock::now());
-    while (beat.load.size() > mostLoads)
-        beat.load.erase(std::prev(beat.load.end()));
+    beat.load = tagLoad(m_state.book().ownLoad());
+    beat.prompts = tagNotes(m_state.book().freshNotes(RuntimeClock::now()));
     const Time now = RuntimeClock::now();
     std::vector<GatewayEntry> lately;
     for (const Peer &peer : m_peers | std::views::values) {
@@ -267,8 +264,8 @@
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
     m_state.noteGateways(m_peers.size() + 1);
-    m_state.book().setPeerLoad(beat.from.vm, beat.load, now);
-    m_state.book().learn(beat.prompts, now);
+    m_state.book().setPeerLoad(beat.from.vm, untagLoad(beat.load, m_state.directory()), now);
+    m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
     if (!isBehind(beat)) {
         m_behindSince.reset();
         // Whoever has the same state vouches for this gateway's.
@@ -353,7 +350,8 @@
     if (ask) {
         const std::string nonce = std::to_string(ask->nonce);
         const std::string payload =
-            seal(m_options.keys, SealedKind::News, nonce, encodeNews(newsFor(*ask)));
+            seal(m_options.keys, SealedKind::News, nonce,
+                 encodeNews(m_state.newsSince(ask->configVersion, ask->registryRevision)));
         co_await writeText(*held, payload);
     } else if (text) {
         error_code ec;
@@ -362,19 +360,4 @@
     timer.cancel();
 }
 
-GatewayNews GatewayPeers::newsFor(const NewsAsk &ask) const
-{
-    GatewayNews news;
-    if (m_state.configVersion() > ask.configVersion)
-        news.config = m_state.table()->config();
-    news.registryRevision = m_state.directory().revision();
-    news.missing = m_state.directory().missing();
-    if (news.registryRevision > ask.registryRevision) {
-        news.upstreams.emplace();
-        std::ranges::copy(m_state.directory().entries() | std::views::values,
-                          std::back_inserter(*news.upstreams));
-    }
-    return news;
-}
-
 } // namespace reachlead
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -101,7 +101,6 @@
     bool isBehind(const GatewayBeat &beat) const;
     bool isOld(const GatewayBeat &beat) const;
     void refuseStranger(std::string_view what, const std::string &from);
-    GatewayNews newsFor(const NewsAsk &ask) const;
 
     boost::asio::io_context &m_io;
     Options m_options;
