--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -179,8 +179,8 @@
 {
     error_code ec;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    m_socket.cancel(
-        ec); // a request that crosses the close stays unread, so that it may be repeated
+    // A request that crosses the close stays unread, so that it may be repeated.
+    m_socket.cancel(ec);
     Timer linger(m_socket.get_executor());
     linger.expires_after(lingerTime);
     co_await linger.async_wait(keepError(&ec));
--- a/src/upstream/upstreamchannel.cpp
+++ b/src/upstream/upstreamchannel.cpp
@@ -86,7 +86,7 @@
 void UpstreamPool::giveBack(const UpstreamId &id, UpstreamChannelPtr channel)
 {
     std::vector<UpstreamChannelPtr> &idle = m_idle[id];
-    if (idle.size() >= mostIdle || channel->buffer.size() > 0) {
+    if (idle.size() >= mostIdle) {
         channel->close();
         return;
     }
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -134,7 +134,7 @@
 bool UpstreamExchange::isReusable() const
 {
     return m_parser.has_value() && m_parser->is_done() && m_parser->keep_alive()
-        && !m_parser->need_eof() && m_channel->buffer.size() == 0;
+        && !m_parser->need_eof();
 }
 
 std::optional<Duration> UpstreamExchange::keepAlive() const
