--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -263,6 +263,8 @@
         book.succeeded(entry.id);
     else if (end != SendEnd::RefusedNotRun && !ownStop)
         book.failed(entry.id, RuntimeClock::now());
+    else if (end == SendEnd::RefusedNotRun && m_exchange->facts().isOtherLife)
+        book.replaced(entry.id);
     if (!m_channel)
         return;
     if (m_exchange && m_exchange->isReusable() && !ownStop) {
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -42,7 +42,7 @@
 {
     const unsigned status = m_exchange->status();
     const AnswerFacts &facts = m_exchange->facts();
-    if (facts.notRun || status == 421)
+    if (facts.notRun)
         return SendEnd::RefusedNotRun;
     if (promisesNotRun(status))
         return SendEnd::Corrupt; // a promise that the upstream does not vouch for
--- a/src/include/reachlead/dialect.h
+++ b/src/include/reachlead/dialect.h
@@ -60,6 +60,7 @@
     std::string attemptId; ///< of the call it answers; empty: not said
     bool isSigned = false; ///< bears the upstream's signature
     bool notRun = false; ///< the upstream vouches that it did not run the call
+    bool isOtherLife = false; ///< another upstream, or another life of it, has the address
 };
 
 /// Translates between facts and headers. Stateless; thread-safe.
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -123,6 +123,8 @@
     /// Evidence on an upstream's health.
     void succeeded(const UpstreamId &id);
     void failed(const UpstreamId &id, Time now);
+    /// Another life answers at its address: this one is gone for good, whatever the registry says.
+    void replaced(const UpstreamId &id);
 
     /// What another gateway said of its own load.
     void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now);
@@ -143,6 +145,7 @@
     {
         UpstreamLoad load;
         Circuit circuit{circuitSettings()};
+        bool isReplaced = false; ///< another life answers at its address
         PromptCache cache;
     };
     struct FreshNote
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -223,7 +223,7 @@
             continue;
         Record &record = m_records[entry->id];
         Candidate candidate{entry};
-        candidate.isHealthy = record.circuit.allows(now);
+        candidate.isHealthy = !record.isReplaced && record.circuit.allows(now);
         candidate.isQuiet = quiet.contains(entry->id);
         candidate.held = record.cache.cachedTokens(placement.parts);
         candidate.heldShared = record.cache.cachedTokens(placement.shared());
@@ -362,6 +362,12 @@
         it->second.circuit.failed(now);
 }
 
+void UpstreamBook::replaced(const UpstreamId &id)
+{
+    if (const auto it = m_records.find(id); it != m_records.end())
+        it->second.isReplaced = true;
+}
+
 void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now)
 {
     m_peers[peer] = PeerLoad{std::move(load), now};
