--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -60,6 +60,14 @@
 class UpstreamBook
 {
 public:
+    /// How an upstream is chosen. All but the first are baselines to compare with.
+    enum class Strategy : std::uint8_t {
+        ByCost, ///< the least of the costs below
+        HomeOnly, ///< the home of a prompt whatever its load; plain calls as LeastLoaded
+        LeastLoaded, ///< the fewest requests that run, the own zone first among equals
+        RoundRobin ///< the one that was taken longest ago
+    };
+
     /// The terms of an upstream's cost, in ms of expected wait. Settings.
     struct Costs
     {
@@ -90,6 +98,7 @@
         double fetchPerKiloToken = 90.0;
         /// An upstream whose circuit is open is taken only if there is no other.
         double unhealthy = 60'000.0;
+        Strategy strategy = Strategy::ByCost;
     };
 
     /// A part is fetched only from an engine that got it this long ago: it has read it by then,
@@ -145,6 +154,7 @@
     {
         UpstreamLoad load;
         Circuit circuit{circuitSettings()};
+        std::uint64_t lastTurn = 0; ///< of all choices, when it was last taken
         bool isReplaced = false; ///< another life answers at its address
         PromptCache cache;
     };
@@ -167,6 +177,7 @@
         bool isQuiet = false;
         TokenCount held = 0; ///< of the prompt, that it is believed to have cached
         TokenCount heldShared = 0; ///< the same of the shared parts alone
+        std::uint32_t running = 0; ///< requests, of all gateways that were heard
         double loadCost = 0; ///< ms; without the prompt that is asked for
     };
     /// A prompt that is to be placed, and where it lies.
@@ -182,11 +193,22 @@
         std::span<const KeyedPart> shared() const;
     };
 
+    using CostOf = double (UpstreamBook::*)(const Candidate &, const ChoiceAsk &, const Placement &,
+                                            Choice *) const;
+
     static Circuit::Settings circuitSettings();
+    double costByCost(const Candidate &candidate, const ChoiceAsk &ask, const Placement &placement,
+                      Choice *choice) const;
+    double costHomeOnly(const Candidate &candidate, const ChoiceAsk &ask,
+                        const Placement &placement, Choice *choice) const;
+    double costLeastLoaded(const Candidate &candidate, const ChoiceAsk &ask,
+                           const Placement &placement, Choice *choice) const;
+    double costRoundRobin(const Candidate &candidate, const ChoiceAsk &ask,
+                          const Placement &placement, Choice *choice) const;
     UpstreamLoad totalLoad(const UpstreamId &id, Time now) const;
     std::vector<Candidate> candidates(const ChoiceAsk &ask, const Placement &placement,
                                       const UpstreamDirectory &directory, Time now);
-    double loadCost(const UpstreamEntry &entry, bool isHealthy, Time now) const;
+    double loadCost(const UpstreamEntry &entry, const UpstreamLoad &load, bool isHealthy) const;
     static Placement placementOf(const ChoiceAsk &ask);
     void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
                   Placement *placement) const;
@@ -203,6 +225,7 @@
     ZoneName m_zone;
     Costs m_costs;
     std::unordered_map<UpstreamId, Record> m_records;
+    std::uint64_t m_turns = 0; ///< choices that were sent
     std::map<VmName, PeerLoad> m_peers;
     std::deque<FreshNote> m_fresh; ///< oldest first
     std::map<ServiceName, std::set<UpstreamId>> m_quiet; ///< as of m_quietAt changes
--- /dev/null
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -0,0 +1,310 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// UpstreamBook's choice of an upstream: the terms of the cost, and the baselines.
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <numeric>
+#include <ranges>
+#include <utility>
+
+#include <xxhash.h>
+
+#include <reachlead/upstreambook.h>
+
+namespace reachlead {
+
+namespace {
+
+/// Sets the rank for quiet engines apart from the one for homes.
+constexpr std::uint64_t quietSalt = 0x71756965; // "quie"
+
+constexpr double bitsPerByte = 8.0;
+constexpr double bitsPerMsOfMbps = 1000.0; ///< a link of 1 Mbit/s carries this much in 1 ms
+constexpr double tokensPerKilo = 1000.0;
+
+TokenCount tokensOf(std::span<const PromptPart> prompt)
+{
+    return std::transform_reduce(prompt.begin(), prompt.end(), TokenCount{0}, std::plus(),
+                                 [](const PromptPart &part) { return part.tokens; });
+}
+
+/// The parts that other requests may share: all but the last.
+std::span<const PromptPart> sharedParts(std::span<const PromptPart> prompt)
+{
+    return prompt.empty() ? prompt : prompt.first(prompt.size() - 1);
+}
+
+std::uint64_t quietHash(const UpstreamId &id)
+{
+    return XXH64(id.text.data(), id.text.size(), quietSalt);
+}
+
+/// An engine's place in the order in which engines are kept quiet.
+struct RankedEngine
+{
+    std::size_t round = 0; ///< its place in its zone
+    std::uint64_t hash = 0;
+    UpstreamId id;
+
+    auto operator<=>(const RankedEngine &) const = default;
+};
+
+} // namespace
+
+std::optional<UpstreamId> homeOf(const ChoiceAsk &ask, std::span<const UpstreamEntry *const> among)
+{
+    const auto shared = sharedParts(ask.prompt);
+    if (shared.empty() || among.empty())
+        return std::nullopt;
+    const PromptPart &longest = *std::ranges::max_element(shared, {}, &PromptPart::tokens);
+    const auto score = [&](const UpstreamEntry *entry) {
+        return XXH64(entry->id.text.data(), entry->id.text.size(), longest.id);
+    };
+    return (*std::ranges::max_element(among, {}, score))->id;
+}
+
+std::span<const KeyedPart> UpstreamBook::Placement::shared() const
+{
+    const std::span<const KeyedPart> all(parts);
+    return all.empty() ? all : all.first(all.size() - 1);
+}
+
+UpstreamBook::Placement UpstreamBook::placementOf(const ChoiceAsk &ask)
+{
+    Placement placement;
+    placement.parts = keyParts(ask.model, ask.prompt);
+    placement.tokens = tokensOf(ask.prompt);
+    placement.sharedTokens = tokensOf(sharedParts(ask.prompt));
+    return placement;
+}
+
+double UpstreamBook::fetchCost(TokenCount tokens, const ServiceInfo &info) const
+{
+    const auto n = static_cast<double>(tokens);
+    const double bits = n * bitsPerByte * static_cast<double>(info.engineTokenBytes);
+    const double wireMs = bits / (info.engineLinkMbps * bitsPerMsOfMbps);
+    return m_costs.fetchSetup + wireMs + m_costs.fetchPerKiloToken * n / tokensPerKilo;
+}
+
+/// The cost of what the engine has to read or fetch of the prompt; sets the choice's part of it.
+///
+/// Shared parts that nobody is known to hold are placed as if they lay at their home, so that all
+/// gateways send them there; the load counts them as what they are, parts to be read.
+double UpstreamBook::readingCost(const Candidate &candidate, const ChoiceAsk &ask,
+                                 const Placement &placement, Choice *choice) const
+{
+    const double readMs = 1.0 / m_costs.tokensPerMs;
+    const bool isCold = placement.mostHeld == 0;
+    const TokenCount mostHeld = isCold ? placement.sharedTokens : placement.mostHeld;
+    const TokenCount held = isCold && choice->isHome
+        ? std::max(candidate.held, placement.sharedTokens)
+        : candidate.held;
+    const TokenCount again = mostHeld - std::min(mostHeld, held);
+    const TokenCount unread = placement.tokens - std::min(placement.tokens, held);
+    choice->unreadTokens = placement.tokens - std::min(placement.tokens, candidate.held);
+    double cost = readMs * static_cast<double>(unread);
+    cost += m_costs.rereadFactor * readMs * static_cast<double>(again);
+    const bool canFetch =
+        again > 0 && placement.source != nullptr && ask.info != nullptr && ask.info->canFetch();
+    if (!canFetch)
+        return cost;
+    const TokenCount rest = unread - std::min(unread, again);
+    const double fetched = readMs * static_cast<double>(rest) + fetchCost(again, *ask.info);
+    if (fetched >= cost)
+        return cost;
+    choice->unreadTokens = rest;
+    choice->fetchFrom = placement.source->entry->id;
+    return fetched;
+}
+
+/// What it costs to be behind the work that an upstream has.
+double UpstreamBook::loadCost(const UpstreamEntry &entry, const UpstreamLoad &load,
+                              bool isHealthy) const
+{
+    double cost = static_cast<double>(load.unreadTokens) / m_costs.tokensPerMs;
+    cost += m_costs.perRunning * load.running;
+    if (load.running >= entry.slots)
+        cost += m_costs.perQueued * (load.running - entry.slots + 1);
+    if (entry.zone != m_zone)
+        cost += m_costs.otherZone;
+    if (!isHealthy)
+        cost += m_costs.unhealthy;
+    return cost;
+}
+
+bool UpstreamBook::isShort(const ChoiceAsk &ask) const
+{
+    return tokensOf(ask.prompt) <= m_costs.shortPrompt;
+}
+
+/// The engines of a service that all gateways keep for short prompts: the first of a hash over
+/// their ids in each availability zone, zone by zone in turn.
+const std::set<UpstreamId> &UpstreamBook::quietEngines(const ServiceName &service,
+                                                       const UpstreamDirectory &directory)
+{
+    if (std::exchange(m_quietAt, directory.changes()) != directory.changes())
+        m_quiet.clear();
+    const auto [it, fresh] = m_quiet.try_emplace(service);
+    if (!fresh)
+        return it->second;
+    std::map<ZoneName, std::vector<RankedEngine>> byZone;
+    for (const UpstreamEntry *entry : directory.usableOf(service))
+        byZone[entry->zone].push_back({0, quietHash(entry->id), entry->id});
+    std::vector<RankedEngine> ranked;
+    for (std::vector<RankedEngine> &engines : byZone | std::views::values) {
+        std::ranges::sort(engines);
+        for (std::size_t n = 0; n < engines.size(); ++n) {
+            engines[n].round = n;
+            ranked.push_back(engines[n]);
+        }
+    }
+    std::ranges::sort(ranked);
+    const double part = m_costs.quietPart * static_cast<double>(ranked.size());
+    const auto wanted = static_cast<std::size_t>(std::lround(part));
+    for (const RankedEngine &engine : ranked | std::views::take(wanted))
+        it->second.insert(engine.id);
+    return it->second;
+}
+
+double UpstreamBook::quietCost(const ChoiceAsk &ask, bool isQuiet) const
+{
+    if (ask.prompt.empty() || isShort(ask) == isQuiet)
+        return 0;
+    return isQuiet ? m_costs.longInQuiet : m_costs.shortOutside;
+}
+
+std::vector<UpstreamBook::Candidate> UpstreamBook::candidates(const ChoiceAsk &ask,
+                                                              const Placement &placement,
+                                                              const UpstreamDirectory &directory,
+                                                              Time now)
+{
+    static const std::set<UpstreamId> none;
+    const std::set<UpstreamId> &quiet =
+        ask.prompt.empty() ? none : quietEngines(ask.service, directory);
+    std::vector<Candidate> all;
+    for (const UpstreamEntry *entry : directory.usableOf(ask.service)) {
+        if (ask.tried != nullptr && ask.tried->contains(entry->id))
+            continue;
+        Record &record = m_records[entry->id];
+        Candidate candidate{entry};
+        candidate.isHealthy = !record.isReplaced && record.circuit.allows(now);
+        candidate.isQuiet = quiet.contains(entry->id);
+        candidate.held = record.cache.cachedTokens(placement.parts);
+        candidate.heldShared = record.cache.cachedTokens(placement.shared());
+        const UpstreamLoad load = totalLoad(entry->id, now);
+        candidate.running = load.running;
+        candidate.loadCost = loadCost(*entry, load, candidate.isHealthy);
+        all.push_back(candidate);
+    }
+    return all;
+}
+
+/// The home is among the healthy engines of the prompt's kind, if there are any.
+void UpstreamBook::findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
+                            Placement *placement) const
+{
+    if (sharedParts(ask.prompt).empty())
+        return;
+    const bool wantsQuiet = isShort(ask) && std::ranges::any_of(among, &Candidate::isQuiet);
+    std::vector<const UpstreamEntry *> near;
+    std::vector<const UpstreamEntry *> fit;
+    std::vector<const UpstreamEntry *> any;
+    for (const Candidate &candidate : among) {
+        any.push_back(candidate.entry);
+        if (!candidate.isHealthy || candidate.isQuiet != wantsQuiet)
+            continue;
+        fit.push_back(candidate.entry);
+        if (wantsQuiet && candidate.entry->zone == m_zone)
+            near.push_back(candidate.entry);
+    }
+    if (!near.empty())
+        placement->home = homeOf(ask, near);
+    else
+        placement->home = homeOf(ask, fit.empty() ? any : fit);
+}
+
+/// The least loaded of the engines that hold most of the shared parts, and have read them by now.
+void UpstreamBook::findSource(const ChoiceAsk &ask, const std::vector<Candidate> &among, Time now,
+                              Placement *placement) const
+{
+    // Reading a short prompt's shared part again costs less than sending it to another zone.
+    const bool staysInZone = isShort(ask);
+    for (const Candidate &candidate : among) {
+        const bool counts = !staysInZone || candidate.entry->zone == m_zone;
+        if (candidate.isHealthy && counts)
+            placement->mostHeld = std::max(placement->mostHeld, candidate.heldShared);
+    }
+    if (placement->mostHeld == 0)
+        return;
+    const PromptKey last = placement->shared().back().key;
+    for (const Candidate &candidate : among) {
+        if (!candidate.isHealthy || candidate.heldShared < placement->mostHeld)
+            continue;
+        const auto since = m_records.at(candidate.entry->id).cache.cachedSince(last);
+        const bool isRead = since && *since + fetchAge < now;
+        const Candidate *best = placement->source;
+        if (isRead && (best == nullptr || candidate.loadCost < best->loadCost))
+            placement->source = &candidate;
+    }
+}
+
+double UpstreamBook::costByCost(const Candidate &candidate, const ChoiceAsk &ask,
+                                const Placement &placement, Choice *choice) const
+{
+    const double cost = candidate.loadCost + quietCost(ask, candidate.isQuiet);
+    return cost + readingCost(candidate, ask, placement, choice);
+}
+
+double UpstreamBook::costHomeOnly(const Candidate &candidate, const ChoiceAsk &ask,
+                                  const Placement &placement, Choice *choice) const
+{
+    if (placement.home)
+        return choice->isHome ? 0 : m_costs.unhealthy;
+    return costLeastLoaded(candidate, ask, placement, choice);
+}
+
+double UpstreamBook::costLeastLoaded(const Candidate &candidate, const ChoiceAsk & /*ask*/,
+                                     const Placement & /*placement*/, Choice * /*choice*/) const
+{
+    constexpr double zoneTie = 0.5; // less than one request
+    const double load = candidate.running + (candidate.entry->zone == m_zone ? 0 : zoneTie);
+    return load + (candidate.isHealthy ? 0 : m_costs.unhealthy);
+}
+
+double UpstreamBook::costRoundRobin(const Candidate &candidate, const ChoiceAsk & /*ask*/,
+                                    const Placement & /*placement*/, Choice * /*choice*/) const
+{
+    const std::uint64_t turn = m_records.at(candidate.entry->id).lastTurn;
+    // Turns count up without end, so what is out of order is put behind all of them.
+    return static_cast<double>(turn) + (candidate.isHealthy ? 0 : static_cast<double>(m_turns) + 1);
+}
+
+std::optional<Choice> UpstreamBook::choose(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                           Time now)
+{
+    Placement placement = placementOf(ask);
+    const std::vector<Candidate> all = candidates(ask, placement, directory, now);
+    findHome(ask, all, &placement);
+    findSource(ask, all, now, &placement);
+    constexpr std::array<CostOf, 4> costs{&UpstreamBook::costByCost, &UpstreamBook::costHomeOnly,
+                                          &UpstreamBook::costLeastLoaded,
+                                          &UpstreamBook::costRoundRobin};
+    const CostOf costOf = costs[static_cast<std::size_t>(m_costs.strategy)];
+    std::optional<Choice> best;
+    for (const Candidate &candidate : all) {
+        Choice choice;
+        choice.upstream = candidate.entry->id;
+        choice.isHome = placement.home == candidate.entry->id;
+        choice.cost = (this->*costOf)(candidate, ask, placement, &choice);
+        if (!best || choice.cost < best->cost)
+            best = choice;
+    }
+    return best;
+}
+
+} // namespace reachlead
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(shortPromptsKeepToQuietEngines);
     CPPUNIT_TEST(loadedQuietEngineSpills);
     CPPUNIT_TEST(everyZoneHasItsQuietEngine);
+    CPPUNIT_TEST(baselinesChooseAsTheirNamesSay);
     CPPUNIT_TEST(promptFollowsWhatPeersTold);
     CPPUNIT_TEST(spilledPromptIsFetchedFromItsHolder);
     CPPUNIT_TEST(nothingIsFetchedBeforeItWasRead);
@@ -218,6 +219,39 @@
         CPPUNIT_ASSERT(one.choose(ask(brief), upstreams, start)->upstream != quiet->upstream);
     }
 
+    static UpstreamBook bookOf(UpstreamBook::Strategy strategy)
+    {
+        UpstreamBook::Costs costs;
+        costs.strategy = strategy;
+        return {ZoneName("z0"), costs};
+    }
+
+    void baselinesChooseAsTheirNamesSay()
+    {
+        const UpstreamDirectory upstreams = directory(9);
+        const auto parts = prompt(1);
+        UpstreamBook home = bookOf(UpstreamBook::Strategy::HomeOnly);
+        UpstreamBook least = bookOf(UpstreamBook::Strategy::LeastLoaded);
+        UpstreamBook inTurn = bookOf(UpstreamBook::Strategy::RoundRobin);
+        std::set<UpstreamId> byHome;
+        std::set<UpstreamId> byLoad;
+        std::set<UpstreamId> byTurn;
+        const auto place = [&](UpstreamBook *one, std::set<UpstreamId> *used) {
+            Choice choice = *one->choose(ask(parts), upstreams, start);
+            choice.unreadTokens = 400'000;
+            one->sent(choice.upstream, ask(parts), choice, start);
+            used->insert(choice.upstream);
+        };
+        for (std::size_t n = 0; n < upstreams.entries().size(); ++n) {
+            place(&home, &byHome);
+            place(&least, &byLoad);
+            place(&inTurn, &byTurn);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, byHome.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, byLoad.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, byTurn.size());
+    }
+
     void everyZoneHasItsQuietEngine()
     {
         const UpstreamDirectory upstreams = directory(30); // three quiet ones
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -134,6 +134,7 @@
     constexpr double largest = 1e6;
     UpstreamBook::Costs &costs = state.costs;
     auto shortPrompt = static_cast<std::int64_t>(costs.shortPrompt);
+    auto strategy = static_cast<std::size_t>(costs.strategy);
     IniReader reader(file, "placement");
     reader.takeNumber("tokens_per_ms", 0.001, largest, &costs.tokensPerMs)
         .takeNumber("per_running_ms", 0.0, longest, &costs.perRunning)
@@ -146,6 +147,8 @@
         .takeInteger("short_prompt", 0, 1'000'000'000, &shortPrompt)
         .takeNumber("short_outside_ms", 0.0, longest, &costs.shortOutside)
         .takeNumber("long_in_quiet_ms", 0.0, longest, &costs.longInQuiet);
+    reader.takeWord("strategy", {"cost", "home-only", "least-loaded", "round-robin"}, &strategy);
+    costs.strategy = static_cast<UpstreamBook::Strategy>(strategy);
     costs.shortPrompt = static_cast<TokenCount>(shortPrompt);
     return reader.finish();
 }
