forward: a stop ends its notice sooner, and calls left at its end are told

The notice lasted 3.2 s, and what is taken later than 3 s after the signal may not end in time.

Change: the notice lasts 2.7 s (the balancer has had two answers by 2.1 s); a request that is whole only after it is refused as not run; at the limit a call whose answer has not begun is told 504, unknown (503 if it was never sent), instead of a cut.

Ruled out: the choice of upstreams as such; it only makes long answers rarer.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -40,10 +40,12 @@
 {
     m_shared.counters.add(Count::RequestsAccepted);
     m_shared.counters.shift(Gauge::OpenRequests, 1);
+    m_shared.calls.insert(this);
 }
 
 ForwardCall::~ForwardCall()
 {
+    m_shared.calls.erase(this);
     m_caller.forgetGone();
     m_shared.counters.shift(Gauge::OpenRequests, -1);
 }
@@ -93,23 +95,29 @@
     m_limit = m_arrived + patience;
 }
 
+void ForwardCall::stop(Stop why)
+{
+    if (m_stop != Stop::None)
+        return;
+    m_stop = why;
+    if (m_channel)
+        m_channel->close();
+}
+
 void ForwardCall::watch()
 {
     // A timer that has fired already calls back even after this call has ended.
-    const auto stop = [this, alive = std::weak_ptr(m_alive)](Stop why) {
-        if (alive.expired() || m_stop != Stop::None)
-            return;
-        m_stop = why;
-        if (m_channel)
-            m_channel->close();
+    const auto stopIfAlive = [this, alive = std::weak_ptr(m_alive)](Stop why) {
+        if (!alive.expired())
+            stop(why);
     };
-    m_caller.onGone([stop] { stop(Stop::CallerGone); });
+    m_caller.onGone([stopIfAlive] { stopIfAlive(Stop::CallerGone); });
     if (m_caller.isGone())
         stop(Stop::CallerGone);
     m_timer.expires_at(m_limit);
-    m_timer.async_wait([stop](const boost::system::error_code &ec) {
+    m_timer.async_wait([stopIfAlive](const boost::system::error_code &ec) {
         if (!ec)
-            stop(Stop::Expired);
+            stopIfAlive(Stop::Expired);
     });
 }
 
@@ -117,6 +125,8 @@
 {
     if (m_stop == Stop::CallerGone)
         return ErrorKind::CallerGone;
+    if (m_stop == Stop::ProcessEnds)
+        return m_sends > 0 ? ErrorKind::OutcomeUnknown : ErrorKind::RouterStopping;
     return m_sends > 0 ? ErrorKind::DeadlineRunning : ErrorKind::DeadlineQueued;
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -31,14 +31,21 @@
     /// True when the connection may take another request.
     boost::asio::awaitable<bool> run();
 
+    /// Answers without an upstream, with a status of the gateway's own. As run().
+    boost::asio::awaitable<bool> refuse(const Error &error);
+
+    /// Ends the call at once, as the process ends: what is under way at the upstream is broken off.
+    void giveUp() { stop(Stop::ProcessEnds); }
+
 private:
     /// Why a send was broken off from this side.
-    enum class Stop : std::uint8_t { None, CallerGone, Expired };
+    enum class Stop : std::uint8_t { None, CallerGone, Expired, ProcessEnds };
 
     // Before the first send.
     std::optional<Error> resolve();
     void setLimit();
     void watch();
+    void stop(Stop why);
 
     // Sends.
     ChoiceAsk makeAsk() const;
@@ -59,7 +66,6 @@
 
     // The answer to the caller.
     boost::asio::awaitable<bool> finish(ForwardDecision decision);
-    boost::asio::awaitable<bool> refuse(const Error &error);
     boost::asio::awaitable<bool> deliverWhole();
     boost::asio::awaitable<bool> sendHead();
     AnswerHead makeHead() const;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -98,7 +98,10 @@
         co_return false;
     }
     ForwardCall call(m_shared, caller, std::move(*request));
-    co_return co_await call.run();
+    if (m_shared.takesRequests)
+        co_return co_await call.run();
+    const Error late{ErrorKind::RouterStopping, "the request came too late before the stop"};
+    co_return co_await call.refuse(late);
 }
 
 void Forwarder::beginStop()
@@ -108,12 +111,20 @@
 
 void Forwarder::closeIdle()
 {
+    m_shared.takesRequests = false;
     boost::system::error_code ec;
     m_acceptor.close(ec);
     for (const auto &caller : m_open)
         caller->endWhenIdle();
 }
 
+void Forwarder::giveUpCalls()
+{
+    const auto calls = m_shared.calls; // a call that ends takes itself out
+    for (ForwardCall *call : calls)
+        call->giveUp();
+}
+
 void Forwarder::abortAll()
 {
     const auto open = m_open; // abort() has the connections erase themselves
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -22,6 +22,8 @@
 
 namespace reachlead {
 
+class ForwardCall;
+
 /// What all calls of a gateway share. One thread.
 struct ForwardShared
 {
@@ -32,7 +34,9 @@
     Latencies &latencies;
     UpstreamPool pool;
     std::mt19937_64 random{std::random_device{}()};
+    std::set<ForwardCall *> calls{}; ///< at work
     bool stopping = false;
+    bool takesRequests = true; ///< what is read after that is refused as not run
 };
 
 /// Accepts callers and serves each connection. One thread.
@@ -52,6 +56,9 @@
     void beginStop();
     void closeIdle();
 
+    /// Ends the calls that are left: those whose answer has not begun are told so, the others cut.
+    void giveUpCalls();
+
     /// Cuts what is left.
     void abortAll();
 
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -22,8 +22,11 @@
 constexpr Duration tickInterval = milliseconds(250);
 
 /// From the order to stop until the last accept: the balancer asks each second, and takes a VM out
-/// after two answers in a row that are not 200.
-constexpr Duration stopNotice = milliseconds(3200);
+/// after two answers in a row that are not 200. What is taken later might not end before the limit.
+constexpr Duration stopNotice = milliseconds(2700);
+
+/// From the end of the calls that are left until the process ends: their answers are on the way.
+constexpr Duration lastAnswers = milliseconds(150);
 
 /// Part of the stop's limit after which what is left is cut, so that callers are told by an end
 /// rather than by the kill.
@@ -131,6 +134,9 @@
     while (m_forwarder.openConnections() > 0 && RuntimeClock::now() < limit)
         co_await sleepFor(m_io, stopLook);
     const std::size_t cut = m_forwarder.openConnections();
+    m_forwarder.giveUpCalls();
+    if (cut > 0)
+        co_await sleepFor(m_io, lastAnswers);
     m_forwarder.abortAll();
     LogLine(cut > 0 ? LogLevel::Warn : LogLevel::Info, "stopped").with("connections_cut", cut);
     m_source->stop();
