--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -108,7 +108,7 @@
     /// What is new of where prompts lie is told in each beat for this long: six beats reach thirty
     /// gateways.
     static constexpr Duration noteSpan = milliseconds(2500);
-    /// Notes in one beat: about 1 KB.
+    /// Notes in one beat: 0.5 KB.
     static constexpr std::size_t mostNotes = 40;
 
     UpstreamBook(ZoneName zone, const Costs &costs) : m_zone(std::move(zone)), m_costs(costs) { }
@@ -135,9 +135,13 @@
     /// Another life answers at its address: this one is gone for good, whatever the registry says.
     void replaced(const UpstreamId &id);
 
-    /// What another gateway said of its own load.
+    /// What another gateway said of its own load. Loads that are too old are forgotten, so that the
+    /// memory follows the gateways that live.
     void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now);
 
+    /// Gateways whose loads are remembered.
+    std::size_t peersHeard() const { return m_peers.size(); }
+
     /// This gateway's own load, to be told to others.
     LoadByUpstream ownLoad() const;
 
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -118,6 +118,7 @@
 
 void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now)
 {
+    std::erase_if(m_peers, [&](const auto &it) { return it.second.heard + peerLoadAge < now; });
     m_peers[peer] = PeerLoad{std::move(load), now};
 }
 
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -181,6 +181,9 @@
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
         const Time later = start + UpstreamBook::peerLoadAge + milliseconds(1);
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, later)->upstream == home);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.peersHeard());
+        one.setPeerLoad(VmName("other"), {}, later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.peersHeard());
     }
 
     static std::vector<PromptPart> shortPrompt(std::uint64_t subject)
