--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -67,8 +67,8 @@
     // The index by service points into the entries, which keep their places when moved.
     UpstreamDirectory(const UpstreamDirectory &) = delete;
     UpstreamDirectory &operator=(const UpstreamDirectory &) = delete;
-    UpstreamDirectory(UpstreamDirectory &&) = default;
-    UpstreamDirectory &operator=(UpstreamDirectory &&) = default;
+    UpstreamDirectory(UpstreamDirectory &&) noexcept = default;
+    UpstreamDirectory &operator=(UpstreamDirectory &&) noexcept = default;
     ~UpstreamDirectory() = default;
 
     /// What changed in the set of usable upstreams.
