forward: what a call holds outlives the loop; an exchange without an answer has no status

Calls that are cut at a stop's limit end when the event loop is destroyed, after the set they took themselves out of; and a stream that may not go on, whose last send broke while it was written, asked for the status of an answer that never began.

Change: each call holds the set; status() is 0 before a head came.

Tests: callsAtWorkEndWithTheLoop (under ASan), exchangeWithoutAnAnswerHasNoStatus.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -34,18 +34,18 @@
 } // namespace
 
 ForwardCall::ForwardCall(ForwardShared &shared, CallerStream &caller, CallerRequest request)
-    : m_shared(shared), m_caller(caller), m_request(std::move(request)),
+    : m_shared(shared), m_calls(shared.calls), m_caller(caller), m_request(std::move(request)),
       m_facts(shared.dialect.readCall(m_request)), m_table(shared.state.table()),
       m_arrived(RuntimeClock::now()), m_limit(m_arrived + defaultPatience), m_timer(shared.io)
 {
     m_shared.counters.add(Count::RequestsAccepted);
     m_shared.counters.shift(Gauge::OpenRequests, 1);
-    m_shared.calls.insert(this);
+    m_calls->insert(this);
 }
 
 ForwardCall::~ForwardCall()
 {
-    m_shared.calls.erase(this);
+    m_calls->erase(this);
     m_caller.forgetGone();
     m_shared.counters.shift(Gauge::OpenRequests, -1);
 }
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -76,6 +76,7 @@
     ErrorKind kindOfStop() const;
 
     ForwardShared &m_shared;
+    std::shared_ptr<std::set<ForwardCall *>> m_calls; ///< with this one
     CallerStream &m_caller;
     CallerRequest m_request;
     CallFacts m_facts;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -120,7 +120,7 @@
 
 void Forwarder::giveUpCalls()
 {
-    const auto calls = m_shared.calls; // a call that ends takes itself out
+    const auto calls = *m_shared.calls; // a call that ends takes itself out
     for (ForwardCall *call : calls)
         call->giveUp();
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -34,7 +34,8 @@
     Latencies &latencies;
     UpstreamPool pool;
     std::mt19937_64 random{std::random_device{}()};
-    std::set<ForwardCall *> calls{}; ///< at work
+    /// Calls at work. Held by each of them, as the last ones end with the event loop.
+    std::shared_ptr<std::set<ForwardCall *>> calls = std::make_shared<std::set<ForwardCall *>>();
     bool stopping = false;
     bool takesRequests = true; ///< what is read after that is refused as not run
 };
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -51,7 +51,8 @@
     /// broke off.
     boost::asio::awaitable<std::optional<std::string>> readPiece();
 
-    unsigned status() const { return m_parser->get().result_int(); }
+    /// Of the answer; 0 before its head came.
+    unsigned status() const { return m_parser ? m_parser->get().result_int() : 0; }
     const Fields &head() const { return m_parser->get().base(); }
     const AnswerFacts &facts() const { return m_facts; }
     const std::string &reason() const { return m_reason; }
