gateway: an upstream may come and go in one batch; a crash says where

What was found by reading: the line `upstream-added` looked up an upstream that a later change of the same batch had removed, and a late watch brings long batches. Its test ends with 139 without the change.

Change: the line is written without service and zone then. A fatal signal now writes one line and the addresses of the calls under way to standard output.

--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -159,11 +159,11 @@
     if (changed.added.empty() && changed.left.empty())
         return;
     for (const UpstreamId &id : changed.added) {
-        const UpstreamEntry &entry = *m_directory.find(id);
+        const UpstreamEntry *entry = m_directory.find(id); // null: gone again in the same batch
         LogLine(LogLevel::Info, "upstream-added")
             .with("upstream", id.text)
-            .with("service", entry.service.text)
-            .with("zone", entry.zone.text)
+            .with("service", entry != nullptr ? entry->service.text : "-")
+            .with("zone", entry != nullptr ? entry->zone.text : "-")
             .with("source", source)
             .with("revision", m_directory.revision());
     }
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <reachlead/gatewaystate.h>
+#include <reachlead/log.h>
 
 namespace reachlead {
 
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(peersTellWhatThePlatformDoesNot);
     CPPUNIT_TEST(olderNewsOfAPeerChangesNothing);
+    CPPUNIT_TEST(upstreamMayComeAndGoInOneBatch);
     CPPUNIT_TEST(newsTellChangesWhereTheyCan);
     CPPUNIT_TEST(newsTellAllToOneTooFarBehind);
     CPPUNIT_TEST(readyNeedsConfigurationAndUpstreams);
@@ -93,6 +95,21 @@
         return made;
     }
 
+    void upstreamMayComeAndGoInOneBatch()
+    {
+        GatewayState state({});
+        state.upstreamsListed({entry("a")}, 20);
+        UpstreamChange come;
+        come.entry = entry("b");
+        UpstreamChange go = come;
+        go.removed = true;
+        setLogLevel(LogLevel::Info); // the line of what came is the place where it was not found
+        state.upstreamsChanged({come, go}, 22);
+        setLogLevel(LogLevel::Error);
+        CPPUNIT_ASSERT(state.directory().find(UpstreamId("b")) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{22}, state.directory().revision());
+    }
+
     void newsTellChangesWhereTheyCan()
     {
         GatewayState teller({});
--- a/src/reachlead-gateway/main.cpp
+++ b/src/reachlead-gateway/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 
+#include <reachlead/crashreport.h>
 #include <reachlead/log.h>
 
 #include "gatewaydaemon.h"
@@ -17,6 +18,7 @@
 int main(int argc, char **argv)
 {
     using namespace reachlead;
+    reportCrashes();
     GatewaySettings settings;
     std::string path;
     DaemonMain program;
