directory: the registry's view is told apart from what is held after an outage

Cause: a gateway that had been cut off held an upstream's removal back for 2 s, and told a later revision as if the upstream were part of it. A healthy gateway took that revision, never heard of the removal, and then began a hold of its own: a call 2,035 ms after the upstream had said that it leaves. Ruled out: a late datagram (the log shows no news of 39 at that gateway at all).

--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -32,11 +32,7 @@
 {
     std::optional<RoutingConfig> config; ///< whole, where its change could not be told
     std::optional<RoutingDelta> configChange;
-    std::optional<std::vector<UpstreamEntry>> upstreams; ///< all, where changes could not be told
-    std::vector<UpstreamChange> upstreamChanges; ///< behind changesFrom
-    std::uint64_t changesFrom = 0; ///< the asker's revision
-    std::uint64_t registryRevision = 0; ///< of the upstreams
-    std::vector<UpstreamId> missing; ///< upstreams whose removal is held back since an outage
+    RegistryNews registry;
 };
 
 /// Takes what a source reads. Called on the traffic thread.
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -55,11 +55,39 @@
     template <class Archive> void serialize(Archive &ar) { ar(entry, removed); }
 };
 
+/// An upstream that the registry lacks since an outage and that is used a little longer.
+struct HeldUpstream
+{
+    UpstreamEntry entry;
+    std::int32_t leftMs = 0; ///< until it counts as gone
+
+    template <class Archive> void serialize(Archive &ar) { ar(entry, leftMs); }
+};
+
+/// What one directory tells another: the registry at a revision, and apart from it what is believed
+/// beyond that.
+struct RegistryNews
+{
+    std::uint64_t revision = 0;
+    std::uint64_t changesFrom = 0; ///< the asker's revision
+    std::vector<UpstreamChange> changes; ///< behind changesFrom
+    std::optional<std::vector<UpstreamEntry>> all; ///< where changes could not be told
+    std::vector<HeldUpstream> held; ///< not in the registry at that revision
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(revision, changesFrom, changes, all, held);
+    }
+};
+
 /// The registry's entries by id. Not thread-safe, reads no clock.
 ///
 /// While the registry is away the last entries stay in use. Entries that lapsed meanwhile may come
-/// back soon after its return, so a removal that is learned within returnGrace of the return takes
-/// effect only at the end of that span, and not at all if the entry came back.
+/// back soon after its return, so what the registry's first answer after an outage lacks is used
+/// until the end of returnGrace, unless it came back. A removal that is seen later is a departure
+/// and takes effect at once. Held entries are no part of what is told under a revision: an entry
+/// passed on under a later revision than its removal's would be used for 2 s more at each gateway
+/// that hears of it.
 class UpstreamDirectory
 {
 public:
@@ -82,17 +110,21 @@
     /// once a second, and the registry's page names two seconds.
     static constexpr Duration returnGrace = milliseconds(2000);
 
-    /// Takes the whole list as of \p revision; an older one changes nothing.
+    /// Takes the registry's whole list as of \p revision; an older one changes nothing.
     Changed replaceAll(const std::vector<UpstreamEntry> &entries, std::uint64_t revision, Time now);
 
-    /// Holds back the removal of entries that another gateway misses since an outage.
-    void markMissing(const std::vector<UpstreamId> &ids, Time now);
+    /// Takes the registry's changes up to \p revision; older ones change nothing.
+    Changed apply(const std::vector<UpstreamChange> &changes, std::uint64_t revision, Time now);
 
-    /// The entries whose removal is held back.
-    std::vector<UpstreamId> missing() const;
+    /// What a directory at \p revision lacks: changes where they can be told, else all.
+    RegistryNews newsSince(std::uint64_t revision, Time now) const;
 
-    /// Takes changes up to \p revision; older ones change nothing.
-    Changed apply(const std::vector<UpstreamChange> &changes, std::uint64_t revision, Time now);
+    /// Takes what another directory tells; older news, and changes from a later revision than this
+    /// one's, change nothing.
+    Changed take(const RegistryNews &news, Time now);
+
+    /// The entries that the registry lacks since an outage and that are still used.
+    std::vector<UpstreamId> missing() const;
 
     /// The registry no longer answers.
     void lostContact();
@@ -104,13 +136,18 @@
     Changed expire(Time now);
 
     const UpstreamEntry *find(const UpstreamId &id) const;
+    /// All that are used, held ones included.
     const std::map<UpstreamId, UpstreamEntry> &entries() const { return m_entries; }
 
+    /// The registry's entries at revision(): what is used less what is held.
+    std::vector<UpstreamEntry> registered() const;
+
     /// The upstreams of a service that take work, in the order of their ids. Valid until the next
     /// change.
     const std::vector<const UpstreamEntry *> &usableOf(const ServiceName &service) const;
 
-    /// What changed behind \p revision; nothing when that is too long ago to be told.
+    /// What changed in the registry behind \p revision; nothing when that is too long ago to be
+    /// told.
     std::optional<std::vector<UpstreamChange>> changesSince(std::uint64_t revision) const;
 
     /// An upstream by the tag that stands for its id in short messages; null when there is none.
@@ -135,12 +172,21 @@
         UpstreamId id;
     };
 
-    bool holdsRemovals(Time now) const { return now < m_graceUntil; }
+    using HeldUntil = std::map<UpstreamId, Time>;
+
+    bool holdsRemovals(Time now) const { return m_catchesUp && now < m_graceUntil; }
+    void jumpTo(std::uint64_t revision);
     void put(const UpstreamEntry &entry, Changed *changed);
+    void putAll(const std::vector<UpstreamEntry> &entries, Time now, const HeldUntil &held,
+                Changed *changed);
+    void putChanges(const std::vector<UpstreamChange> &changes, Time now, const HeldUntil &held,
+                    Changed *changed);
     void erase(const UpstreamId &id);
     void log(const UpstreamId &id);
     void buildIndex() const;
-    void remove(const UpstreamId &id, Time now, Changed *changed);
+    void remove(const UpstreamId &id, Time now, const HeldUntil &held, Changed *changed);
+    std::optional<Time> heldUntil(const UpstreamEntry &entry, Time now,
+                                  const HeldUntil &held) const;
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< held back until
@@ -154,6 +200,7 @@
     std::uint64_t m_revision = 0;
     bool m_inContact = false;
     bool m_wasInContact = false; ///< at any time before
+    bool m_catchesUp = false; ///< the registry's first answer after an outage is still to come
     Time m_graceUntil{};
 };
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -107,15 +107,7 @@
         if (auto config = applied(m_table->config(), *news.configChange))
             adopt(std::move(*config), peer.text);
     }
-    const bool isNewer = news.registryRevision > m_directory.revision();
-    if (isNewer && news.upstreams)
-        noteChange(m_directory.replaceAll(*news.upstreams, news.registryRevision, now()),
-                   peer.text);
-    else if (isNewer && m_directory.revision() > 0 && news.changesFrom <= m_directory.revision())
-        noteChange(m_directory.apply(news.upstreamChanges, news.registryRevision, now()),
-                   peer.text);
-    if (news.registryRevision == m_directory.revision())
-        m_directory.markMissing(news.missing, now());
+    noteChange(m_directory.take(news.registry, now()), peer.text);
 }
 
 GatewayNews GatewayState::newsSince(std::uint64_t configVersion,
@@ -129,18 +121,7 @@
         if (!news.configChange)
             news.config = m_table->config();
     }
-    news.registryRevision = m_directory.revision();
-    news.missing = m_directory.missing();
-    if (news.registryRevision <= registryRevision)
-        return news;
-    if (auto changes = m_directory.changesSince(registryRevision)) {
-        news.changesFrom = registryRevision;
-        news.upstreamChanges = std::move(*changes);
-        return news;
-    }
-    news.upstreams.emplace();
-    std::ranges::copy(m_directory.entries() | std::views::values,
-                      std::back_inserter(*news.upstreams));
+    news.registry = m_directory.newsSince(registryRevision, now());
     return news;
 }
 
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -62,8 +62,8 @@
         state.contactChanged(false);
         GatewayNews news;
         news.config = config(3);
-        news.upstreams = {entry("a")};
-        news.registryRevision = 12;
+        news.registry.all = {entry("a")};
+        news.registry.revision = 12;
         state.peerTold(VmName("peer"), news);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, state.configVersion());
         CPPUNIT_ASSERT(state.directory().find(UpstreamId("a")) != nullptr);
@@ -77,8 +77,8 @@
         state.upstreamsListed({entry("a")}, 20);
         GatewayNews news;
         news.config = config(6);
-        news.upstreams = {entry("b")};
-        news.registryRevision = 20;
+        news.registry.all = {entry("b")};
+        news.registry.revision = 20;
         state.peerTold(VmName("peer"), news);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, state.configVersion());
         CPPUNIT_ASSERT(state.directory().find(UpstreamId("b")) == nullptr);
@@ -124,9 +124,9 @@
         gone.removed = true;
         teller.upstreamsChanged({gone}, 21);
         const GatewayNews news = teller.newsSince(3, 20);
-        CPPUNIT_ASSERT(!news.config && !news.upstreams);
+        CPPUNIT_ASSERT(!news.config && !news.registry.all);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.configChange->routes.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.upstreamChanges.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.registry.changes.size());
         hearer.peerTold(VmName("peer"), news);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, hearer.configVersion());
         CPPUNIT_ASSERT_EQUAL(std::size_t{11}, hearer.table()->config().routes.size());
@@ -141,7 +141,7 @@
             teller.configRead(withRoutes(version, 2));
         teller.upstreamsListed({entry("a")}, 20);
         const GatewayNews news = teller.newsSince(1, 7);
-        CPPUNIT_ASSERT(news.config && news.upstreams);
+        CPPUNIT_ASSERT(news.config && news.registry.all);
         GatewayState fresh({});
         fresh.peerTold(VmName("peer"), news);
         CPPUNIT_ASSERT(fresh.isReady());
@@ -149,8 +149,8 @@
         GatewayState behind({});
         behind.upstreamsListed({entry("b")}, 5);
         GatewayNews gap;
-        gap.changesFrom = 7;
-        gap.registryRevision = 20;
+        gap.registry.changesFrom = 7;
+        gap.registry.revision = 20;
         behind.peerTold(VmName("peer"), gap);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, behind.directory().revision());
     }
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -16,25 +16,50 @@
     return XXH32(id.text.data(), id.text.size(), 0);
 }
 
-UpstreamDirectory::Changed UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries,
-                                                         std::uint64_t revision, Time now)
+/// Moves on to a whole list's revision. What came and went behind the last one is unknown then, so
+/// that no changes can be told across it: a directory that knows such an entry would keep it.
+void UpstreamDirectory::jumpTo(std::uint64_t revision)
 {
-    Changed changed;
-    if (revision < m_revision)
-        return changed;
-    if (m_revision == 0)
+    if (revision != m_revision)
         m_logFloor = revision;
     m_revision = revision;
+}
+
+void UpstreamDirectory::putAll(const std::vector<UpstreamEntry> &entries, Time now,
+                               const HeldUntil &held, Changed *changed)
+{
     std::set<UpstreamId> listed;
     for (const UpstreamEntry &entry : entries) {
         listed.insert(entry.id);
-        put(entry, &changed);
+        put(entry, changed);
     }
     std::vector<UpstreamId> absent;
     std::ranges::copy_if(m_entries | std::views::keys, std::back_inserter(absent),
                          [&](const UpstreamId &id) { return !listed.contains(id); });
     for (const UpstreamId &id : absent)
-        remove(id, now, &changed);
+        remove(id, now, held, changed);
+}
+
+void UpstreamDirectory::putChanges(const std::vector<UpstreamChange> &changes, Time now,
+                                   const HeldUntil &held, Changed *changed)
+{
+    for (const UpstreamChange &change : changes) {
+        if (change.removed)
+            remove(change.entry.id, now, held, changed);
+        else
+            put(change.entry, changed);
+    }
+}
+
+UpstreamDirectory::Changed UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries,
+                                                         std::uint64_t revision, Time now)
+{
+    Changed changed;
+    if (revision < m_revision)
+        return changed;
+    jumpTo(revision);
+    putAll(entries, now, {}, &changed);
+    m_catchesUp = false;
     return changed;
 }
 
@@ -45,21 +70,51 @@
     if (revision < m_revision)
         return changed;
     m_revision = revision;
-    for (const UpstreamChange &change : changes) {
-        if (change.removed)
-            remove(change.entry.id, now, &changed);
-        else
-            put(change.entry, &changed);
-    }
+    putChanges(changes, now, {}, &changed);
+    m_catchesUp = false;
     return changed;
 }
 
-void UpstreamDirectory::markMissing(const std::vector<UpstreamId> &ids, Time now)
+RegistryNews UpstreamDirectory::newsSince(std::uint64_t revision, Time now) const
 {
-    for (const UpstreamId &id : ids) {
-        if (m_entries.contains(id))
-            m_missing.try_emplace(id, now + returnGrace);
+    RegistryNews news;
+    news.revision = m_revision;
+    if (m_revision <= revision)
+        return news;
+    for (const auto &[id, until] : m_missing) {
+        const auto left = static_cast<std::int32_t>(toMillis(std::max(until - now, Duration{})));
+        news.held.push_back({m_entries.at(id), left});
+    }
+    if (auto changes = changesSince(revision)) {
+        news.changesFrom = revision;
+        news.changes = std::move(*changes);
+        return news;
+    }
+    news.all = registered();
+    return news;
+}
+
+UpstreamDirectory::Changed UpstreamDirectory::take(const RegistryNews &news, Time now)
+{
+    Changed changed;
+    const bool fits = news.all || (m_revision > 0 && news.changesFrom <= m_revision);
+    if (news.revision <= m_revision || !fits)
+        return changed;
+    if (news.all)
+        jumpTo(news.revision);
+    m_revision = news.revision;
+    HeldUntil held;
+    for (const HeldUpstream &it : news.held) {
+        const Duration left = std::clamp<Duration>(milliseconds(it.leftMs), {}, returnGrace);
+        held.emplace(it.entry.id, now + left);
+        if (news.all && !m_entries.contains(it.entry.id))
+            put(it.entry, &changed); // taken for absent below, and so held
     }
+    if (news.all)
+        putAll(*news.all, now, held, &changed);
+    else
+        putChanges(news.changes, now, held, &changed);
+    return changed;
 }
 
 std::vector<UpstreamId> UpstreamDirectory::missing() const
@@ -79,6 +134,7 @@
     if (m_inContact)
         return;
     m_inContact = true;
+    m_catchesUp = m_wasInContact;
     if (m_wasInContact)
         m_graceUntil = now + returnGrace;
     m_wasInContact = true;
@@ -157,7 +213,7 @@
     std::vector<UpstreamChange> changes;
     for (const UpstreamId &id : ids) {
         UpstreamChange change;
-        const UpstreamEntry *entry = find(id);
+        const UpstreamEntry *entry = m_missing.contains(id) ? nullptr : find(id);
         change.removed = entry == nullptr;
         if (entry != nullptr)
             change.entry = *entry;
@@ -167,17 +223,26 @@
     return changes;
 }
 
+std::vector<UpstreamEntry> UpstreamDirectory::registered() const
+{
+    std::vector<UpstreamEntry> entries;
+    std::ranges::copy_if(m_entries | std::views::values, std::back_inserter(entries),
+                         [&](const UpstreamEntry &it) { return !m_missing.contains(it.id); });
+    return entries;
+}
+
 void UpstreamDirectory::erase(const UpstreamId &id)
 {
     ++m_changes;
-    log(id);
     m_entries.erase(id);
 }
 
 void UpstreamDirectory::put(const UpstreamEntry &entry, Changed *changed)
 {
-    m_missing.erase(entry.id);
+    const bool wasHeld = m_missing.erase(entry.id) > 0;
     const auto [it, fresh] = m_entries.try_emplace(entry.id, entry);
+    if (wasHeld)
+        log(entry.id);
     if (entry.revision < it->second.revision)
         return; // a page that was read before the change that is known
     if (fresh || entry.revision > it->second.revision)
@@ -191,16 +256,33 @@
         changed->left.push_back(entry.id);
 }
 
-void UpstreamDirectory::remove(const UpstreamId &id, Time now, Changed *changed)
+/// How long an entry that the registry lacks is used, by this directory's own outage or by what
+/// another one \p held; nothing: it is gone.
+std::optional<Time> UpstreamDirectory::heldUntil(const UpstreamEntry &entry, Time now,
+                                                 const HeldUntil &held) const
+{
+    if (entry.leaving)
+        return std::nullopt;
+    if (const auto it = held.find(entry.id); it != held.end() && it->second > now)
+        return it->second;
+    return holdsRemovals(now) ? std::optional(m_graceUntil) : std::nullopt;
+}
+
+void UpstreamDirectory::remove(const UpstreamId &id, Time now, const HeldUntil &held,
+                               Changed *changed)
 {
     const auto it = m_entries.find(id);
-    if (it == m_entries.end())
+    if (it == m_entries.end()) {
+        log(id); // it came and went between two changes that were told: others may know it
         return;
-    if (holdsRemovals(now) && !it->second.leaving) {
-        m_missing.try_emplace(id, m_graceUntil);
+    }
+    if (m_missing.contains(id))
+        return; // its removal was taken before
+    log(id);
+    if (const auto until = heldUntil(it->second, now, held)) {
+        m_missing.emplace(id, *until);
         return;
     }
-    m_missing.erase(id);
     erase(id);
     changed->left.push_back(id);
 }
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -114,15 +114,13 @@
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return encode(news.config, news.configChange, news.upstreams, news.upstreamChanges,
-                  news.changesFrom, news.registryRevision, news.missing);
+    return encode(news.config, news.configChange, news.registry);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
-    if (!decode(payload, reason, news.config, news.configChange, news.upstreams,
-                news.upstreamChanges, news.changesFrom, news.registryRevision, news.missing))
+    if (!decode(payload, reason, news.config, news.configChange, news.registry))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -31,14 +31,14 @@
         route.services = {{ServiceName("s"), 2.5}};
         made.config->routes = {route};
         made.config->accounts = {{AccountName("a"), {"k"}, 4U}, {AccountName("b"), {}, {}}};
-        made.upstreams.emplace();
+        made.registry.all.emplace();
         UpstreamEntry entry;
         entry.id = UpstreamId("u");
         entry.address = {"10.0.0.1", 81};
         entry.leaving = true;
-        made.upstreams->push_back(entry);
-        made.registryRevision = 77;
-        made.missing = {UpstreamId("u")};
+        made.registry.all->push_back(entry);
+        made.registry.revision = 77;
+        made.registry.held = {{entry, 1200}};
         return made;
     }
 
@@ -52,11 +52,12 @@
         CPPUNIT_ASSERT_EQUAL(2.5, read->config->routes[0].services[0].weight);
         CPPUNIT_ASSERT_EQUAL(4U, *read->config->accounts[0].priority);
         CPPUNIT_ASSERT(!read->config->accounts[1].priority);
-        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:81"), read->upstreams->at(0).address.text());
-        CPPUNIT_ASSERT(read->upstreams->at(0).leaving);
-        CPPUNIT_ASSERT_EQUAL(std::string("u"), read->missing.at(0).text);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:81"), read->registry.all->at(0).address.text());
+        CPPUNIT_ASSERT(read->registry.all->at(0).leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), read->registry.held.at(0).entry.id.text);
+        CPPUNIT_ASSERT_EQUAL(std::int32_t{1200}, read->registry.held.at(0).leftMs);
         const auto none = decodeNews(encodeNews({}), &reason);
-        CPPUNIT_ASSERT(none && !none->config && !none->upstreams);
+        CPPUNIT_ASSERT(none && !none->config && !none->registry.all);
     }
 
     void beatsArriveAsTheyWere()
