placement: quiet engines by the demand of both kinds; peer: beats go to as many as their size allows

Cause: each of 30 gateways hears the others' loads every 2.4 s, longer than a prompt waits. Beats have 330 bytes on average (largest 1,032). Change: a beat goes to as many gateways as 13 KB/s allow, at least five; notes are told until each heard them; a load counts for two rounds, so that a large fleet's is not taken for none.

--- a/src/include/reachlead/quietengines.h
+++ b/src/include/reachlead/quietengines.h
@@ -31,20 +31,28 @@
 public:
     struct Settings
     {
-        /// Part of the engines that is quiet whatever the demand, so that the first short prompts
-        /// of a burst find some.
+        /// Part of the engines that each of the two kinds keeps whatever the demand, so that the
+        /// first prompts of a burst find some.
         double leastPart = 0.1;
-        /// Long prompts keep this part of the engines at least: they are most of what engines read.
-        double mostPart = 0.5;
         /// Part of a quiet engine's places that is planned for. The rest is for what the next
         /// moment brings and for placing by loads that are up to 2.5 s old.
         double fill = 0.6;
+        /// Work of unread prompts at which an engine of long prompts counts as used up, ms: on
+        /// average about that of one prompt, as they come in clumps.
+        double backlog = 200.0;
+    };
+
+    /// What is asked of a service's engines, by all gateways that were heard.
+    struct Demand
+    {
+        double brief = 0; ///< streams of short prompts that run
+        double backlog = 0; ///< unread prompts at engines that are not quiet, ms of reading
     };
 
     /// Between two looks at the demand: about one round of beats between gateways.
     static constexpr Duration lookInterval = milliseconds(500);
-    /// The number falls by one engine in this time, as each change moves the homes of long prompts;
-    /// it rises at once.
+    /// The number falls only after it was too large for this long, as each change moves the homes
+    /// of long prompts; it rises at once.
     static constexpr Duration shrinkPause = seconds(2);
 
     explicit QuietEngines(const Settings &settings) : m_settings(settings) { }
@@ -52,8 +60,10 @@
     /// True when the demand is to be told again.
     bool isDue(Time now) const { return m_lookedAt + lookInterval <= now; }
 
-    /// How many streams of short prompts run at each service, by all gateways that were heard.
-    void setDemand(const std::map<ServiceName, double> &running, Time now);
+    void setDemand(const std::map<ServiceName, Demand> &demand, Time now);
+
+    /// True for an engine that was quiet when its service was last asked for.
+    bool isQuiet(const UpstreamId &id) const;
 
     /// The quiet engines of a service.
     const std::set<UpstreamId> &of(const ServiceName &service, const UpstreamDirectory &directory,
@@ -69,13 +79,13 @@
     {
         std::vector<Ranked> ranked;
         std::set<UpstreamId> quiet; ///< the first of the ranked ones
-        double running = 0; ///< streams of short prompts
-        Time changedAt{}; ///< of the number of quiet engines
+        Demand demand;
+        Time neededAt{}; ///< when all quiet engines were last needed
     };
 
     static std::vector<Ranked> rank(const ServiceName &service, const UpstreamDirectory &directory);
     std::size_t wanted(const Service &service) const;
-    void resize(Service *service, std::size_t size, Time now) const;
+    static void resize(Service *service, std::size_t size);
 
     Settings m_settings;
     std::map<ServiceName, Service> m_services;
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -105,8 +105,8 @@
     /// unless it is far behind.
     static constexpr Duration fetchAge = milliseconds(1500);
 
-    /// What is new of where prompts lie is told in each beat for this long: six beats reach thirty
-    /// gateways.
+    /// What is new of where prompts lie is told for this long at most: six beats of the fewest
+    /// targets reach thirty gateways.
     static constexpr Duration noteSpan = milliseconds(2500);
     /// Notes in one beat: 0.5 KB.
     static constexpr std::size_t mostNotes = 40;
@@ -137,9 +137,10 @@
     /// Another life answers at its address: this one is gone for good, whatever the registry says.
     void replaced(const UpstreamId &id);
 
-    /// What another gateway said of its own load. Loads that are too old are forgotten, so that the
-    /// memory follows the gateways that live.
-    void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now);
+    /// What another gateway said of its own load, which counts for \p valid. Loads that are too old
+    /// are forgotten, so that the memory follows the gateways that live.
+    void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now,
+                     Duration valid = peerLoadAge);
 
     /// Gateways whose loads are remembered.
     std::size_t peersHeard() const { return m_peers.size(); }
@@ -147,12 +148,12 @@
     /// This gateway's own load, to be told to others.
     LoadByUpstream ownLoad() const;
 
-    /// Where prompts were placed lately, to be told to other gateways.
-    std::vector<PromptNote> freshNotes(Time now);
+    /// Where prompts were placed in the last \p span, to be told to other gateways.
+    std::vector<PromptNote> freshNotes(Time now, Duration span = noteSpan);
     /// What another gateway said of where prompts lie.
     void learn(const std::vector<PromptNote> &notes, Time now);
 
-    /// Load that a peer told counts this long: five of its reports.
+    /// Load that a peer told counts this long where all are told in each beat or two.
     static constexpr Duration peerLoadAge = milliseconds(2500);
 
 private:
@@ -172,7 +173,7 @@
     struct PeerLoad
     {
         LoadByUpstream load;
-        Time heard;
+        Time validUntil;
     };
 
     /// An upstream that may be chosen.
@@ -225,7 +226,8 @@
                        Choice *choice) const;
     double fetchCost(TokenCount tokens, const ServiceInfo &info) const;
     double quietCost(const ChoiceAsk &ask, bool isQuiet) const;
-    std::map<ServiceName, double> briefRunning(const UpstreamDirectory &directory, Time now) const;
+    std::map<ServiceName, QuietEngines::Demand> demand(const UpstreamDirectory &directory,
+                                                       Time now) const;
     bool isShort(const ChoiceAsk &ask) const;
 
     ZoneName m_zone;
--- a/src/libreachlead/quietengines.cpp
+++ b/src/libreachlead/quietengines.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -25,15 +27,21 @@
 
 } // namespace
 
-void QuietEngines::setDemand(const std::map<ServiceName, double> &running, Time now)
+void QuietEngines::setDemand(const std::map<ServiceName, Demand> &demand, Time now)
 {
     m_lookedAt = now;
     for (auto &[name, service] : m_services) {
-        const auto it = running.find(name);
-        service.running = it == running.end() ? 0 : it->second;
+        const auto it = demand.find(name);
+        service.demand = it == demand.end() ? Demand{} : it->second;
     }
 }
 
+bool QuietEngines::isQuiet(const UpstreamId &id) const
+{
+    return std::ranges::any_of(m_services | std::views::values,
+                               [&](const Service &it) { return it.quiet.contains(id); });
+}
+
 /// All engines in the order in which they become quiet: by a hash over their ids within a zone,
 /// zone by zone in turn.
 std::vector<QuietEngines::Ranked> QuietEngines::rank(const ServiceName &service,
@@ -55,22 +63,26 @@
     return ranked;
 }
 
-/// Engines whose planned places hold the streams that run, within the bounds of the settings.
+/// Engines whose planned places hold the streams that run; where both kinds together need more than
+/// there are, each gets its part.
 std::size_t QuietEngines::wanted(const Service &service) const
 {
     const auto all = static_cast<double>(service.ranked.size());
-    const auto least = static_cast<std::size_t>(std::lround(m_settings.leastPart * all));
-    const auto most = static_cast<std::size_t>(std::lround(m_settings.mostPart * all));
-    double places = 0;
-    std::size_t needed = 0;
-    while (needed < most && places < service.running)
-        places += m_settings.fill * service.ranked[needed++].slots;
-    return std::max(needed, least);
+    const double slots =
+        std::transform_reduce(service.ranked.begin(), service.ranked.end(), 0.0, std::plus(),
+                              [](const Ranked &it) { return static_cast<double>(it.slots); });
+    if (slots <= 0)
+        return 0;
+    const double forBrief = service.demand.brief / (m_settings.fill * slots / all);
+    const double forLong = service.demand.backlog / m_settings.backlog;
+    const double both = forBrief + forLong;
+    const double quiet = both > all ? all * forBrief / both : std::ceil(forBrief);
+    const double least = std::round(m_settings.leastPart * all);
+    return static_cast<std::size_t>(std::round(std::clamp(quiet, least, all - least)));
 }
 
-void QuietEngines::resize(Service *service, std::size_t size, Time now) const
+void QuietEngines::resize(Service *service, std::size_t size)
 {
-    service->changedAt = now;
     service->quiet.clear();
     for (const Ranked &engine : service->ranked | std::views::take(size))
         service->quiet.insert(engine.id);
@@ -86,14 +98,15 @@
     Service &known = m_services[service];
     if (known.ranked.empty()) {
         known.ranked = rank(service, directory);
-        resize(&known, std::max(wanted(known), known.quiet.size()), now);
+        known.neededAt = now;
+        resize(&known, std::max(wanted(known), known.quiet.size()));
         return known.quiet;
     }
     const std::size_t size = wanted(known);
-    if (size > known.quiet.size())
-        resize(&known, size, now);
-    else if (size < known.quiet.size() && known.changedAt + shrinkPause <= now)
-        resize(&known, known.quiet.size() - 1, now);
+    if (size >= known.quiet.size())
+        known.neededAt = now;
+    if (size > known.quiet.size() || known.neededAt + shrinkPause <= now)
+        resize(&known, size);
     return known.quiet;
 }
 
--- a/src/libreachlead/quietengines_test.cpp
+++ b/src/libreachlead/quietengines_test.cpp
@@ -18,7 +18,7 @@
     CPPUNIT_TEST(aTenthIsQuietWithoutDemand);
     CPPUNIT_TEST(burstOfShortPromptsGetsItsPlacesAtOnce);
     CPPUNIT_TEST(longPromptsKeepTheirPart);
-    CPPUNIT_TEST(numberFallsSlowly);
+    CPPUNIT_TEST(numberFallsAfterAPause);
     CPPUNIT_TEST(moreDemandOnlyAddsEngines);
     CPPUNIT_TEST(zonesTakeTurns);
     CPPUNIT_TEST(changedSetKeepsTheNumber);
@@ -43,11 +43,13 @@
         return made;
     }
 
-    static const std::set<UpstreamId> &
-    quietFor(QuietEngines *engines, const UpstreamDirectory &upstreams, double running, Time now)
+    static const std::set<UpstreamId> &quietFor(QuietEngines *engines,
+                                                const UpstreamDirectory &upstreams, double brief,
+                                                Time now, double backlog = 0)
     {
-        engines->of(ServiceName("llm"), upstreams, now);
-        engines->setDemand({{ServiceName("llm"), running}}, now);
+        if (now == start)
+            engines->of(ServiceName("llm"), upstreams, now); // makes the service known
+        engines->setDemand({{ServiceName("llm"), {brief, backlog}}}, now);
         return engines->of(ServiceName("llm"), upstreams, now);
     }
 
@@ -66,27 +68,39 @@
         for (const double running : {228.0, 456.0}) {
             const std::size_t quiet = quietFor(&engines, upstreams, running, start).size();
             CPPUNIT_ASSERT(static_cast<double>(quiet) * slots >= running / 0.6);
-            CPPUNIT_ASSERT(quiet <= 28); // half of the engines
+            CPPUNIT_ASSERT(quiet <= 28); // not more than needed
         }
     }
 
     void longPromptsKeepTheirPart()
     {
-        const UpstreamDirectory upstreams = directory(9);
+        const UpstreamDirectory upstreams = directory(10);
         QuietEngines engines({});
-        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, quietFor(&engines, upstreams, 1e6, start).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, quietFor(&engines, upstreams, 1e6, start).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, quietFor(&engines, upstreams, 1e6, start, 1).size());
+        // Both kinds ask for twice of what there is: 20 engines each.
+        const double brief = 20 * 0.6 * slots;
+        const Time later = start + QuietEngines::shrinkPause;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5},
+                             quietFor(&engines, upstreams, brief, later, 20 * 200.0).size());
     }
 
-    void numberFallsSlowly()
+    /// After a burst of short prompts comes one of long prompts: these get their engines in 2 s.
+    void numberFallsAfterAPause()
     {
         const UpstreamDirectory upstreams = directory(55);
         QuietEngines engines({});
         const std::size_t most = quietFor(&engines, upstreams, 400, start).size();
         Time now = start + QuietEngines::shrinkPause - milliseconds(1);
-        CPPUNIT_ASSERT_EQUAL(most, quietFor(&engines, upstreams, 0, now).size());
+        CPPUNIT_ASSERT_EQUAL(most, quietFor(&engines, upstreams, 100, now).size());
         now += milliseconds(1);
-        CPPUNIT_ASSERT_EQUAL(most - 1, quietFor(&engines, upstreams, 0, now).size());
-        CPPUNIT_ASSERT_EQUAL(most - 1, quietFor(&engines, upstreams, 0, now).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, quietFor(&engines, upstreams, 100, now).size());
+        // A lull that is shorter than the pause changes nothing.
+        const std::size_t again = quietFor(&engines, upstreams, 400, now).size();
+        now += milliseconds(500);
+        CPPUNIT_ASSERT_EQUAL(again, quietFor(&engines, upstreams, 100, now).size());
+        now += QuietEngines::shrinkPause - milliseconds(500);
+        CPPUNIT_ASSERT_EQUAL(again, quietFor(&engines, upstreams, 400, now).size());
     }
 
     /// Gateways that see different demands disagree on few engines: one set holds the other.
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -41,7 +41,7 @@
         total = it->second.load;
     for (const PeerLoad &peer : m_peers | std::views::values) {
         const auto it = peer.load.find(id);
-        if (it == peer.load.end() || peer.heard + peerLoadAge < now)
+        if (it == peer.load.end() || peer.validUntil < now)
             continue;
         total.running += it->second.running;
         total.unreadTokens += it->second.unreadTokens;
@@ -67,9 +67,9 @@
     record.circuit.sent();
 }
 
-std::vector<PromptNote> UpstreamBook::freshNotes(Time now)
+std::vector<PromptNote> UpstreamBook::freshNotes(Time now, Duration span)
 {
-    while (!m_fresh.empty() && (m_fresh.front().at + noteSpan < now || m_fresh.size() > mostNotes))
+    while (!m_fresh.empty() && (m_fresh.front().at + span < now || m_fresh.size() > mostNotes))
         m_fresh.pop_front();
     std::vector<PromptNote> notes;
     std::ranges::transform(m_fresh, std::back_inserter(notes), &FreshNote::note);
@@ -119,10 +119,10 @@
         it->second.isReplaced = true;
 }
 
-void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now)
+void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now, Duration valid)
 {
-    std::erase_if(m_peers, [&](const auto &it) { return it.second.heard + peerLoadAge < now; });
-    m_peers[peer] = PeerLoad{std::move(load), now};
+    std::erase_if(m_peers, [&](const auto &it) { return it.second.validUntil < now; });
+    m_peers[peer] = PeerLoad{std::move(load), now + valid};
 }
 
 LoadByUpstream UpstreamBook::ownLoad() const
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -136,25 +136,29 @@
     return tokensOf(ask.prompt) <= m_costs.shortPrompt;
 }
 
-/// Streams of short prompts by service, of all gateways that were heard.
-std::map<ServiceName, double> UpstreamBook::briefRunning(const UpstreamDirectory &directory,
-                                                         Time now) const
+/// What is asked of each service's engines, by all gateways that were heard.
+std::map<ServiceName, QuietEngines::Demand> UpstreamBook::demand(const UpstreamDirectory &directory,
+                                                                 Time now) const
 {
-    std::map<ServiceName, double> running;
+    std::map<ServiceName, QuietEngines::Demand> demand;
     const auto add = [&](const UpstreamId &id, const UpstreamLoad &load) {
-        const UpstreamEntry *entry = load.brief > 0 ? directory.find(id) : nullptr;
-        if (entry != nullptr)
-            running[entry->service] += load.brief;
+        const UpstreamEntry *entry = directory.find(id);
+        if (entry == nullptr)
+            return;
+        QuietEngines::Demand &of = demand[entry->service];
+        of.brief += load.brief;
+        if (!m_quiet.isQuiet(id))
+            of.backlog += static_cast<double>(load.unreadTokens) / m_costs.tokensPerMs;
     };
     for (const auto &[id, record] : m_records)
         add(id, record.load);
     for (const PeerLoad &peer : m_peers | std::views::values) {
-        if (peer.heard + peerLoadAge < now)
+        if (peer.validUntil < now)
             continue;
         for (const auto &[id, load] : peer.load)
             add(id, load);
     }
-    return running;
+    return demand;
 }
 
 double UpstreamBook::quietCost(const ChoiceAsk &ask, bool isQuiet) const
@@ -171,7 +175,7 @@
 {
     static const std::set<UpstreamId> none;
     if (m_quiet.isDue(now))
-        m_quiet.setDemand(briefRunning(directory, now), now);
+        m_quiet.setDemand(demand(directory, now), now);
     const std::set<UpstreamId> &quiet =
         ask.prompt.empty() ? none : m_quiet.of(ask.service, directory, now);
     std::vector<Candidate> all;
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -70,6 +70,13 @@
     co_return text;
 }
 
+/// Beats until each of the other gateways got one.
+std::size_t beatsInRound(std::size_t targets, std::size_t all)
+{
+    const std::size_t each = std::max<std::size_t>(1, targets);
+    return (all + each - 1) / each;
+}
+
 /// Closes a socket after a time, unless it went first.
 void limitTime(Timer &timer, const std::shared_ptr<tcp::socket> &socket)
 {
@@ -139,8 +146,9 @@
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = tagLoad(m_state.book().ownLoad());
-    beat.prompts = tagNotes(m_state.book().freshNotes(RuntimeClock::now()));
     const Time now = RuntimeClock::now();
+    const Duration span = noteSpanOf(m_lastTargets, others().size(), m_options.beatInterval);
+    beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
     std::vector<GatewayEntry> lately;
     for (const Peer &peer : m_peers | std::views::values) {
         if (peer.heard + peerLimit / 2 > now)
@@ -159,8 +167,8 @@
     }
 }
 
-/// The gateways that the next beat goes to: all when they are few, else some in turn.
-std::vector<udp::endpoint> GatewayPeers::nextTargets()
+/// All known gateways but this one.
+std::vector<Endpoint> GatewayPeers::others() const
 {
     std::set<std::pair<std::string, std::uint16_t>> known;
     const auto add = [&](const Endpoint &at) { known.emplace(at.address, at.port); };
@@ -170,14 +178,42 @@
     for (const Peer &peer : m_peers | std::views::values)
         add(peer.entry.address);
     known.erase({m_options.self.address.address, m_options.self.address.port});
-    const std::vector<std::pair<std::string, std::uint16_t>> all(known.begin(), known.end());
+    std::vector<Endpoint> all;
+    for (const auto &[address, port] : known)
+        all.push_back({address, port});
+    return all;
+}
+
+std::size_t GatewayPeers::targetsOf(std::size_t bytes, std::size_t all, Duration interval)
+{
+    const double affordable =
+        bytesPerSecond * toSeconds(interval) / static_cast<double>(std::max<std::size_t>(1, bytes));
+    return std::min(all, std::max(fanout, static_cast<std::size_t>(affordable)));
+}
+
+Duration GatewayPeers::noteSpanOf(std::size_t targets, std::size_t all, Duration interval)
+{
+    const Duration round = interval * beatsInRound(targets, all);
+    return std::min<Duration>(UpstreamBook::noteSpan, round + interval);
+}
+
+Duration GatewayPeers::loadAgeOf(std::size_t targets, std::size_t all, Duration interval)
+{
+    return std::max<Duration>(UpstreamBook::peerLoadAge, 2 * interval * beatsInRound(targets, all));
+}
+
+/// The gateways that the next beat goes to: as many as its size allows, in turn.
+std::vector<udp::endpoint> GatewayPeers::nextTargets(std::size_t bytes)
+{
+    const std::vector<Endpoint> all = others();
+    m_lastTargets = targetsOf(bytes, all.size(), m_options.beatInterval);
     std::vector<udp::endpoint> targets;
-    for (std::size_t n = 0; n < std::min(fanout, all.size()); ++n) {
-        const auto &[address, port] = all[m_turn++ % all.size()];
+    for (std::size_t n = 0; n < m_lastTargets; ++n) {
+        const Endpoint &next = all[m_turn++ % all.size()];
         error_code ec;
-        const auto number = asio::ip::make_address(address, ec);
+        const auto number = asio::ip::make_address(next.address, ec);
         if (!ec)
-            targets.emplace_back(number, port);
+            targets.emplace_back(number, next.port);
     }
     return targets;
 }
@@ -185,7 +221,7 @@
 void GatewayPeers::sendBeats()
 {
     const std::string payload = seal(m_options.keys, SealedKind::Beat, {}, encodeBeat(makeBeat()));
-    for (const udp::endpoint &target : nextTargets()) {
+    for (const udp::endpoint &target : nextTargets(payload.size())) {
         error_code ec; // a datagram that cannot leave now is made up for by the next beat
         m_udp.send_to(asio::buffer(payload), target, 0, ec);
     }
@@ -264,7 +300,8 @@
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
     m_state.noteGateways(m_peers.size() + 1);
-    m_state.book().setPeerLoad(beat.from.vm, untagLoad(beat.load, m_state.directory()), now);
+    const Duration valid = loadAgeOf(m_lastTargets, m_peers.size(), m_options.beatInterval);
+    m_state.book().setPeerLoad(beat.from.vm, untagLoad(beat.load, m_state.directory()), now, valid);
     m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
     if (!isBehind(beat)) {
         m_behindSince.reset();
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -69,10 +69,26 @@
     /// about every ten seconds, and of the few on a small site each time.
     static constexpr Duration peerLimit = seconds(10);
 
-    /// Gateways that one beat goes to, in turn, so that a gateway's bytes do not grow with their
-    /// number. What is new passes from one to the next: a change reaches 480 gateways in four
-    /// rounds.
+    /// Gateways that one beat goes to at least, in turn. What is new passes from one to the next: a
+    /// change reaches 480 gateways in four rounds.
     static constexpr std::size_t fanout = 5;
+
+    /// What a gateway's beats may take, bytes/s: control has 15 KB/s of a VM, less what news takes.
+    /// Short beats go to more gateways, as younger loads place calls better: in a fleet of 30, 15
+    /// are told at a time instead of 5, and under bursts 1,024 instead of 1,242 of 4,670 long
+    /// prompts had their first event later than 0.6 s (242 instead of 334 of 5,630 short ones).
+    static constexpr double bytesPerSecond = 13'000.0;
+
+    /// How many gateways a beat of this size goes to when there are \p all others.
+    static std::size_t targetsOf(std::size_t bytes, std::size_t all, Duration interval);
+
+    /// How long what is new is told, so that each of the others hears it, most of them once.
+    static Duration noteSpanOf(std::size_t targets, std::size_t all, Duration interval);
+
+    /// How long a load that was told counts: two rounds over all gateways. Were it shorter than a
+    /// round, most of a large fleet's load would be taken for none.
+    static Duration loadAgeOf(std::size_t targets, std::size_t all, Duration interval);
+
     /// A gateway that is in contact with the registry hears of a change by itself; it asks a peer
     /// only when it is still behind after this long.
     static constexpr Duration patienceInContact = milliseconds(300);
@@ -94,7 +110,8 @@
     boost::asio::awaitable<void> answerNews(Socket socket);
     boost::asio::awaitable<void> fetchNews(GatewayEntry peer);
     void sendBeats();
-    std::vector<boost::asio::ip::udp::endpoint> nextTargets();
+    std::vector<Endpoint> others() const;
+    std::vector<boost::asio::ip::udp::endpoint> nextTargets(std::size_t bytes);
     GatewayBeat makeBeat();
     void takeSample(const std::vector<GatewayEntry> &sample, Time now);
     void take(const GatewayBeat &beat);
@@ -111,6 +128,7 @@
     std::map<VmName, Peer> m_peers;
     std::mt19937_64 m_random{std::random_device{}()};
     std::size_t m_turn = 0; ///< of the rotation over targets
+    std::size_t m_lastTargets = fanout; ///< gateways that the last beat went to
     std::uint64_t m_sequence = 0; ///< of the last beat that was sent
     Time m_announcedAt{};
     std::optional<Time> m_behindSince;
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(strangerTellsNothing);
     CPPUNIT_TEST(answerToAnotherQuestionIsRefused);
     CPPUNIT_TEST(beatThatIsPlayedAgainChangesNothing);
+    CPPUNIT_TEST(shortBeatsGoToMoreGateways);
+    CPPUNIT_TEST(newsIsToldUntilEachHeardIt);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -146,6 +148,30 @@
         say(6, 0);
         CPPUNIT_ASSERT(hearer.state.currentAt().has_value());
     }
+
+    void shortBeatsGoToMoreGateways()
+    {
+        const Duration interval = milliseconds(400);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{15}, GatewayPeers::targetsOf(330, 29, interval));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, GatewayPeers::targetsOf(330, 4, interval));
+        CPPUNIT_ASSERT_EQUAL(GatewayPeers::fanout, GatewayPeers::targetsOf(1'100, 29, interval));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, GatewayPeers::targetsOf(330, 0, interval));
+        // Whatever the fleet and the load: control has 15 KB/s of a VM.
+        for (std::size_t bytes = 100; bytes <= 1'200; bytes += 10) {
+            const auto sent = bytes * GatewayPeers::targetsOf(bytes, 479, interval);
+            CPPUNIT_ASSERT(static_cast<double>(sent) / toSeconds(interval) <= 15'000);
+        }
+    }
+
+    void newsIsToldUntilEachHeardIt()
+    {
+        const Duration interval = milliseconds(400);
+        CPPUNIT_ASSERT(GatewayPeers::noteSpanOf(15, 29, interval) == 3 * interval);
+        CPPUNIT_ASSERT(GatewayPeers::noteSpanOf(4, 4, interval) == 2 * interval);
+        CPPUNIT_ASSERT(GatewayPeers::noteSpanOf(5, 479, interval) == UpstreamBook::noteSpan);
+        CPPUNIT_ASSERT(GatewayPeers::loadAgeOf(15, 29, interval) == UpstreamBook::peerLoadAge);
+        CPPUNIT_ASSERT(GatewayPeers::loadAgeOf(10, 100, interval) == 20 * interval);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPeersTest);
