peer: early beats within the same rate as the others

Change: one rate for both, full where it reaches all others within two beats, half in larger fleets.

--- a/src/peer/beatbudget.cpp
+++ b/src/peer/beatbudget.cpp
@@ -20,20 +20,25 @@
 
 } // namespace
 
-bool BeatBudget::isDue(Duration elapsed, TokenCount untold, std::size_t bytes) const
+double BeatBudget::rate(std::size_t bytes, std::size_t all) const
 {
-    const double affordable = thriftyPart * bytesPerSecond * toSeconds(elapsed);
-    const bool isAffordable = static_cast<double>(bytes) <= affordable;
+    const double perBeat = bytesPerSecond * toSeconds(interval);
+    const bool reachesAllInTwo = 2.0 * perBeat >= static_cast<double>(bytes * all);
+    return reachesAllInTwo ? bytesPerSecond : thriftyPart * bytesPerSecond;
+}
+
+bool BeatBudget::isDue(Duration elapsed, TokenCount untold, std::size_t bytes,
+                       std::size_t all) const
+{
+    const auto toBeSent = static_cast<double>(bytes * targets(bytes, all));
+    const bool isAffordable = toBeSent <= rate(bytes, all) * toSeconds(elapsed);
     return elapsed >= interval || (untold >= weightyTokens && isAffordable);
 }
 
 std::size_t BeatBudget::targets(std::size_t bytes, std::size_t all) const
 {
-    const double perBeat = bytesPerSecond * toSeconds(interval);
     const auto each = static_cast<double>(std::max<std::size_t>(1, bytes));
-    const auto most = static_cast<std::size_t>(perBeat / each);
-    const auto thrifty = static_cast<std::size_t>(thriftyPart * perBeat / each);
-    const std::size_t affordable = 2 * most >= all ? most : thrifty;
+    const auto affordable = static_cast<std::size_t>(rate(bytes, all) * toSeconds(interval) / each);
     return std::min(all, std::max(fewestTargets, affordable));
 }
 
--- a/src/peer/beatbudget.h
+++ b/src/peer/beatbudget.h
@@ -42,14 +42,17 @@
     /// Between looks whether a beat is due.
     static constexpr Duration lookInterval = milliseconds(100);
 
-    /// True when a beat is due \p elapsed after the one that took \p bytes in all, with \p untold
-    /// tokens sent to be read since.
-    bool isDue(Duration elapsed, TokenCount untold, std::size_t bytes) const;
+    /// True when a beat is due \p elapsed after one of \p bytes, with \p untold tokens sent to be
+    /// read since.
+    bool isDue(Duration elapsed, TokenCount untold, std::size_t bytes, std::size_t all) const;
+
+    /// Bytes a second that beats of this size may take.
+    double rate(std::size_t bytes, std::size_t all) const;
 
     /// How many gateways a beat of this size goes to when there are \p all others.
     std::size_t targets(std::size_t bytes, std::size_t all) const;
 
-    /// Part of bytesPerSecond that a larger fleet's beats take, and early ones.
+    /// Part of bytesPerSecond that a larger fleet's beats take.
     static constexpr double thriftyPart = 0.5;
 
     /// How long what is new is told, so that each of the others hears it, most of them once.
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -125,7 +125,7 @@
         const Time sent = RuntimeClock::now();
         const auto isNextDue = [&] {
             return m_options.beats.isDue(RuntimeClock::now() - sent, m_state.book().untold(),
-                                         m_lastBytes);
+                                         m_lastBytes, m_peers.size());
         };
         while (!m_stopped && !isNextDue()) {
             error_code ec;
@@ -208,7 +208,7 @@
 {
     const std::string payload = seal(m_options.keys, SealedKind::Beat, {}, encodeBeat(makeBeat()));
     const std::vector<udp::endpoint> targets = nextTargets(payload.size());
-    m_lastBytes = payload.size() * targets.size();
+    m_lastBytes = payload.size();
     for (const udp::endpoint &target : targets) {
         error_code ec; // a datagram that cannot leave now is made up for by the next beat
         m_udp.send_to(asio::buffer(payload), target, 0, ec);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -111,7 +111,7 @@
     std::mt19937_64 m_random{std::random_device{}()};
     std::size_t m_turn = 0; ///< of the rotation over targets
     std::size_t m_lastTargets = BeatBudget::fewestTargets; ///< gateways that the last beat went to
-    std::size_t m_lastBytes = 0; ///< of the last beat, to all of them together
+    std::size_t m_lastBytes = 0; ///< of the last beat, to one of them
     std::uint64_t m_sequence = 0; ///< of the last beat that was sent
     Time m_announcedAt{};
     std::optional<Time> m_behindSince;
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -186,10 +186,10 @@
         const Duration early = milliseconds(110);
         const TokenCount weighty = BeatBudget::weightyTokens;
         constexpr std::size_t beatSize = 175; // bytes, with little load
-        CPPUNIT_ASSERT(budget.isDue(interval, 0, 2'700));
-        CPPUNIT_ASSERT(budget.isDue(early, weighty, 4 * beatSize));
-        CPPUNIT_ASSERT(!budget.isDue(early, weighty - 1, 4 * beatSize));
-        CPPUNIT_ASSERT(!budget.isDue(early, weighty, 26 * beatSize)); // a large fleet
+        CPPUNIT_ASSERT(budget.isDue(interval, 0, beatSize, 29));
+        CPPUNIT_ASSERT(budget.isDue(early, weighty, beatSize, 4));
+        CPPUNIT_ASSERT(!budget.isDue(early, weighty - 1, beatSize, 4));
+        CPPUNIT_ASSERT(!budget.isDue(early, weighty, beatSize, 479)); // a large fleet
 
         Clocked clocked;
         Node hearer(clocked.io, "hearer", "the key of this fleet", {});
