placement: the load of other gateways is summed as it is told, not at each choice

Change: totals by upstream, kept as loads are told and forgotten. A test's line that saw too old loads remembered until the next one was told now sees them forgotten at once, which is stricter.

--- a/src/include/reachlead/quietengines.h
+++ b/src/include/reachlead/quietengines.h
@@ -60,10 +60,11 @@
     /// True when the demand is to be told again.
     bool isDue(Time now) const { return m_lookedAt + lookInterval <= now; }
 
+    /// Takes the demand of all services; one that is not named has none.
     void setDemand(const std::map<ServiceName, Demand> &demand, Time now);
 
     /// True for an engine that was quiet when its service was last asked for.
-    bool isQuiet(const UpstreamId &id) const;
+    bool isQuiet(const ServiceName &service, const UpstreamId &id) const;
 
     /// The quiet engines of a service.
     const std::set<UpstreamId> &of(const ServiceName &service, const UpstreamDirectory &directory,
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -153,7 +153,7 @@
     std::size_t peersHeard() const { return m_peers.size(); }
 
     /// The load of an upstream, by all gateways that were heard.
-    UpstreamLoad loadOf(const UpstreamId &id, Time now) const;
+    UpstreamLoad loadOf(const UpstreamId &id, Time now);
 
     /// This gateway's own load, to be told to others.
     LoadByUpstream ownLoad() const;
@@ -220,6 +220,9 @@
                                             Choice *) const;
 
     static Circuit::Settings circuitSettings();
+    void addPeerLoad(const LoadByUpstream &load);
+    void takeOffPeerLoad(const LoadByUpstream &load);
+    void dropOldPeers(Time now);
     double costByCost(const Candidate &candidate, const ChoiceAsk &ask, const Placement &placement,
                       Choice *choice) const;
     double costHomeOnly(const Candidate &candidate, const ChoiceAsk &ask,
@@ -241,8 +244,7 @@
     double pauseCost(const Candidate &candidate, TokenCount unread) const;
     double fetchCost(TokenCount tokens, const ServiceInfo &info) const;
     double quietCost(const ChoiceAsk &ask, bool isQuiet) const;
-    std::map<ServiceName, QuietEngines::Demand> demand(const UpstreamDirectory &directory,
-                                                       Time now) const;
+    std::map<ServiceName, QuietEngines::Demand> demand(const UpstreamDirectory &directory) const;
     bool isShort(const ChoiceAsk &ask) const;
 
     ZoneName m_zone;
@@ -251,6 +253,7 @@
     std::uint64_t m_turns = 0; ///< choices that were sent
     TokenCount m_untold = 0;
     std::map<VmName, PeerLoad> m_peers;
+    std::unordered_map<UpstreamId, UpstreamLoad> m_peerTotals; ///< the sum over m_peers
     std::deque<FreshNote> m_fresh; ///< oldest first
     QuietEngines m_quiet;
 };
--- a/src/libreachlead/quietengines.cpp
+++ b/src/libreachlead/quietengines.cpp
@@ -36,10 +36,10 @@
     }
 }
 
-bool QuietEngines::isQuiet(const UpstreamId &id) const
+bool QuietEngines::isQuiet(const ServiceName &service, const UpstreamId &id) const
 {
-    return std::ranges::any_of(m_services | std::views::values,
-                               [&](const Service &it) { return it.quiet.contains(id); });
+    const auto it = m_services.find(service);
+    return it != m_services.end() && it->second.quiet.contains(id);
 }
 
 /// All engines in the order in which they become quiet: by a hash over their ids within a zone,
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -34,15 +34,47 @@
     });
 }
 
-UpstreamLoad UpstreamBook::loadOf(const UpstreamId &id, Time now) const
+void UpstreamBook::addPeerLoad(const LoadByUpstream &load)
 {
+    for (const auto &[id, at] : load) {
+        UpstreamLoad &total = m_peerTotals[id];
+        total.running += at.running;
+        total.unreadTokens += at.unreadTokens;
+        total.brief += at.brief;
+    }
+}
+
+void UpstreamBook::takeOffPeerLoad(const LoadByUpstream &load)
+{
+    for (const auto &[id, at] : load) {
+        const auto it = m_peerTotals.find(id);
+        if (it == m_peerTotals.end())
+            continue;
+        takeOff(&it->second.running, at.running);
+        takeOff(&it->second.unreadTokens, at.unreadTokens);
+        takeOff(&it->second.brief, at.brief);
+        if (it->second.running == 0)
+            m_peerTotals.erase(it);
+    }
+}
+
+void UpstreamBook::dropOldPeers(Time now)
+{
+    std::erase_if(m_peers, [&](const auto &peer) {
+        const bool isOld = peer.second.validUntil < now;
+        if (isOld)
+            takeOffPeerLoad(peer.second.load);
+        return isOld;
+    });
+}
+
+UpstreamLoad UpstreamBook::loadOf(const UpstreamId &id, Time now)
+{
+    dropOldPeers(now);
     UpstreamLoad total;
     if (const auto it = m_records.find(id); it != m_records.end())
         total = it->second.load;
-    for (const PeerLoad &peer : m_peers | std::views::values) {
-        const auto it = peer.load.find(id);
-        if (it == peer.load.end() || peer.validUntil < now)
-            continue;
+    if (const auto it = m_peerTotals.find(id); it != m_peerTotals.end()) {
         total.running += it->second.running;
         total.unreadTokens += it->second.unreadTokens;
         total.brief += it->second.brief;
@@ -124,9 +156,13 @@
 
 void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now, Duration valid)
 {
-    std::erase_if(m_peers, [&](const auto &it) { return it.second.validUntil < now; });
-    if (m_costs.usesPeerLoads)
-        m_peers[peer] = PeerLoad{std::move(load), now + valid};
+    dropOldPeers(now);
+    if (!m_costs.usesPeerLoads)
+        return;
+    PeerLoad &known = m_peers[peer];
+    takeOffPeerLoad(known.load);
+    addPeerLoad(load);
+    known = PeerLoad{std::move(load), now + valid};
 }
 
 LoadByUpstream UpstreamBook::ownLoad() const
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -137,8 +137,8 @@
 }
 
 /// What is asked of each service's engines, by all gateways that were heard.
-std::map<ServiceName, QuietEngines::Demand> UpstreamBook::demand(const UpstreamDirectory &directory,
-                                                                 Time now) const
+std::map<ServiceName, QuietEngines::Demand>
+UpstreamBook::demand(const UpstreamDirectory &directory) const
 {
     std::map<ServiceName, QuietEngines::Demand> demand;
     const auto add = [&](const UpstreamId &id, const UpstreamLoad &load) {
@@ -147,17 +147,13 @@
             return;
         QuietEngines::Demand &of = demand[entry->service];
         of.brief += load.brief;
-        if (!m_quiet.isQuiet(id))
+        if (!m_quiet.isQuiet(entry->service, id))
             of.backlog += static_cast<double>(load.unreadTokens) / m_costs.tokensPerMs;
     };
     for (const auto &[id, record] : m_records)
         add(id, record.load);
-    for (const PeerLoad &peer : m_peers | std::views::values) {
-        if (peer.validUntil < now)
-            continue;
-        for (const auto &[id, load] : peer.load)
-            add(id, load);
-    }
+    for (const auto &[id, total] : m_peerTotals)
+        add(id, total);
     return demand;
 }
 
@@ -174,8 +170,9 @@
                                                               Time now)
 {
     static const std::set<UpstreamId> none;
+    dropOldPeers(now);
     if (m_quiet.isDue(now))
-        m_quiet.setDemand(demand(directory, now), now);
+        m_quiet.setDemand(demand(directory), now);
     const std::set<UpstreamId> &quiet =
         ask.prompt.empty() ? none : m_quiet.of(ask.service, directory, now);
     std::vector<Candidate> all;
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(allFailingIsBetterThanNone);
     CPPUNIT_TEST(loadOfPeersCountsWhileItIsFresh);
     CPPUNIT_TEST(endedCallsLeaveNoLoad);
+    CPPUNIT_TEST(loadsOfPeersAddUp);
     CPPUNIT_TEST(shortPromptsKeepToQuietEngines);
     CPPUNIT_TEST(loadedQuietEngineSpills);
     CPPUNIT_TEST(everyZoneHasItsQuietEngine);
@@ -188,7 +189,7 @@
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
         const Time later = start + UpstreamBook::peerLoadAge + milliseconds(1);
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, later)->upstream == home);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.peersHeard());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, one.peersHeard()); // what is too old is forgotten
         one.setPeerLoad(VmName("other"), {}, later);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, one.peersHeard());
     }
@@ -459,6 +460,24 @@
         one.ended(choice->upstream, choice->unreadTokens, choice->isBrief);
         CPPUNIT_ASSERT(one.ownLoad().empty());
     }
+
+    void loadsOfPeersAddUp()
+    {
+        UpstreamBook one = book();
+        const UpstreamId a("a");
+        const UpstreamId b("b");
+        one.setPeerLoad(VmName("x"), {{a, {3, 100, 1}}, {b, {2, 50, 2}}}, start);
+        one.setPeerLoad(VmName("y"), {{a, {4, 1000, 4}}}, start, seconds(10));
+        CPPUNIT_ASSERT_EQUAL(7U, one.loadOf(a, start).running);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1100}, one.loadOf(a, start).unreadTokens);
+        one.setPeerLoad(VmName("x"), {{a, {1, 10, 0}}}, start); // its load at b has ended
+        CPPUNIT_ASSERT_EQUAL(5U, one.loadOf(a, start).running);
+        CPPUNIT_ASSERT_EQUAL(4U, one.loadOf(a, start).brief);
+        CPPUNIT_ASSERT_EQUAL(0U, one.loadOf(b, start).running);
+        const Time later = start + UpstreamBook::peerLoadAge + milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(4U, one.loadOf(a, later).running); // x is too old, y counts longer
+        CPPUNIT_ASSERT_EQUAL(0U, one.loadOf(a, start + seconds(11)).running);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamBookTest);
