--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -215,6 +215,8 @@
     CPPUNIT_TEST(departureSeenAfterTheFirstAnswerIsNotHeld);
     CPPUNIT_TEST(whatIsHeldIsNotTakenForALaterRevision);
     CPPUNIT_TEST(holdIsNotMadeLongerByBeingTold);
+    CPPUNIT_TEST(changesAreNotToldAcrossAList);
+    CPPUNIT_TEST(removalOfTheUnknownIsToldOn);
     CPPUNIT_TEST(anyInterleavingKeepsViewsTrue);
     CPPUNIT_TEST_SUITE_END();
 
@@ -444,6 +446,33 @@
         CPPUNIT_ASSERT(teller.find(UpstreamId("a")) == nullptr);
     }
 
+    /// An entry comes and goes between two lists of one gateway; another one knows it.
+    void changesAreNotToldAcrossAList()
+    {
+        UpstreamDirectory teller = known();
+        UpstreamDirectory hearer = known();
+        hearer.apply({{entry("c", 11), false}}, 11, start);
+        teller.replaceAll({entry("a", 5), entry("b", 6)}, 12, start);
+        hearer.take(teller.newsSince(11, start), start);
+        CPPUNIT_ASSERT(hearer.find(UpstreamId("c")) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hearer.entries().size());
+    }
+
+    /// An entry comes and goes between two changes that one gateway is told; another one knows it.
+    void removalOfTheUnknownIsToldOn()
+    {
+        UpstreamDirectory first = known();
+        UpstreamDirectory second = known();
+        UpstreamDirectory third = known();
+        first.apply({{entry("c", 11), false}}, 11, start);
+        third.take(first.newsSince(10, start), start);
+        first.apply({removal("c")}, 12, start);
+        second.take(first.newsSince(10, start), start);
+        third.take(second.newsSince(11, start), start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, third.revision());
+        CPPUNIT_ASSERT(third.find(UpstreamId("c")) == nullptr);
+    }
+
     void anyInterleavingKeepsViewsTrue()
     {
         using Steps = std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>;
