directory: the property test bounds each gateway by its own outage, in a file of its own

Ruled out: the narrowing was wrong as such: the shrunk case was a gateway's own outage, which decision 013 allows.

--- /dev/null
+++ b/src/libreachlead/upstreamdirectory_fleet_test.cpp
@@ -0,0 +1,234 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Directories that ask their registry and each other in any order.
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <ranges>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <rapidcheck.h>
+
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+namespace {
+
+/// A registry with its history, and the directories of some gateways that ask it and each other in
+/// any order.
+class DirectoryFleet
+{
+public:
+    static constexpr std::size_t gateways = 3;
+
+    DirectoryFleet()
+    {
+        for (UpstreamDirectory &it : m_directories) {
+            it.regainedContact(m_now);
+            it.replaceAll(registryNow(), m_revision, m_now);
+        }
+    }
+
+    /// One step of what may happen; \p who and \p with are gateways, \p which an upstream.
+    void step(unsigned kind, unsigned who, unsigned with, unsigned which)
+    {
+        using Step = void (DirectoryFleet::*)(std::size_t, std::size_t, unsigned);
+        static constexpr std::array<Step, 9> steps{
+            &DirectoryFleet::write, &DirectoryFleet::leave, &DirectoryFleet::depart,
+            &DirectoryFleet::cut,   &DirectoryFleet::mend,  &DirectoryFleet::follow,
+            &DirectoryFleet::list,  &DirectoryFleet::tell,  &DirectoryFleet::pass};
+        (this->*steps[kind % steps.size()])(who % gateways, with % gateways, which % 5);
+        for (UpstreamDirectory &it : m_directories)
+            it.expire(m_now);
+    }
+
+    /// True when each directory's view is the registry's at its revision.
+    bool viewsAreTrue() const
+    {
+        return std::ranges::all_of(m_directories, [&](const UpstreamDirectory &it) {
+            const auto view = it.registered();
+            const auto &truth = m_history.at(it.revision());
+            return std::ranges::equal(view, truth, [](const auto &a, const auto &b) {
+                return a.id == b.id && a.revision == b.revision && a.leaving == b.leaving;
+            });
+        });
+    }
+
+    /// True when none uses an upstream past the bound after a gateway in touch saw it leave, but
+    /// for what a gateway holds after an outage of its own: that ends as long after the outage's
+    /// end.
+    bool noneUsesTheDeparted() const
+    {
+        for (std::size_t n = 0; n < gateways; ++n) {
+            const UpstreamDirectory &it = m_directories.at(n);
+            const bool isUsed = std::ranges::any_of(m_seenGone, [&](const auto &gone) {
+                const auto &[id, seen] = gone;
+                const Time from = std::max(seen.at, m_mended.at(n));
+                return it.revision() >= seen.revision && it.find(id) != nullptr
+                    && m_now >= from + UpstreamDirectory::returnGrace;
+            });
+            if (isUsed)
+                return false;
+        }
+        return true;
+    }
+
+private:
+    struct Seen
+    {
+        std::uint64_t revision = 0;
+        Time at;
+    };
+
+    static UpstreamId idOf(unsigned which) { return UpstreamId(std::to_string(which)); }
+
+    std::vector<UpstreamEntry> registryNow() const
+    {
+        std::vector<UpstreamEntry> all;
+        std::ranges::copy(m_registry | std::views::values, std::back_inserter(all));
+        return all;
+    }
+
+    void note(const UpstreamChange &change)
+    {
+        ++m_revision;
+        if (change.removed) {
+            m_registry.erase(change.entry.id);
+        } else {
+            m_registry[change.entry.id] = change.entry;
+            m_registry[change.entry.id].revision = m_revision;
+        }
+        UpstreamChange logged = change;
+        logged.entry.revision = m_revision;
+        m_log.emplace_back(m_revision, logged);
+        m_history[m_revision] = registryNow();
+    }
+
+    void write(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
+    {
+        UpstreamChange change;
+        change.entry.id = idOf(which);
+        change.entry.service = ServiceName("s");
+        m_seenGone.erase(change.entry.id);
+        note(change);
+    }
+
+    void leave(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
+    {
+        const auto it = m_registry.find(idOf(which));
+        if (it == m_registry.end())
+            return;
+        UpstreamChange change{it->second, false};
+        change.entry.leaving = true;
+        note(change);
+    }
+
+    void depart(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
+    {
+        UpstreamChange change;
+        change.entry.id = idOf(which);
+        change.removed = true;
+        if (m_registry.contains(change.entry.id))
+            note(change);
+    }
+
+    void cut(std::size_t who, std::size_t /*with*/, unsigned /*which*/)
+    {
+        m_directories.at(who).lostContact();
+    }
+
+    void mend(std::size_t who, std::size_t /*with*/, unsigned /*which*/)
+    {
+        if (!m_directories.at(who).inContact())
+            m_mended.at(who) = m_now;
+        m_directories.at(who).regainedContact(m_now);
+    }
+
+    void follow(std::size_t who, std::size_t /*with*/, unsigned /*which*/)
+    {
+        UpstreamDirectory &it = m_directories.at(who);
+        if (!it.inContact())
+            return;
+        std::vector<UpstreamChange> changes;
+        for (const auto &[revision, change] : m_log) {
+            if (revision > it.revision())
+                changes.push_back(change);
+        }
+        const auto changed = it.apply(changes, m_revision, m_now);
+        noteSeen(changed.left);
+    }
+
+    void list(std::size_t who, std::size_t /*with*/, unsigned /*which*/)
+    {
+        UpstreamDirectory &it = m_directories.at(who);
+        if (it.inContact())
+            noteSeen(it.replaceAll(registryNow(), m_revision, m_now).left);
+    }
+
+    void tell(std::size_t who, std::size_t with, unsigned /*which*/)
+    {
+        UpstreamDirectory &hearer = m_directories.at(who);
+        const RegistryNews news = m_directories.at(with).newsSince(hearer.revision(), m_now);
+        if (!news.held.empty())
+            m_mended.at(who) = std::max(m_mended.at(who), m_mended.at(with));
+        hearer.take(news, m_now);
+    }
+
+    void pass(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
+    {
+        m_now += milliseconds(300 * (which + 1));
+    }
+
+    /// A gateway that the registry answers saw these leave.
+    void noteSeen(const std::vector<UpstreamId> &left)
+    {
+        for (const UpstreamId &id : left) {
+            if (!m_registry.contains(id))
+                m_seenGone.try_emplace(id, Seen{m_revision, m_now});
+        }
+    }
+
+    Time m_now{seconds(100)};
+    std::uint64_t m_revision = 1;
+    std::map<UpstreamId, UpstreamEntry> m_registry;
+    std::vector<std::pair<std::uint64_t, UpstreamChange>> m_log;
+    std::map<std::uint64_t, std::vector<UpstreamEntry>> m_history{{1, {}}};
+    std::map<UpstreamId, Seen> m_seenGone;
+    std::array<UpstreamDirectory, gateways> m_directories;
+    std::array<Time, gateways> m_mended{}; ///< end of the outage that excuses what each one holds
+};
+
+} // namespace
+
+/// What directories tell each other stays true to the registry, and none uses what left.
+class UpstreamDirectoryFleetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamDirectoryFleetTest);
+    CPPUNIT_TEST(anyInterleavingKeepsViewsTrue);
+    CPPUNIT_TEST_SUITE_END();
+
+    void anyInterleavingKeepsViewsTrue()
+    {
+        using Steps = std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>;
+        CPPUNIT_ASSERT(rc::check("any interleaving", [](const Steps &steps) {
+            DirectoryFleet fleet;
+            for (const auto &[kind, gateways, which] : steps) {
+                fleet.step(kind, gateways & 15U, gateways >> 4U, which);
+                RC_ASSERT(fleet.viewsAreTrue());
+                RC_ASSERT(fleet.noneUsesTheDeparted());
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamDirectoryFleetTest);
+
+} // namespace reachlead
