--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -135,13 +135,24 @@
     return {m_service, m_facts.model, m_facts.prompt, &m_tried, m_table->service(m_service)};
 }
 
+/// Chooses an upstream, or has it chosen.
+asio::awaitable<std::optional<Choice>> ForwardCall::choose()
+{
+    GatewayState &state = m_shared.state;
+    ChoiceAsk ask = makeAsk();
+    if (m_shared.adviser == nullptr)
+        co_return state.book().choose(ask, state.directory(), RuntimeClock::now());
+    PlacedChoice placed = co_await m_shared.adviser->choose(std::move(ask));
+    m_placedBy = placed.by;
+    m_placing += placed.took;
+    co_return placed.choice;
+}
+
 /// Chooses an upstream and sends once. Nothing: send again; else what ends the call.
 asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendOnce()
 {
     GatewayState &state = m_shared.state;
-    const ChoiceAsk ask = makeAsk();
-    const Time now = RuntimeClock::now();
-    const std::optional<Choice> choice = state.book().choose(ask, state.directory(), now);
+    const std::optional<Choice> choice = co_await choose();
     if (!choice) {
         m_lastReason = "no upstream of the service takes work";
         const ErrorKind kind = m_mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoUpstream;
@@ -158,7 +169,7 @@
     m_fetchFrom.reset();
     if (choice->fetchFrom)
         m_fetchFrom = state.directory().find(*choice->fetchFrom)->address;
-    state.book().sent(entry.id, ask, *choice, now);
+    state.book().sent(entry.id, makeAsk(), *choice, RuntimeClock::now());
     const SendEnd end = co_await exchange(entry);
     noteEnd(entry, end);
     if (m_stop != Stop::None && end != SendEnd::Complete) {
@@ -194,8 +205,7 @@
         milliseconds(m_route->targetLatencyMs) / targetPartForSend, leastTimeForSend);
     now.timeLeft = timeLeft() > needed;
     now.mayHaveRun = m_mayHaveRun;
-    const auto other = state.book().choose(makeAsk(), state.directory(), RuntimeClock::now());
-    now.othersLeft = other.has_value();
+    now.othersLeft = UpstreamBook::hasOther(makeAsk(), state.directory());
     now.retryLeft = true;
     if (end == SendEnd::NotConnected)
         return now;
@@ -375,6 +385,8 @@
         .with("state_age_ms", stateAgeMs())
         .with("upstream", m_lastUpstream.text)
         .with("cost", static_cast<std::int64_t>(m_lastCost))
+        .with("placed_by", m_placedBy.text)
+        .with("placing_ms", static_cast<std::int64_t>(toMillis(m_placing)))
         .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
         .with("sends", m_sends)
         .with("misses", m_misses)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -49,6 +49,7 @@
 
     // Sends.
     ChoiceAsk makeAsk() const;
+    boost::asio::awaitable<std::optional<Choice>> choose();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
     boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
     boost::asio::awaitable<SendEnd> exchange(const UpstreamEntry &entry);
@@ -99,6 +100,8 @@
     UpstreamId m_lastUpstream;
     std::string m_lastReason;
     double m_lastCost = 0;
+    VmName m_placedBy; ///< the gateway that chose the last upstream
+    Duration m_placing{}; ///< time that the choices took
     TokenCount m_toRead = 0; ///< tokens that the last upstream was believed to have to read
     TokenCount m_unread = 0; ///< tokens of the send under way, without a first event
     bool m_isBrief = false; ///< the prompt counts as a short one
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -16,6 +16,7 @@
 #include <reachlead/counters.h>
 #include <reachlead/gatewaystate.h>
 #include <reachlead/latency.h>
+#include <reachlead/placementadviser.h>
 
 #include "caller/callerstream.h"
 #include "upstream/upstreamchannel.h"
@@ -36,6 +37,7 @@
     std::mt19937_64 random{std::random_device{}()};
     /// Calls at work. Held by each of them, as the last ones end with the event loop.
     std::shared_ptr<std::set<ForwardCall *>> calls = std::make_shared<std::set<ForwardCall *>>();
+    PlacementAdviser *adviser = nullptr; ///< chooses upstreams; null: the state's own book
     bool stopping = false;
     bool takesRequests = true; ///< what is read after that is refused as not run
 };
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -44,6 +44,10 @@
     RingFull,
     OrdersTaken,
     OrdersFenced,
+    PlacementsAnswered,
+    PlacementsUnanswered,
+    PlacementsGiven,
+    PlacementsDeclined,
     Size
 };
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include <reachlead/fleetsource.h>
+#include <reachlead/placementgroups.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/routing.h>
 #include <reachlead/upstreambook.h>
@@ -34,6 +35,8 @@
         ZoneName zone;
         RetryBounds retries;
         UpstreamBook::Costs costs;
+        std::size_t groupSize =
+            PlacementGroups::defaultSize; ///< upstreams that one gateway places for
         std::size_t fewestGateways = 1; ///< until others are known: seeds of the settings
     };
 
@@ -72,6 +75,9 @@
     const RouteTablePtr &table() const { return m_table; }
     const UpstreamDirectory &directory() const { return m_directory; }
     UpstreamBook &book() { return m_book; }
+    PlacementGroups &groups() { return m_groups; }
+    const VmName &vm() const { return m_options.vm; }
+    const ZoneName &zone() const { return m_options.zone; }
     RetryShare &retries() { return m_retries; }
     const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
@@ -102,6 +108,7 @@
     std::deque<RouteTablePtr> m_formerTables; ///< to tell changes from; oldest first
     UpstreamDirectory m_directory;
     UpstreamBook m_book;
+    PlacementGroups m_groups;
     RetryShare m_retries;
     std::vector<GatewayEntry> m_gateways;
     std::size_t m_heardGateways = 1;
--- /dev/null
+++ b/src/include/reachlead/silentgateways.h
@@ -0,0 +1,45 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Gateways that lately left a question without an answer.
+
+#pragma once
+
+#include <map>
+
+#include <reachlead/clock.h>
+#include <reachlead/ids.h>
+
+namespace reachlead {
+
+/// Remembers who did not answer, so that only the first call in a while waits for a gateway that
+/// is gone, frozen or cut off. Not thread-safe, reads no clock.
+class SilentGateways
+{
+public:
+    /// How long a gateway is not asked after its first missed answer; doubles with each further
+    /// one. A process that was killed is back after some seconds.
+    static constexpr Duration firstPause = seconds(1);
+    static constexpr Duration longestPause = seconds(8);
+
+    /// A question was not answered in time, or was declined.
+    void missed(const VmName &vm, Time now);
+
+    /// An answer came, in time or not.
+    void answered(const VmName &vm) { m_silent.erase(vm); }
+
+    /// True while the gateway is not to be asked.
+    bool isSilent(const VmName &vm, Time now) const;
+
+private:
+    struct Silence
+    {
+        Time until;
+        Duration pause{};
+    };
+
+    std::map<VmName, Silence> m_silent;
+};
+
+} // namespace reachlead
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -32,6 +32,8 @@
     std::uint64_t unreadTokens = 0; ///< prompt tokens not in its cache, of requests without a
                                     ///< first event yet
     std::uint32_t brief = 0; ///< of those that run, with a short prompt
+
+    bool operator==(const UpstreamLoad &) const = default;
 };
 
 using LoadByUpstream = std::map<UpstreamId, UpstreamLoad>;
@@ -44,6 +46,20 @@
     std::span<const PromptPart> prompt; ///< empty for a plain service
     const std::set<UpstreamId> *tried = nullptr; ///< upstreams that are not to be taken
     const ServiceInfo *info = nullptr; ///< what is known of the service; null: nothing
+    const ZoneName *zone = nullptr; ///< of the gateway that the call is at; null: this one's
+    /// Upstreams whose calls the chooser places, and so knows; null: all alike.
+    const std::set<UpstreamId> *group = nullptr;
+};
+
+/// Numbers the questions of one life of a gateway, from 1.
+using AskNumber = std::uint32_t;
+
+/// What a gateway says of the load that it causes.
+struct ToldLoad
+{
+    LoadByUpstream load;
+    /// Questions with this number and later ones are open: what they led to is not in the load.
+    AskNumber openFrom = 0;
 };
 
 /// The outcome, with the inputs that decided it.
@@ -95,6 +111,9 @@
         /// A stream of a short prompt that pauses too long as the prompts of its engine take more
         /// than two chunks to read.
         double perPaused = 10.0;
+        /// An upstream of another group, of whose load the chooser hears late: about what a prompt
+        /// of usual size takes to be read, so that a call leaves its group only for a clear gain.
+        double otherGroup = 300.0;
         /// Copying a part from the cache of another engine: the set-up of a transfer.
         double fetchSetup = 20.0;
         /// The price of a copy, for each 1,000 tokens: about half of that of reading again.
@@ -146,8 +165,27 @@
 
     /// What another gateway said of its own load, which counts for \p valid. Loads that are too old
     /// are forgotten, so that the memory follows the gateways that live.
-    void setPeerLoad(const VmName &peer, LoadByUpstream load, Time now,
-                     Duration valid = peerLoadAge);
+    void setPeerLoad(const VmName &peer, ToldLoad told, Time now, Duration valid = peerLoadAge);
+
+    /// The same of the upstreams of one group alone; the rest of what it said stays.
+    void setPeerLoad(const VmName &peer, ToldLoad told, const std::set<UpstreamId> &group,
+                     Time now);
+
+    /// A call of another gateway was placed, by its question of this number. It counts until that
+    /// gateway's own word of its load holds it, or grantLimit has passed.
+    void granted(const VmName &peer, AskNumber number, const ChoiceAsk &ask, const Choice &choice,
+                 Time now);
+
+    /// A placed call that its gateway never told of was not sent: the answer was lost.
+    static constexpr Duration grantLimit = milliseconds(1500);
+
+    /// True when the service has an upstream that takes work and that was not tried.
+    static bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory);
+
+    /// Upstreams of a service that this gateway's own evidence speaks against, \p most at most.
+    std::vector<UpstreamId> unhealthyOf(const ServiceName &service,
+                                        const UpstreamDirectory &directory, Time now,
+                                        std::size_t most);
 
     /// Gateways whose loads are remembered.
     std::size_t peersHeard() const { return m_peers.size(); }
@@ -185,9 +223,18 @@
         PromptNote note;
         Time at;
     };
+    /// A call that was placed for another gateway and that its load does not hold yet.
+    struct Grant
+    {
+        AskNumber number = 0;
+        UpstreamId upstream;
+        UpstreamLoad load;
+        Time at;
+    };
     struct PeerLoad
     {
         LoadByUpstream load;
+        std::deque<Grant> grants; ///< oldest first
         Time validUntil;
     };
 
@@ -220,8 +267,12 @@
                                             Choice *) const;
 
     static Circuit::Settings circuitSettings();
-    void addPeerLoad(const LoadByUpstream &load);
-    void takeOffPeerLoad(const LoadByUpstream &load);
+    void addPeerLoad(const UpstreamId &id, const UpstreamLoad &load);
+    void takeOffPeerLoad(const UpstreamId &id, const UpstreamLoad &load);
+    void replacePeerLoad(PeerLoad *peer, LoadByUpstream load);
+    void dropGrants(PeerLoad *peer, AskNumber openFrom, Time now);
+    void noteParts(Record *record, const ChoiceAsk &ask, Time now, bool isTold,
+                   const UpstreamId &id);
     void dropOldPeers(Time now);
     double costByCost(const Candidate &candidate, const ChoiceAsk &ask, const Placement &placement,
                       Choice *choice) const;
@@ -233,7 +284,9 @@
                           const Placement &placement, Choice *choice) const;
     std::vector<Candidate> candidates(const ChoiceAsk &ask, const Placement &placement,
                                       const UpstreamDirectory &directory, Time now);
-    double loadCost(const UpstreamEntry &entry, const UpstreamLoad &load, bool isHealthy) const;
+    double loadCost(const ChoiceAsk &ask, const UpstreamEntry &entry, const UpstreamLoad &load,
+                    bool isHealthy) const;
+    const ZoneName &zoneOf(const ChoiceAsk &ask) const;
     static Placement placementOf(const ChoiceAsk &ask);
     void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
                   Placement *placement) const;
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -10,19 +10,21 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Count::Size)> countNames{
-    "requests_accepted", "requests_completed",
-    "dispatched",        "tokens_delivered",
-    "tokens_wasted",     "stale_frames",
-    "hostile_frames",    "sessions_opened",
-    "sessions_lost",     "queries",
-    "reattached",        "resumed",
-    "preempted",         "forbidden_transitions",
-    "heartbeats_sent",   "heartbeats_heard",
-    "settings_applied",  "settings_stale",
-    "claim_writes",      "claims_made",
-    "upstream_cancels",  "platform_calls",
-    "platform_failures", "ring_full",
-    "orders_taken",      "orders_fenced"};
+    "requests_accepted",   "requests_completed",
+    "dispatched",          "tokens_delivered",
+    "tokens_wasted",       "stale_frames",
+    "hostile_frames",      "sessions_opened",
+    "sessions_lost",       "queries",
+    "reattached",          "resumed",
+    "preempted",           "forbidden_transitions",
+    "heartbeats_sent",     "heartbeats_heard",
+    "settings_applied",    "settings_stale",
+    "claim_writes",        "claims_made",
+    "upstream_cancels",    "platform_calls",
+    "platform_failures",   "ring_full",
+    "orders_taken",        "orders_fenced",
+    "placements_answered", "placements_unanswered",
+    "placements_given",    "placements_declined"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -12,8 +12,8 @@
 namespace reachlead {
 
 GatewayState::GatewayState(const Options &options)
-    : m_options(options), m_book(options.zone, options.costs), m_retries(options.retries),
-      m_duty(options.vm)
+    : m_options(options), m_book(options.zone, options.costs), m_groups(options.groupSize),
+      m_retries(options.retries), m_duty(options.vm)
 {
     m_retries.setGateways(options.fewestGateways);
     m_duty.begin(now());
--- /dev/null
+++ b/src/libreachlead/placementgroups.cpp
@@ -0,0 +1,99 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/placementgroups.h>
+
+#include <algorithm>
+#include <ranges>
+
+#include <xxhash.h>
+
+#include <reachlead/upstreambook.h>
+
+namespace reachlead {
+
+namespace {
+
+/// Sets the hash of groups apart from those of homes and quiet engines.
+constexpr std::uint64_t groupSalt = 0x67726f75; // "grou"
+
+std::uint64_t hashOf(const std::string &text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+/// The group of an upstream by rendezvous hashing, so that one group more or less moves only the
+/// upstreams of that group.
+std::uint16_t numberOf(const UpstreamId &id, std::size_t groups)
+{
+    const auto numbers = std::views::iota(std::size_t{0}, groups);
+    const auto score = [&](std::size_t n) { return hashOf(id.text, groupSalt + n); };
+    return static_cast<std::uint16_t>(*std::ranges::max_element(numbers, {}, score));
+}
+
+} // namespace
+
+void PlacementGroups::addService(const ServiceName &service,
+                                 const std::vector<const UpstreamEntry *> &upstreams)
+{
+    const std::size_t groups = std::max<std::size_t>(1, upstreams.size() / m_size);
+    for (const UpstreamEntry *entry : upstreams) {
+        const GroupName group{service, numberOf(entry->id, groups)};
+        m_members[group].insert(entry->id);
+        m_groups.emplace(entry->id, group);
+    }
+}
+
+void PlacementGroups::refresh(const UpstreamDirectory &directory)
+{
+    if (m_madeAt == directory.changes())
+        return;
+    m_madeAt = directory.changes();
+    m_members.clear();
+    m_groups.clear();
+    std::set<ServiceName> services;
+    for (const UpstreamEntry &entry : directory.entries() | std::views::values)
+        services.insert(entry.service);
+    for (const ServiceName &service : services)
+        addService(service, directory.usableOf(service));
+}
+
+std::optional<GroupName> PlacementGroups::groupOf(const ServiceName &service,
+                                                  std::span<const KeyedPart> prompt,
+                                                  const UpstreamDirectory &directory)
+{
+    const std::vector<const UpstreamEntry *> &upstreams = directory.usableOf(service);
+    PromptKey key = 0;
+    if (!prompt.empty())
+        key = prompt[prompt.size() < 2 ? 0 : prompt.size() - 2].key;
+    const std::optional<UpstreamId> home = homeOf(key, upstreams);
+    return home ? groupOf(*home, directory) : std::nullopt;
+}
+
+std::optional<GroupName> PlacementGroups::groupOf(const UpstreamId &id,
+                                                  const UpstreamDirectory &directory)
+{
+    refresh(directory);
+    const auto it = m_groups.find(id);
+    return it == m_groups.end() ? std::nullopt : std::optional(it->second);
+}
+
+const std::set<UpstreamId> &PlacementGroups::membersOf(const GroupName &group,
+                                                       const UpstreamDirectory &directory)
+{
+    static const std::set<UpstreamId> none;
+    refresh(directory);
+    const auto it = m_members.find(group);
+    return it == m_members.end() ? none : it->second;
+}
+
+std::optional<VmName> schedulerOf(const GroupName &group, const std::set<VmName> &among)
+{
+    if (among.empty())
+        return std::nullopt;
+    const std::uint64_t seed = hashOf(group.service.text, groupSalt + group.number);
+    const auto score = [&](const VmName &vm) { return hashOf(vm.text, seed); };
+    return *std::ranges::max_element(among, {}, score);
+}
+
+} // namespace reachlead
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <ranges>
 
 namespace reachlead {
@@ -34,40 +35,56 @@
     });
 }
 
-void UpstreamBook::addPeerLoad(const LoadByUpstream &load)
+void UpstreamBook::addPeerLoad(const UpstreamId &id, const UpstreamLoad &load)
 {
-    for (const auto &[id, at] : load) {
-        UpstreamLoad &total = m_peerTotals[id];
-        total.running += at.running;
-        total.unreadTokens += at.unreadTokens;
-        total.brief += at.brief;
-    }
+    UpstreamLoad &total = m_peerTotals[id];
+    total.running += load.running;
+    total.unreadTokens += load.unreadTokens;
+    total.brief += load.brief;
 }
 
-void UpstreamBook::takeOffPeerLoad(const LoadByUpstream &load)
+void UpstreamBook::takeOffPeerLoad(const UpstreamId &id, const UpstreamLoad &load)
 {
-    for (const auto &[id, at] : load) {
-        const auto it = m_peerTotals.find(id);
-        if (it == m_peerTotals.end())
-            continue;
-        takeOff(&it->second.running, at.running);
-        takeOff(&it->second.unreadTokens, at.unreadTokens);
-        takeOff(&it->second.brief, at.brief);
-        if (it->second.running == 0)
-            m_peerTotals.erase(it);
-    }
+    const auto it = m_peerTotals.find(id);
+    if (it == m_peerTotals.end())
+        return;
+    takeOff(&it->second.running, load.running);
+    takeOff(&it->second.unreadTokens, load.unreadTokens);
+    takeOff(&it->second.brief, load.brief);
+    if (it->second.running == 0)
+        m_peerTotals.erase(it);
 }
 
-void UpstreamBook::dropOldPeers(Time now)
+void UpstreamBook::replacePeerLoad(PeerLoad *peer, LoadByUpstream load)
 {
-    std::erase_if(m_peers, [&](const auto &peer) {
-        const bool isOld = peer.second.validUntil < now;
-        if (isOld)
-            takeOffPeerLoad(peer.second.load);
-        return isOld;
+    for (const auto &[id, at] : peer->load)
+        takeOffPeerLoad(id, at);
+    peer->load = std::move(load);
+    for (const auto &[id, at] : peer->load)
+        addPeerLoad(id, at);
+}
+
+/// Forgets what was granted to questions before \p openFrom, and what is older than grantLimit.
+void UpstreamBook::dropGrants(PeerLoad *peer, AskNumber openFrom, Time now)
+{
+    std::erase_if(peer->grants, [&](const Grant &grant) {
+        const bool isOver = grant.number < openFrom || grant.at + grantLimit < now;
+        if (isOver)
+            takeOffPeerLoad(grant.upstream, grant.load);
+        return isOver;
     });
 }
 
+void UpstreamBook::dropOldPeers(Time now)
+{
+    const auto isOld = [&](const PeerLoad &peer) { return peer.validUntil < now; };
+    for (PeerLoad &peer : m_peers | std::views::values | std::views::filter(isOld)) {
+        replacePeerLoad(&peer, {});
+        dropGrants(&peer, std::numeric_limits<AskNumber>::max(), now);
+    }
+    std::erase_if(m_peers, [&](const auto &peer) { return isOld(peer.second); });
+}
+
 UpstreamLoad UpstreamBook::loadOf(const UpstreamId &id, Time now)
 {
     dropOldPeers(now);
@@ -90,14 +107,37 @@
     record.load.unreadTokens += choice.unreadTokens;
     record.load.brief += choice.isBrief ? 1 : 0;
     m_untold += choice.unreadTokens;
+    noteParts(&record, ask, now, true, id);
+    record.circuit.sent();
+}
+
+/// Takes the parts of a prompt for cached; \p isTold: other gateways are to hear of the new ones.
+void UpstreamBook::noteParts(Record *record, const ChoiceAsk &ask, Time now, bool isTold,
+                             const UpstreamId &id)
+{
     const Placement placement = placementOf(ask);
     for (const KeyedPart &part : placement.shared()) {
-        if (record.cache.note(part.key, now))
+        if (record->cache.note(part.key, now) && isTold)
             m_fresh.push_back({{id, part.key}, now});
     }
     if (!placement.parts.empty())
-        record.cache.note(placement.parts.back().key, now);
-    record.circuit.sent();
+        record->cache.note(placement.parts.back().key, now);
+}
+
+void UpstreamBook::granted(const VmName &peer, AskNumber number, const ChoiceAsk &ask,
+                           const Choice &choice, Time now)
+{
+    if (!m_costs.usesPeerLoads)
+        return;
+    dropOldPeers(now);
+    Record &record = m_records[choice.upstream];
+    record.lastTurn = ++m_turns;
+    noteParts(&record, ask, now, false, choice.upstream);
+    PeerLoad &known = m_peers[peer];
+    known.validUntil = std::max(known.validUntil, now + peerLoadAge);
+    const UpstreamLoad load{1, choice.unreadTokens, choice.isBrief ? 1U : 0U};
+    known.grants.push_back({number, choice.upstream, load, now});
+    addPeerLoad(choice.upstream, load);
 }
 
 std::vector<PromptNote> UpstreamBook::freshNotes(Time now, Duration span)
@@ -154,15 +194,54 @@
         it->second.isReplaced = true;
 }
 
-void UpstreamBook::setPeerLoad(const VmName &peer, LoadByUpstream load, Time now, Duration valid)
+void UpstreamBook::setPeerLoad(const VmName &peer, ToldLoad told, Time now, Duration valid)
+{
+    dropOldPeers(now);
+    if (!m_costs.usesPeerLoads)
+        return;
+    PeerLoad &known = m_peers[peer];
+    replacePeerLoad(&known, std::move(told.load));
+    dropGrants(&known, told.openFrom, now);
+    known.validUntil = now + valid;
+}
+
+void UpstreamBook::setPeerLoad(const VmName &peer, ToldLoad told, const std::set<UpstreamId> &group,
+                               Time now)
 {
     dropOldPeers(now);
     if (!m_costs.usesPeerLoads)
         return;
     PeerLoad &known = m_peers[peer];
-    takeOffPeerLoad(known.load);
-    addPeerLoad(load);
-    known = PeerLoad{std::move(load), now + valid};
+    for (const auto &[id, at] : known.load) {
+        if (!group.contains(id))
+            told.load.emplace(id, at);
+    }
+    replacePeerLoad(&known, std::move(told.load));
+    dropGrants(&known, told.openFrom, now);
+    known.validUntil = std::max(known.validUntil, now + peerLoadAge);
+}
+
+bool UpstreamBook::hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory)
+{
+    return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
+        return ask.tried == nullptr || !ask.tried->contains(entry->id);
+    });
+}
+
+std::vector<UpstreamId> UpstreamBook::unhealthyOf(const ServiceName &service,
+                                                  const UpstreamDirectory &directory, Time now,
+                                                  std::size_t most)
+{
+    std::vector<UpstreamId> found;
+    for (const UpstreamEntry *entry : directory.usableOf(service)) {
+        const auto it = m_records.find(entry->id);
+        const bool isKnown = it != m_records.end();
+        if (isKnown && (it->second.isReplaced || !it->second.circuit.allows(now)))
+            found.push_back(entry->id);
+        if (found.size() == most)
+            break;
+    }
+    return found;
 }
 
 LoadByUpstream UpstreamBook::ownLoad() const
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -117,20 +117,27 @@
 }
 
 /// What it costs to be behind the work that an upstream has.
-double UpstreamBook::loadCost(const UpstreamEntry &entry, const UpstreamLoad &load,
-                              bool isHealthy) const
+double UpstreamBook::loadCost(const ChoiceAsk &ask, const UpstreamEntry &entry,
+                              const UpstreamLoad &load, bool isHealthy) const
 {
     double cost = static_cast<double>(load.unreadTokens) / m_costs.tokensPerMs;
     cost += m_costs.perRunning * load.running;
     if (load.running >= entry.slots)
         cost += m_costs.perQueued * (load.running - entry.slots + 1);
-    if (entry.zone != m_zone)
+    if (entry.zone != zoneOf(ask))
         cost += m_costs.otherZone;
+    if (ask.group != nullptr && !ask.group->contains(entry.id))
+        cost += m_costs.otherGroup;
     if (!isHealthy)
         cost += m_costs.unhealthy;
     return cost;
 }
 
+const ZoneName &UpstreamBook::zoneOf(const ChoiceAsk &ask) const
+{
+    return ask.zone != nullptr ? *ask.zone : m_zone;
+}
+
 bool UpstreamBook::isShort(const ChoiceAsk &ask) const
 {
     return tokensOf(ask.prompt) <= m_costs.shortPrompt;
@@ -188,28 +195,33 @@
         candidate.heldShared = record.cache.cachedTokens(placement.shared());
         const UpstreamLoad load = loadOf(entry->id, now);
         candidate.load = load;
-        candidate.loadCost = loadCost(*entry, load, candidate.isHealthy);
+        candidate.loadCost = loadCost(ask, *entry, load, candidate.isHealthy);
         all.push_back(candidate);
     }
     return all;
 }
 
-/// The home is among the healthy engines of the prompt's kind, if there are any.
+/// The home is among the healthy engines of the prompt's kind and the chooser's group, if there are
+/// any: a home outside the group would be known to another chooser only.
 void UpstreamBook::findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
                             Placement *placement) const
 {
     if (sharedParts(ask.prompt).empty())
         return;
-    const bool wantsQuiet = isShort(ask) && std::ranges::any_of(among, &Candidate::isQuiet);
+    const auto isOurs = [&](const Candidate &candidate) {
+        return ask.group == nullptr || ask.group->contains(candidate.entry->id);
+    };
+    const bool wantsQuiet = isShort(ask)
+        && std::ranges::any_of(among, [&](const auto &it) { return it.isQuiet && isOurs(it); });
     std::vector<const UpstreamEntry *> near;
     std::vector<const UpstreamEntry *> fit;
     std::vector<const UpstreamEntry *> any;
     for (const Candidate &candidate : among) {
         any.push_back(candidate.entry);
-        if (!candidate.isHealthy || candidate.isQuiet != wantsQuiet)
+        if (!candidate.isHealthy || candidate.isQuiet != wantsQuiet || !isOurs(candidate))
             continue;
         fit.push_back(candidate.entry);
-        if (wantsQuiet && candidate.entry->zone == m_zone)
+        if (wantsQuiet && candidate.entry->zone == zoneOf(ask))
             near.push_back(candidate.entry);
     }
     const PromptKey last = placement->shared().back().key;
@@ -226,7 +238,7 @@
     // Reading a short prompt's shared part again costs less than sending it to another zone.
     const bool staysInZone = isShort(ask);
     for (const Candidate &candidate : among) {
-        const bool counts = !staysInZone || candidate.entry->zone == m_zone;
+        const bool counts = !staysInZone || candidate.entry->zone == zoneOf(ask);
         if (candidate.isHealthy && counts)
             placement->mostHeld = std::max(placement->mostHeld, candidate.heldShared);
     }
@@ -274,11 +286,12 @@
     return costLeastLoaded(candidate, ask, placement, choice);
 }
 
-double UpstreamBook::costLeastLoaded(const Candidate &candidate, const ChoiceAsk & /*ask*/,
+double UpstreamBook::costLeastLoaded(const Candidate &candidate, const ChoiceAsk &ask,
                                      const Placement & /*placement*/, Choice * /*choice*/) const
 {
     constexpr double zoneTie = 0.5; // less than one request
-    const double load = candidate.load.running + (candidate.entry->zone == m_zone ? 0 : zoneTie);
+    const double load =
+        candidate.load.running + (candidate.entry->zone == zoneOf(ask) ? 0 : zoneTie);
     return load + (candidate.isHealthy ? 0 : m_costs.unhealthy);
 }
 
--- a/src/libreachlead/upstreambook_test.cpp
+++ b/src/libreachlead/upstreambook_test.cpp
@@ -185,7 +185,7 @@
         UpstreamBook one = book();
         const auto parts = prompt(1);
         const UpstreamId home = one.choose(ask(parts), upstreams, start)->upstream;
-        one.setPeerLoad(VmName("peer"), {{home, {10, 400'000, 0}}}, start);
+        one.setPeerLoad(VmName("peer"), {{{home, {10, 400'000, 0}}}}, start);
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
         const Time later = start + UpstreamBook::peerLoadAge + milliseconds(1);
         CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, later)->upstream == home);
@@ -466,11 +466,11 @@
         UpstreamBook one = book();
         const UpstreamId a("a");
         const UpstreamId b("b");
-        one.setPeerLoad(VmName("x"), {{a, {3, 100, 1}}, {b, {2, 50, 2}}}, start);
-        one.setPeerLoad(VmName("y"), {{a, {4, 1000, 4}}}, start, seconds(10));
+        one.setPeerLoad(VmName("x"), {{{a, {3, 100, 1}}, {b, {2, 50, 2}}}}, start);
+        one.setPeerLoad(VmName("y"), {{{a, {4, 1000, 4}}}}, start, seconds(10));
         CPPUNIT_ASSERT_EQUAL(7U, one.loadOf(a, start).running);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1100}, one.loadOf(a, start).unreadTokens);
-        one.setPeerLoad(VmName("x"), {{a, {1, 10, 0}}}, start); // its load at b has ended
+        one.setPeerLoad(VmName("x"), {{{a, {1, 10, 0}}}}, start); // its load at b has ended
         CPPUNIT_ASSERT_EQUAL(5U, one.loadOf(a, start).running);
         CPPUNIT_ASSERT_EQUAL(4U, one.loadOf(a, start).brief);
         CPPUNIT_ASSERT_EQUAL(0U, one.loadOf(b, start).running);
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -7,41 +7,10 @@
 #include <iterator>
 #include <limits>
 
-#include <cereal/types/map.hpp>
-#include <cereal/types/optional.hpp>
-
-#include "peer/archive.h"
+#include "peer/payload.h"
 
 namespace reachlead {
 
-namespace {
-
-template <class... Parts> std::string encode(const Parts &...parts)
-{
-    std::string out;
-    FrameWriter archive(&out);
-    archive(parts...);
-    return out;
-}
-
-/// Reads the parts; false with \p reason set when the bytes are not exactly these.
-template <class... Parts>
-bool decode(std::string_view payload, std::string *reason, Parts &...parts)
-{
-    try {
-        FrameReader archive(payload);
-        archive(parts...);
-        if (archive.left() == 0)
-            return true;
-        *reason = "bytes behind the message";
-    } catch (const std::exception &e) {
-        *reason = e.what();
-    }
-    return false;
-}
-
-} // namespace
-
 std::vector<TaggedLoad> tagLoad(const LoadByUpstream &load)
 {
     const auto bounded = [](std::uint64_t n) {
@@ -93,35 +62,33 @@
 
 std::string encodeBeat(const GatewayBeat &beat)
 {
-    return encode(beat);
+    return pvt::encodePayload(beat);
 }
 
 std::optional<GatewayBeat> decodeBeat(std::string_view payload, std::string *reason)
 {
-    GatewayBeat beat;
-    return decode(payload, reason, beat) ? std::optional(std::move(beat)) : std::nullopt;
+    return pvt::decodePayload<GatewayBeat>(payload, reason);
 }
 
 std::string encodeAsk(const NewsAsk &ask)
 {
-    return encode(ask);
+    return pvt::encodePayload(ask);
 }
 
 std::optional<NewsAsk> decodeAsk(std::string_view payload, std::string *reason)
 {
-    NewsAsk ask;
-    return decode(payload, reason, ask) ? std::optional(ask) : std::nullopt;
+    return pvt::decodePayload<NewsAsk>(payload, reason);
 }
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return encode(news.config, news.configChange, news.registry);
+    return pvt::encodePayload(news.config, news.configChange, news.registry);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
-    if (!decode(payload, reason, news.config, news.configChange, news.registry))
+    if (!pvt::decodeParts(payload, reason, news.config, news.configChange, news.registry))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -59,6 +59,7 @@
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
     std::vector<TaggedLoad> load;
+    AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
 
@@ -66,8 +67,8 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, load, prompts,
-           sample);
+        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, load, openFrom,
+           prompts, sample);
     }
 };
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -140,17 +140,18 @@
     GatewayBeat beat;
     beat.from = m_options.self;
     beat.incarnation = m_incarnation;
-    beat.sequence = ++m_sequence;
+    beat.sequence = nextSequence();
     beat.configVersion = m_state.configVersion();
     beat.registryRevision = m_state.directory().revision();
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = tagLoad(m_state.book().ownLoad());
+    beat.openFrom = m_openAsks ? m_openAsks() : 0;
     m_state.book().told();
     const Time now = RuntimeClock::now();
     const Duration span = m_options.beats.noteSpan(m_lastTargets, others().size());
     beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
-    if (m_sequence % sampleEvery != 1)
+    if (++m_beats % sampleEvery != 1)
         return beat;
     std::vector<GatewayEntry> lately;
     for (const Peer &peer : m_peers | std::views::values) {
@@ -206,12 +207,13 @@
 
 void GatewayPeers::sendBeats()
 {
-    const std::string payload = seal(m_options.keys, SealedKind::Beat, {}, encodeBeat(makeBeat()));
-    const std::vector<udp::endpoint> targets = nextTargets(payload.size());
-    m_lastBytes = payload.size();
+    const std::string bytes = static_cast<char>(SealedKind::Beat)
+        + seal(m_options.keys, SealedKind::Beat, {}, encodeBeat(makeBeat()));
+    const std::vector<udp::endpoint> targets = nextTargets(bytes.size());
+    m_lastBytes = bytes.size();
     for (const udp::endpoint &target : targets) {
         error_code ec; // a datagram that cannot leave now is made up for by the next beat
-        m_udp.send_to(asio::buffer(payload), target, 0, ec);
+        m_udp.send_to(asio::buffer(bytes), target, 0, ec);
     }
 }
 
@@ -234,19 +236,57 @@
             co_await m_udp.async_receive_from(asio::buffer(buf), from, keepError(&ec));
         if (ec)
             continue;
-        const auto message =
-            unseal(m_options.keys, SealedKind::Beat, {}, std::string_view(buf.data(), n));
-        if (!message) {
-            refuseStranger("beat", from.address().to_string());
-            continue;
-        }
-        std::string reason;
-        const auto beat = decodeBeat(*message, &reason);
-        if (beat)
-            take(*beat);
-        else
-            LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+        takeDatagram(std::string_view(buf.data(), n), from);
+    }
+}
+
+/// The first byte names the kind, which the proof covers.
+void GatewayPeers::takeDatagram(std::string_view bytes, const udp::endpoint &from)
+{
+    const auto kind = bytes.empty() ? SealedKind::Beat : static_cast<SealedKind>(bytes.front());
+    const auto message =
+        unseal(m_options.keys, kind, {}, bytes.substr(std::min<std::size_t>(1, bytes.size())));
+    if (!message) {
+        refuseStranger("datagram", from.address().to_string());
+        return;
+    }
+    if (kind != SealedKind::Beat) {
+        if (m_onPlacement)
+            m_onPlacement(kind, *message, from);
+        return;
     }
+    std::string reason;
+    const auto beat = decodeBeat(*message, &reason);
+    if (beat)
+        take(*beat);
+    else
+        LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+}
+
+std::map<VmName, Endpoint> GatewayPeers::fleet() const
+{
+    std::map<VmName, Endpoint> all{{m_options.self.vm, m_options.self.address}};
+    for (const GatewayEntry &entry : m_state.gateways())
+        all.emplace(entry.vm, entry.address);
+    for (const auto &[vm, peer] : m_peers)
+        all.insert_or_assign(vm, peer.entry.address);
+    return all;
+}
+
+void GatewayPeers::sendTo(const Endpoint &to, SealedKind kind, std::string payload)
+{
+    error_code ec;
+    const auto number = asio::ip::make_address(to.address, ec);
+    if (!ec)
+        sendTo(udp::endpoint(number, to.port), kind, std::move(payload));
+}
+
+void GatewayPeers::sendTo(const udp::endpoint &to, SealedKind kind, std::string payload)
+{
+    const std::string bytes =
+        static_cast<char>(kind) + seal(m_options.keys, kind, {}, std::move(payload));
+    error_code ec; // what cannot leave now is made up for by the next report, or by a time-out
+    m_udp.send_to(asio::buffer(bytes), to, 0, ec);
 }
 
 /// Counts and tells of bytes that no gateway of this fleet sent.
@@ -258,11 +298,24 @@
 }
 
 /// True for a beat that a later one of the same life overtook, and for one that is played again.
-bool GatewayPeers::isOld(const GatewayBeat &beat) const
+bool GatewayPeers::isOld(const VmName &from, Incarnation incarnation, std::uint64_t sequence) const
+{
+    const auto it = m_peers.find(from);
+    return it != m_peers.end() && it->second.incarnation == incarnation
+        && sequence <= it->second.sequence;
+}
+
+bool GatewayPeers::takeSequence(const VmName &from, Incarnation incarnation, std::uint64_t sequence)
 {
-    const auto it = m_peers.find(beat.from.vm);
-    return it != m_peers.end() && it->second.incarnation == beat.incarnation
-        && beat.sequence <= it->second.sequence;
+    if (isOld(from, incarnation, sequence))
+        return false;
+    const auto it = m_peers.find(from);
+    if (it == m_peers.end())
+        return true; // known from its first beat on
+    it->second.heard = RuntimeClock::now();
+    it->second.incarnation = incarnation;
+    it->second.sequence = sequence;
+    return true;
 }
 
 bool GatewayPeers::isBehind(const GatewayBeat &beat) const
@@ -273,7 +326,7 @@
 
 void GatewayPeers::take(const GatewayBeat &beat)
 {
-    if (isOld(beat))
+    if (isOld(beat.from.vm, beat.incarnation, beat.sequence))
         return;
     const Time now = RuntimeClock::now();
     const bool fresh = !m_peers.contains(beat.from.vm);
@@ -289,7 +342,8 @@
     takeSample(beat.sample, now);
     m_state.noteGateways(m_peers.size() + 1);
     const Duration valid = m_options.beats.loadAge(m_lastTargets, m_peers.size());
-    m_state.book().setPeerLoad(beat.from.vm, untagLoad(beat.load, m_state.directory()), now, valid);
+    m_state.book().setPeerLoad(
+        beat.from.vm, {untagLoad(beat.load, m_state.directory()), beat.openFrom}, now, valid);
     m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
     if (!isBehind(beat)) {
         m_behindSince.reset();
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
 
 #include "peer/beatbudget.h"
 #include "peer/gatewaymessages.h"
+#include "peer/proof.h"
 
 namespace reachlead {
 
@@ -64,6 +66,31 @@
     /// Sends a beat at once: the state changed.
     void announce();
 
+    /// This life of the gateway.
+    Incarnation incarnation() const { return m_incarnation; }
+    bool isStopped() const { return m_stopped; }
+
+    /// All gateways that the registry names or that were heard, this one included.
+    std::map<VmName, Endpoint> fleet() const;
+
+    /// Sends a datagram with its proof; one that cannot leave now is lost.
+    void sendTo(const Endpoint &to, SealedKind kind, std::string payload);
+    void sendTo(const boost::asio::ip::udp::endpoint &to, SealedKind kind, std::string payload);
+
+    /// Called with each datagram of this fleet that is no beat.
+    using TakePlacement =
+        std::function<void(SealedKind, std::string_view, const boost::asio::ip::udp::endpoint &)>;
+    void onPlacement(TakePlacement callback) { m_onPlacement = std::move(callback); }
+
+    /// Asked for ToldLoad::openFrom of the next beat.
+    void tellOpenAsks(std::function<AskNumber()> callback) { m_openAsks = std::move(callback); }
+
+    /// Numbers what this life of the gateway sends of its load.
+    std::uint64_t nextSequence() { return ++m_sequence; }
+
+    /// False for what a later word of the same life overtook, and for what is played again.
+    bool takeSequence(const VmName &from, Incarnation incarnation, std::uint64_t sequence);
+
     /// Silence after which a gateway counts as gone: a beat reaches each of some hundred gateways
     /// about every ten seconds, and of the few on a small site each time.
     static constexpr Duration peerLimit = seconds(10);
@@ -98,7 +125,8 @@
     void takeSample(const std::vector<GatewayEntry> &sample, Time now);
     void take(const GatewayBeat &beat);
     bool isBehind(const GatewayBeat &beat) const;
-    bool isOld(const GatewayBeat &beat) const;
+    bool isOld(const VmName &from, Incarnation incarnation, std::uint64_t sequence) const;
+    void takeDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &from);
     void refuseStranger(std::string_view what, const std::string &from);
 
     boost::asio::io_context &m_io;
@@ -112,9 +140,12 @@
     std::size_t m_turn = 0; ///< of the rotation over targets
     std::size_t m_lastTargets = BeatBudget::fewestTargets; ///< gateways that the last beat went to
     std::size_t m_lastBytes = 0; ///< of the last beat, to one of them
-    std::uint64_t m_sequence = 0; ///< of the last beat that was sent
+    std::uint64_t m_sequence = 0; ///< of the last word of its load that was sent
+    std::uint64_t m_beats = 0; ///< that were made
     Time m_announcedAt{};
     std::optional<Time> m_behindSince;
+    TakePlacement m_onPlacement;
+    std::function<AskNumber()> m_openAsks;
     bool m_fetching = false;
     bool m_stopped = false;
 };
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -135,8 +135,8 @@
             beat.incarnation = Incarnation{5};
             beat.sequence = sequence;
             beat.ageMs = ageMs;
-            const std::string bytes =
-                seal(keys("the key of this fleet"), SealedKind::Beat, {}, encodeBeat(beat));
+            const std::string bytes = static_cast<char>(SealedKind::Beat)
+                + seal(keys("the key of this fleet"), SealedKind::Beat, {}, encodeBeat(beat));
             socket.send_to(boost::asio::buffer(bytes),
                            {boost::asio::ip::make_address("127.0.0.1"), hearer.peers.port()});
             clocked.advance(milliseconds(50));
--- /dev/null
+++ b/src/peer/placementlink.cpp
@@ -0,0 +1,330 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/placementlink.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+/// Between two looks at which gateways there are.
+constexpr Duration fleetAge = milliseconds(250);
+
+auto keepError(error_code *ec)
+{
+    return asio::redirect_error(asio::use_awaitable, *ec);
+}
+
+} // namespace
+
+PlacementLink::PlacementLink(asio::io_context &io, const Options &options, GatewayState &state,
+                             GatewayPeers &peers)
+    : m_io(io), m_options(options), m_state(state), m_peers(peers), m_asks(state.vm())
+{
+    m_peers.onPlacement([this](SealedKind kind, std::string_view message, const UdpEndpoint &from) {
+        take(kind, message, from);
+    });
+    m_peers.tellOpenAsks([this] { return m_asks.openFrom(); });
+    if (m_options.isOn)
+        asio::co_spawn(io, reportLoop(), asio::detached);
+}
+
+void PlacementLink::count(Count c)
+{
+    if (m_options.counters != nullptr)
+        m_options.counters->add(c);
+}
+
+const std::map<VmName, Endpoint> &PlacementLink::fleet()
+{
+    const Time now = RuntimeClock::now();
+    if (m_fleetAt && now < *m_fleetAt + fleetAge)
+        return m_fleet;
+    m_fleetAt = now;
+    m_fleet = m_peers.fleet();
+    const auto names = m_fleet | std::views::keys;
+    m_fleetNames = {names.begin(), names.end()};
+    return m_fleet;
+}
+
+VmName PlacementLink::schedulerFor(const GroupName &group)
+{
+    fleet();
+    return m_asks.schedulerFor(group, m_fleetNames, RuntimeClock::now());
+}
+
+// Asking
+
+asio::awaitable<PlacedChoice> PlacementLink::choose(ChoiceAsk ask)
+{
+    const Time began = RuntimeClock::now();
+    PlacedChoice placed;
+    placed.by = m_state.vm();
+    std::optional<GroupName> group;
+    if (m_options.isOn && (m_options.plainCalls || !ask.prompt.empty()))
+        group = m_state.groups().groupOf(ask.service, keyParts(ask.model, ask.prompt),
+                                         m_state.directory());
+    if (group) {
+        const VmName scheduler = schedulerFor(*group);
+        if (scheduler != m_state.vm()) {
+            placed.choice = co_await askScheduler(scheduler, *group, ask);
+            if (placed.choice)
+                placed.by = scheduler;
+            count(placed.choice ? Count::PlacementsAnswered : Count::PlacementsUnanswered);
+        }
+    }
+    if (!placed.choice)
+        placed.choice = chooseHere(ask, group);
+    placed.took = RuntimeClock::now() - began;
+    co_return placed;
+}
+
+std::optional<Choice> PlacementLink::chooseHere(ChoiceAsk ask,
+                                                const std::optional<GroupName> &group)
+{
+    if (group)
+        ask.group = &m_state.groups().membersOf(*group, m_state.directory());
+    return m_state.book().choose(ask, m_state.directory(), RuntimeClock::now());
+}
+
+asio::awaitable<std::optional<Choice>> PlacementLink::askScheduler(VmName scheduler,
+                                                                   GroupName group, ChoiceAsk ask)
+{
+    const AskNumber number = m_asks.open(scheduler);
+    const std::string payload = encodePlacementAsk(makeAsk(number, group, ask));
+    m_peers.sendTo(fleet().at(scheduler), SealedKind::PlacementAsk, payload);
+    Waiter waiter(m_io);
+    const auto waiters = m_waiters; // may outlive the link
+    waiters->emplace(number, &waiter);
+    error_code ec;
+    waiter.timer.expires_after(m_options.answerLimit);
+    co_await waiter.timer.async_wait(keepError(&ec));
+    waiters->erase(number);
+    const bool isPlaced = waiter.answer && waiter.answer->placed;
+    if (!isPlaced) {
+        m_asks.missed(number, RuntimeClock::now());
+        LogLine(LogLevel::Info, "placement-unanswered")
+            .with("scheduler", scheduler.text)
+            .with("service", group.service.text)
+            .with("group", group.number)
+            .with("declined", waiter.answer.has_value());
+        co_return std::nullopt;
+    }
+    m_asks.conclude(number);
+    std::optional<Choice> choice = readPlaced(*waiter.answer->placed, ask);
+    if (choice) {
+        // The scheduler counts the call from its answer on, so it need not be told of it.
+        UpstreamLoad &known = m_reported[group].load[choice->upstream];
+        ++known.running;
+        known.unreadTokens += choice->unreadTokens;
+        known.brief += choice->isBrief ? 1 : 0;
+    }
+    co_return choice;
+}
+
+/// What the answer names, as this gateway knows it; nothing when it knows better: the upstream
+/// takes no more work, or was tried.
+std::optional<Choice> PlacementLink::readPlaced(const PlacedCall &placed,
+                                                const ChoiceAsk &ask) const
+{
+    const UpstreamDirectory &directory = m_state.directory();
+    const UpstreamEntry *entry = directory.findTag(placed.upstream);
+    if (entry == nullptr || entry->leaving || entry->service != ask.service)
+        return std::nullopt;
+    if (ask.tried != nullptr && ask.tried->contains(entry->id))
+        return std::nullopt;
+    Choice choice;
+    choice.upstream = entry->id;
+    choice.unreadTokens = placed.unreadTokens;
+    choice.cost = placed.costMs;
+    choice.isHome = placed.isHome;
+    choice.isBrief = placed.isBrief;
+    const UpstreamEntry *source = placed.fetchFrom ? directory.findTag(*placed.fetchFrom) : nullptr;
+    if (source != nullptr)
+        choice.fetchFrom = source->id;
+    return choice;
+}
+
+PlacementAsk PlacementLink::makeAsk(AskNumber number, const GroupName &group, const ChoiceAsk &ask)
+{
+    const UpstreamDirectory &directory = m_state.directory();
+    PlacementAsk made;
+    const LoadByGroup own = ownLoads();
+    const auto it = own.find(group);
+    made.report = makeReport(group, it == own.end() ? LoadByUpstream{} : it->second);
+    made.number = number;
+    made.zone = m_state.zone();
+    made.model = ask.model;
+    std::ranges::transform(ask.prompt, std::back_inserter(made.prompt), [](const PromptPart &part) {
+        return AskedPart{part.id, static_cast<std::uint32_t>(part.tokens)};
+    });
+    if (ask.tried != nullptr)
+        std::ranges::transform(*ask.tried, std::back_inserter(made.avoid), tagOf);
+    const auto failing =
+        m_state.book().unhealthyOf(ask.service, directory, RuntimeClock::now(), mostAvoided);
+    std::ranges::transform(failing, std::back_inserter(made.avoid), tagOf);
+    return made;
+}
+
+// Reports
+
+GroupLoad PlacementLink::makeReport(const GroupName &group, const LoadByUpstream &load)
+{
+    GroupLoad report;
+    report.from = m_state.vm();
+    report.incarnation = m_peers.incarnation();
+    report.sequence = m_peers.nextSequence();
+    report.group = group;
+    report.openFrom = m_asks.openFrom();
+    report.load = tagLoad(load);
+    m_reported[group] = {load, RuntimeClock::now()};
+    return report;
+}
+
+PlacementLink::LoadByGroup PlacementLink::ownLoads()
+{
+    LoadByGroup loads;
+    for (const auto &[id, load] : m_state.book().ownLoad()) {
+        if (const auto group = m_state.groups().groupOf(id, m_state.directory()))
+            loads[*group].emplace(id, load);
+    }
+    return loads;
+}
+
+asio::awaitable<void> PlacementLink::reportLoop()
+{
+    Timer timer(m_io);
+    while (!m_peers.isStopped()) {
+        error_code ec;
+        timer.expires_after(m_options.reportInterval);
+        co_await timer.async_wait(keepError(&ec));
+        sendReports();
+    }
+}
+
+void PlacementLink::sendReports()
+{
+    LoadByGroup loads = ownLoads();
+    for (const GroupName &group : m_reported | std::views::keys)
+        loads.try_emplace(group); // what has ended is told as well
+    const Time now = RuntimeClock::now();
+    for (const auto &[group, load] : loads) {
+        const Reported &told = m_reported[group];
+        const bool isOld = !load.empty() && told.at + refreshInterval <= now;
+        if (told.load == load && !isOld)
+            continue;
+        const VmName scheduler = schedulerFor(group);
+        const GroupLoad report = makeReport(group, load);
+        if (scheduler == m_state.vm())
+            continue;
+        m_peers.sendTo(fleet().at(scheduler), SealedKind::GroupLoad, encodeReport(report));
+    }
+    std::erase_if(m_reported, [](const auto &it) { return it.second.load.empty(); });
+}
+
+// Answering
+
+void PlacementLink::take(SealedKind kind, std::string_view message, const UdpEndpoint &from)
+{
+    std::string reason;
+    bool isGood = false;
+    if (kind == SealedKind::PlacementAsk) {
+        const auto ask = decodePlacementAsk(message, &reason);
+        isGood = ask.has_value();
+        if (ask)
+            takeAsk(*ask, from);
+    } else if (kind == SealedKind::PlacementAnswer) {
+        auto answer = decodePlacementAnswer(message, &reason);
+        isGood = answer.has_value();
+        if (answer)
+            takeAnswer(std::move(*answer));
+    } else if (kind == SealedKind::GroupLoad) {
+        const auto report = decodeReport(message, &reason);
+        isGood = report.has_value();
+        if (report)
+            takeReport(*report);
+    }
+    if (!isGood)
+        LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+}
+
+void PlacementLink::takeReport(const GroupLoad &report)
+{
+    if (!m_peers.takeSequence(report.from, report.incarnation, report.sequence))
+        return;
+    const std::set<UpstreamId> &group =
+        m_state.groups().membersOf(report.group, m_state.directory());
+    m_state.book().setPeerLoad(report.from,
+                               {untagLoad(report.load, m_state.directory()), report.openFrom},
+                               group, RuntimeClock::now());
+}
+
+void PlacementLink::takeAsk(const PlacementAsk &ask, const UdpEndpoint &from)
+{
+    takeReport(ask.report);
+    PlacementAnswer answer;
+    answer.from = m_state.vm();
+    answer.asker = ask.report.incarnation;
+    answer.number = ask.number;
+    const UpstreamDirectory &directory = m_state.directory();
+    const GroupName &group = ask.report.group;
+    std::vector<PromptPart> prompt;
+    std::ranges::transform(ask.prompt, std::back_inserter(prompt),
+                           [](const AskedPart &part) { return PromptPart{part.id, part.tokens}; });
+    std::set<UpstreamId> avoided;
+    for (const UpstreamTagNumber tag : ask.avoid) {
+        if (const UpstreamEntry *entry = directory.findTag(tag))
+            avoided.insert(entry->id);
+    }
+    ChoiceAsk wanted{group.service, ask.model, prompt, &avoided};
+    wanted.info = m_state.table() ? m_state.table()->service(group.service) : nullptr;
+    wanted.zone = &ask.zone;
+    wanted.group = &m_state.groups().membersOf(group, directory);
+    const Time now = RuntimeClock::now();
+    std::optional<Choice> choice;
+    if (!m_stopping)
+        choice = m_state.book().choose(wanted, directory, now);
+    if (choice) {
+        m_state.book().granted(ask.report.from, ask.number, wanted, *choice, now);
+        PlacedCall placed;
+        placed.upstream = tagOf(choice->upstream);
+        placed.unreadTokens = static_cast<std::uint32_t>(choice->unreadTokens);
+        placed.costMs = static_cast<std::int32_t>(choice->cost);
+        placed.isHome = choice->isHome;
+        placed.isBrief = choice->isBrief;
+        if (choice->fetchFrom)
+            placed.fetchFrom = tagOf(*choice->fetchFrom);
+        answer.placed = placed;
+    }
+    count(choice ? Count::PlacementsGiven : Count::PlacementsDeclined);
+    m_peers.sendTo(from, SealedKind::PlacementAnswer, encodePlacementAnswer(answer));
+}
+
+void PlacementLink::takeAnswer(PlacementAnswer answer)
+{
+    if (answer.asker != m_peers.incarnation())
+        return;
+    if (!m_asks.answered(answer.number, answer.from))
+        return;
+    const auto it = m_waiters->find(answer.number);
+    if (it == m_waiters->end())
+        return;
+    it->second->answer = std::move(answer);
+    it->second->timer.cancel();
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/placementlink.h
@@ -0,0 +1,110 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Placement of calls by one gateway for each group of upstreams: its questions, answers and
+/// reports of load.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include <boost/asio/io_context.hpp>
+
+#include <reachlead/counters.h>
+#include <reachlead/gatewaystate.h>
+#include <reachlead/openasks.h>
+#include <reachlead/placementadviser.h>
+
+#include "peer/gatewaypeers.h"
+#include "peer/placementmessages.h"
+
+namespace reachlead {
+
+/// Asks the scheduler of a call's group where to place it, answers such questions of others, and
+/// tells schedulers what this gateway's calls cause. Without an answer in time the gateway decides
+/// by what it knows itself. One thread.
+class PlacementLink : public PlacementAdviser
+{
+public:
+    struct Options
+    {
+        bool isOn = true; ///< off: each gateway places its calls by itself
+        bool plainCalls = false; ///< also calls without a prompt
+        /// Longest wait for an answer: some round trips between zones (1 to 3 ms each) and the turn
+        /// of a busy process on a tenth of a core; well below the least target of a first event
+        /// (600 ms).
+        Duration answerLimit = milliseconds(60);
+        /// Between looks whether a scheduler is to be told of a changed load: a prompt takes
+        /// longer than this to be read, so little changes in between.
+        Duration reportInterval = milliseconds(100);
+        Counters *counters = nullptr; ///< must outlive the link; null: nothing is counted
+    };
+
+    /// An unchanged load is told again after this long, as reports may be lost; a load counts for
+    /// UpstreamBook::peerLoadAge.
+    static constexpr Duration refreshInterval = seconds(1);
+
+    PlacementLink(boost::asio::io_context &io, const Options &options, GatewayState &state,
+                  GatewayPeers &peers);
+
+    boost::asio::awaitable<PlacedChoice> choose(ChoiceAsk ask) override;
+
+    /// Declines questions from now on, as the process is about to end.
+    void beginStop() { m_stopping = true; }
+
+private:
+    using UdpEndpoint = boost::asio::ip::udp::endpoint;
+
+    /// A call that waits for an answer. Lives on the call's frame.
+    struct Waiter
+    {
+        explicit Waiter(boost::asio::io_context &io) : timer(io) { }
+
+        Timer timer;
+        std::optional<PlacementAnswer> answer;
+    };
+    using Waiters = std::map<AskNumber, Waiter *>;
+
+    /// What a scheduler was last told, or believes by its own answers.
+    struct Reported
+    {
+        LoadByUpstream load;
+        Time at{};
+    };
+    using LoadByGroup = std::map<GroupName, LoadByUpstream>;
+
+    boost::asio::awaitable<void> reportLoop();
+    boost::asio::awaitable<std::optional<Choice>> askScheduler(VmName scheduler, GroupName group,
+                                                               ChoiceAsk ask);
+    std::optional<Choice> chooseHere(ChoiceAsk ask, const std::optional<GroupName> &group);
+    std::optional<Choice> readPlaced(const PlacedCall &placed, const ChoiceAsk &ask) const;
+    PlacementAsk makeAsk(AskNumber number, const GroupName &group, const ChoiceAsk &ask);
+    GroupLoad makeReport(const GroupName &group, const LoadByUpstream &load);
+    LoadByGroup ownLoads();
+    void sendReports();
+    void take(SealedKind kind, std::string_view message, const UdpEndpoint &from);
+    void takeAsk(const PlacementAsk &ask, const UdpEndpoint &from);
+    void takeAnswer(PlacementAnswer answer);
+    void takeReport(const GroupLoad &report);
+    const std::map<VmName, Endpoint> &fleet();
+    VmName schedulerFor(const GroupName &group);
+    void count(Count c);
+
+    boost::asio::io_context &m_io;
+    Options m_options;
+    GatewayState &m_state;
+    GatewayPeers &m_peers;
+    OpenAsks m_asks;
+    std::shared_ptr<Waiters> m_waiters = std::make_shared<Waiters>();
+    std::map<GroupName, Reported> m_reported;
+    std::map<VmName, Endpoint> m_fleet; ///< as of m_fleetAt
+    std::set<VmName> m_fleetNames;
+    std::optional<Time> m_fleetAt;
+    bool m_stopping = false;
+};
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/placementlink_test.cpp
@@ -0,0 +1,289 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <algorithm>
+#include <memory>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <fmt/format.h>
+
+#include "peer/placementlink.h"
+
+namespace reachlead {
+
+/// Gateways that place for each other over real datagrams, on a paused clock.
+class PlacementLinkTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlacementLinkTest);
+    CPPUNIT_TEST(messagesComeBackAsTheyWere);
+    CPPUNIT_TEST(hostileBytesAreRefused);
+    CPPUNIT_TEST(schedulerPlacesAndCountsTheCall);
+    CPPUNIT_TEST(schedulerHearsOfTheEnd);
+    CPPUNIT_TEST(goneSchedulerCostsOneWait);
+    CPPUNIT_TEST(stoppingSchedulerDeclinesAtOnce);
+    CPPUNIT_TEST(lateAnswerIsNotTaken);
+    CPPUNIT_TEST(upstreamThatLeftHereIsNotTaken);
+    CPPUNIT_TEST(strangerPlacesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+    static constexpr unsigned upstreamCount = 3;
+
+    static FleetKeys keys(const std::string &text)
+    {
+        std::string reason;
+        return FleetKeys::parse(text, &reason).value();
+    }
+
+    static std::vector<UpstreamEntry> upstreams(unsigned n)
+    {
+        std::vector<UpstreamEntry> all;
+        for (unsigned it = 0; it < n; ++it) {
+            UpstreamEntry entry;
+            entry.id = UpstreamId(fmt::format("u{}", it));
+            entry.service = ServiceName("llm");
+            entry.slots = 64;
+            all.push_back(entry);
+        }
+        return all;
+    }
+
+    struct Node
+    {
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key)
+            : state(stateOptions(vm)), peers(io, peerOptions(vm, key, &counters), state),
+              link(io, linkOptions(&counters), state, peers)
+        {
+            state.upstreamsListed(upstreams(upstreamCount), 1);
+        }
+        ~Node() { peers.stop(); }
+        Node(const Node &) = delete;
+        Node &operator=(const Node &) = delete;
+
+        static GatewayState::Options stateOptions(const std::string &vm)
+        {
+            GatewayState::Options made;
+            made.vm = VmName(vm);
+            return made;
+        }
+        static GatewayPeers::Options peerOptions(const std::string &vm, const std::string &key,
+                                                 Counters *counters)
+        {
+            GatewayPeers::Options made;
+            made.self = {VmName(vm), {"127.0.0.1", 0}};
+            made.keys = keys(key);
+            made.counters = counters;
+            return made;
+        }
+        static PlacementLink::Options linkOptions(Counters *counters)
+        {
+            PlacementLink::Options made;
+            made.counters = counters;
+            return made;
+        }
+        GatewayEntry entry() const { return peers.self(); }
+        std::uint32_t running(const UpstreamId &id)
+        {
+            return state.book().loadOf(id, RuntimeClock::now()).running;
+        }
+
+        Counters counters;
+        GatewayState state;
+        GatewayPeers peers;
+        PlacementLink link;
+    };
+
+    /// Two gateways of one fleet, of which `scheduler` places all calls of the service.
+    struct Pair
+    {
+        explicit Pair(const std::string &otherKey = "the key of this fleet")
+        {
+            RuntimeClock::pause(start);
+            const GroupName group{ServiceName("llm"), 0};
+            const std::set<VmName> names{VmName("a"), VmName("b")};
+            const VmName first = *schedulerOf(group, names);
+            const VmName second = first == VmName("a") ? VmName("b") : VmName("a");
+            scheduler = std::make_unique<Node>(io, first.text, otherKey);
+            asker = std::make_unique<Node>(io, second.text, "the key of this fleet");
+            const std::vector<GatewayEntry> both{scheduler->entry(), asker->entry()};
+            scheduler->state.gatewaysChanged(both);
+            asker->state.gatewaysChanged(both);
+        }
+        ~Pair()
+        {
+            io.stop();
+            RuntimeClock::resume();
+        }
+        Pair(const Pair &) = delete;
+        Pair &operator=(const Pair &) = delete;
+
+        void advance(Duration d)
+        {
+            constexpr Duration step = milliseconds(5);
+            for (Duration moved{}; moved < d; moved += step) {
+                RuntimeClock::advance(step);
+                io.restart();
+                io.run_for(std::chrono::milliseconds(3));
+            }
+        }
+
+        /// Asks at the asker; nothing while no choice is made.
+        void ask()
+        {
+            placed.reset();
+            boost::asio::co_spawn(io, askOnce(), boost::asio::detached);
+        }
+        boost::asio::awaitable<void> askOnce()
+        {
+            ChoiceAsk wanted{ServiceName("llm"), "m", prompt, nullptr};
+            PlacedChoice got = co_await asker->link.choose(wanted);
+            if (got.choice)
+                asker->state.book().sent(got.choice->upstream, wanted, *got.choice,
+                                         RuntimeClock::now());
+            placed = std::move(got);
+        }
+
+        std::vector<PromptPart> prompt{{1, 13'000}, {2, 3'000}};
+        boost::asio::io_context io{1};
+        std::unique_ptr<Node> scheduler;
+        std::unique_ptr<Node> asker;
+        std::optional<PlacedChoice> placed;
+    };
+
+    void messagesComeBackAsTheyWere()
+    {
+        PlacementAsk ask;
+        ask.report = {VmName("vm"), Incarnation{7}, 9, {ServiceName("s"), 3}, 11, {{1, 2, 3, 4}}};
+        ask.number = 5;
+        ask.zone = ZoneName("z");
+        ask.model = "m";
+        ask.prompt = {{17, 400}, {18, 13'000}};
+        ask.avoid = {77};
+        std::string reason;
+        const auto back = decodePlacementAsk(encodePlacementAsk(ask), &reason);
+        CPPUNIT_ASSERT(back.has_value());
+        CPPUNIT_ASSERT_EQUAL(encodePlacementAsk(ask), encodePlacementAsk(*back));
+        CPPUNIT_ASSERT(back->report.group == ask.report.group);
+        CPPUNIT_ASSERT_EQUAL(AskNumber{11}, back->report.openFrom);
+        PlacementAnswer answer{VmName("vm"), Incarnation{7}, 5,
+                               PlacedCall{1, 2, 3, true, false, 4}};
+        const auto told = decodePlacementAnswer(encodePlacementAnswer(answer), &reason);
+        CPPUNIT_ASSERT(told && told->placed && told->placed->fetchFrom == 4U);
+        CPPUNIT_ASSERT(encodePlacementAsk(ask).size() < 160);
+    }
+
+    void hostileBytesAreRefused()
+    {
+        std::string reason;
+        const std::string good = encodePlacementAsk(PlacementAsk());
+        for (std::size_t n = 0; n < good.size(); ++n)
+            CPPUNIT_ASSERT(!decodePlacementAsk(good.substr(0, n), &reason));
+        CPPUNIT_ASSERT(!decodePlacementAsk(good + "x", &reason));
+        CPPUNIT_ASSERT(!decodeReport(std::string(200, '\xff'), &reason));
+        CPPUNIT_ASSERT(!decodePlacementAnswer(std::string(200, '\xff'), &reason));
+    }
+
+    void schedulerPlacesAndCountsTheCall()
+    {
+        Pair pair;
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+        const UpstreamId at = pair.placed->choice->upstream;
+        CPPUNIT_ASSERT_EQUAL(1U, pair.scheduler->running(at));
+        pair.advance(seconds(3)); // its own word of the load takes the place of the grant
+        CPPUNIT_ASSERT_EQUAL(1U, pair.scheduler->running(at));
+    }
+
+    void schedulerHearsOfTheEnd()
+    {
+        Pair pair;
+        pair.ask();
+        pair.advance(milliseconds(10));
+        const Choice choice = pair.placed->choice.value();
+        pair.asker->state.book().ended(choice.upstream, choice.unreadTokens, choice.isBrief);
+        pair.advance(milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(0U, pair.scheduler->running(choice.upstream));
+    }
+
+    void goneSchedulerCostsOneWait()
+    {
+        Pair pair;
+        pair.scheduler->peers.stop();
+        pair.ask();
+        pair.advance(milliseconds(40));
+        CPPUNIT_ASSERT(!pair.placed);
+        pair.advance(milliseconds(40));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
+        pair.ask(); // it places by itself for a while
+        pair.advance(milliseconds(5));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             pair.asker->counters.value(Count::PlacementsUnanswered));
+    }
+
+    void stoppingSchedulerDeclinesAtOnce()
+    {
+        Pair pair;
+        pair.scheduler->link.beginStop();
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             pair.scheduler->counters.value(Count::PlacementsDeclined));
+    }
+
+    /// An answer that was held up until its call had gone elsewhere leaves no load behind.
+    void lateAnswerIsNotTaken()
+    {
+        Pair pair;
+        pair.ask();
+        // The datagram waits unread while the clock passes the limit.
+        RuntimeClock::advance(milliseconds(70));
+        pair.advance(milliseconds(200));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        std::uint32_t running = 0;
+        for (const UpstreamEntry &entry : upstreams(upstreamCount))
+            running += pair.scheduler->running(entry.id);
+        CPPUNIT_ASSERT_EQUAL(1U, running);
+    }
+
+    void upstreamThatLeftHereIsNotTaken()
+    {
+        Pair pair;
+        // The asker knows a later registry, without the upstream that the scheduler will name.
+        pair.ask();
+        pair.advance(milliseconds(10));
+        const UpstreamId gone = pair.placed->choice->upstream;
+        std::vector<UpstreamEntry> left = upstreams(upstreamCount);
+        std::erase_if(left, [&](const UpstreamEntry &entry) { return entry.id == gone; });
+        pair.asker->state.upstreamsListed(left, 2);
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->choice->upstream != gone);
+    }
+
+    void strangerPlacesNothing()
+    {
+        Pair pair("a key of somebody else");
+        pair.ask();
+        pair.advance(milliseconds(80));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
+        CPPUNIT_ASSERT(pair.scheduler->counters.value(Count::HostileFrames) > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             pair.scheduler->counters.value(Count::PlacementsGiven));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/placementmessages.h
@@ -0,0 +1,99 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What gateways say to each other about where a call is to be placed.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <reachlead/placementgroups.h>
+
+#include "peer/gatewaymessages.h"
+
+namespace reachlead {
+
+/// Who sends, in which life, and the load that it causes at one group's upstreams.
+struct GroupLoad
+{
+    VmName from;
+    Incarnation incarnation;
+    std::uint64_t sequence = 0; ///< of all that this life of the gateway sends
+    GroupName group;
+    AskNumber openFrom = 0; ///< as in ToldLoad
+    std::vector<TaggedLoad> load;
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(from, incarnation, sequence, group, openFrom, load);
+    }
+};
+
+/// A part of a prompt, short.
+struct AskedPart
+{
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+
+    template <class Archive> void serialize(Archive &ar) { ar(id, tokens); }
+};
+
+/// Asks where a call is to be placed.
+struct PlacementAsk
+{
+    GroupLoad report; ///< what the asker has there already
+    AskNumber number = 0;
+    ZoneName zone; ///< of the asker
+    std::string model;
+    std::vector<AskedPart> prompt;
+    std::vector<UpstreamTagNumber> avoid; ///< tried in vain, or failing by the asker's evidence
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(report, number, zone, model, prompt, avoid);
+    }
+};
+
+/// Upstreams to avoid in one question: 64 bytes.
+inline constexpr std::size_t mostAvoided = 16;
+
+/// Where a call is to be placed.
+struct PlacedCall
+{
+    UpstreamTagNumber upstream = 0;
+    std::uint32_t unreadTokens = 0;
+    std::int32_t costMs = 0;
+    bool isHome = false;
+    bool isBrief = false;
+    std::optional<UpstreamTagNumber> fetchFrom;
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(upstream, unreadTokens, costMs, isHome, isBrief, fetchFrom);
+    }
+};
+
+/// Answers a PlacementAsk.
+struct PlacementAnswer
+{
+    VmName from;
+    Incarnation asker; ///< the life of the gateway that asked
+    AskNumber number = 0;
+    std::optional<PlacedCall> placed; ///< none: decide by yourself
+
+    template <class Archive> void serialize(Archive &ar) { ar(from, asker, number, placed); }
+};
+
+/// Payloads without a length ahead. Decoding gives nothing with \p reason set for other bytes.
+std::string encodeReport(const GroupLoad &report);
+std::optional<GroupLoad> decodeReport(std::string_view payload, std::string *reason);
+std::string encodePlacementAsk(const PlacementAsk &ask);
+std::optional<PlacementAsk> decodePlacementAsk(std::string_view payload, std::string *reason);
+std::string encodePlacementAnswer(const PlacementAnswer &answer);
+std::optional<PlacementAnswer> decodePlacementAnswer(std::string_view payload, std::string *reason);
+
+} // namespace reachlead
--- a/src/peer/proof.h
+++ b/src/peer/proof.h
@@ -25,7 +25,14 @@
 std::string heartbeatText(Heartbeat beat);
 
 /// What gateways send each other, so that a tag of one kind proves nothing for another.
-enum class SealedKind : char { Beat = 'b', NewsAsk = 'a', News = 'n' };
+enum class SealedKind : char {
+    Beat = 'b',
+    NewsAsk = 'a',
+    News = 'n',
+    PlacementAsk = 'p',
+    PlacementAnswer = 'q',
+    GroupLoad = 'l'
+};
 
 /// A message of gateways with its proof behind it; without keys, the message alone. \p nonce binds
 /// an answer to its question.
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -49,6 +49,13 @@
     return options;
 }
 
+PlacementLink::Options placementOptions(const GatewaySettings &settings, Counters *counters)
+{
+    PlacementLink::Options options = settings.placement;
+    options.counters = counters;
+    return options;
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
@@ -58,12 +65,14 @@
       m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
       m_forwarder(settings.forwarder, m_shared),
       m_peers(m_io, peerOptions(settings, &m_counters), m_state),
+      m_placement(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
       m_ready(m_io, settings.ready, [this](HttpAsk ask) { return answerReady(std::move(ask)); }),
       m_operators(m_io, settings.operators,
                   [this](HttpAsk ask) { return answerOperator(std::move(ask)); }),
       m_source(source(m_io)), m_reload(std::move(reload))
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
+    m_shared.adviser = &m_placement;
     m_state.onUpstreamsLeft([this](const std::vector<UpstreamId> &left) {
         std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
     });
@@ -129,6 +138,7 @@
     const Time began = RuntimeClock::now();
     const Time limit = began + fromSeconds(toSeconds(m_settings.stopLimit) * stopPart);
     m_forwarder.beginStop();
+    m_placement.beginStop();
     co_await sleepFor(m_io, std::min<Duration>(stopNotice, limit - began));
     m_forwarder.closeIdle();
     while (m_forwarder.openConnections() > 0 && RuntimeClock::now() < limit)
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -18,6 +18,7 @@
 #include "forward/forwarder.h"
 #include "gatewaysettings.h"
 #include "peer/gatewaypeers.h"
+#include "peer/placementlink.h"
 
 namespace reachlead {
 
@@ -53,6 +54,7 @@
     ForwardShared m_shared;
     Forwarder m_forwarder;
     GatewayPeers m_peers;
+    PlacementLink m_placement;
     HttpServer m_ready;
     HttpServer m_operators;
     std::unique_ptr<FleetSource> m_source;
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -136,6 +136,9 @@
     UpstreamBook::Costs &costs = state.costs;
     auto shortPrompt = static_cast<std::int64_t>(costs.shortPrompt);
     auto strategy = static_cast<std::size_t>(costs.strategy);
+    auto groupSize = static_cast<std::int64_t>(state.groupSize);
+    double answerMs = toMillis(placement.answerLimit);
+    double reportMs = toMillis(placement.reportInterval);
     IniReader reader(file, "placement");
     reader.takeNumber("tokens_per_ms", 0.001, largest, &costs.tokensPerMs)
         .takeNumber("per_running_ms", 0.0, longest, &costs.perRunning)
@@ -151,11 +154,20 @@
         .takeInteger("short_prompt", 0, 1'000'000'000, &shortPrompt)
         .takeNumber("short_outside_ms", 0.0, longest, &costs.shortOutside)
         .takeNumber("long_in_quiet_ms", 0.0, longest, &costs.longInQuiet)
+        .takeNumber("other_group_ms", 0.0, longest, &costs.otherGroup)
+        .takeFlag("one_place", &placement.isOn)
+        .takeFlag("one_place_for_plain", &placement.plainCalls)
+        .takeInteger("group_size", 1, 1'000'000, &groupSize)
+        .takeNumber("answer_limit_ms", 1.0, 1000.0, &answerMs)
+        .takeNumber("report_ms", 10.0, 1000.0, &reportMs)
         .takeFlag("peer_loads", &costs.usesPeerLoads)
         .takeFlag("prompt_notes", &costs.usesNotes);
     reader.takeWord("strategy", {"cost", "home-only", "least-loaded", "round-robin"}, &strategy);
     costs.strategy = static_cast<UpstreamBook::Strategy>(strategy);
     costs.shortPrompt = static_cast<TokenCount>(shortPrompt);
+    state.groupSize = static_cast<std::size_t>(groupSize);
+    placement.answerLimit = fromSeconds(answerMs / 1000.0);
+    placement.reportInterval = fromSeconds(reportMs / 1000.0);
     return reader.finish();
 }
 
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -15,6 +15,7 @@
 
 #include "forward/forwarder.h"
 #include "peer/gatewaypeers.h"
+#include "peer/placementlink.h"
 
 namespace reachlead {
 
@@ -23,6 +24,7 @@
     GatewayState::Options state;
     Forwarder::Options forwarder;
     GatewayPeers::Options peers;
+    PlacementLink::Options placement;
     Endpoint ready; ///< where the balancer asks whether new connections may come
     Endpoint operators; ///< counters and histograms
     Endpoint store; ///< of configuration and registry
