placement: what a gateway knows of failing upstreams is told to the group's scheduler

Change: a refused connection opens the circuit at once, as it shows that no process listens. A question names up to 16 upstreams that fail by the asker's evidence; the scheduler keeps calls from those that two gateways named in the last second.

Ruled out: one gateway's word alone (a gateway that is cut off from a zone would take it from all others).

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -223,8 +223,12 @@
         co_return idle;
     const Time began = RuntimeClock::now();
     const Duration limit = std::min<Duration>(connectLimit, timeLeft());
-    UpstreamChannelPtr channel = co_await m_shared.pool.connect(entry, limit, &m_lastReason);
-    if (channel)
+    ConnectFailure failure;
+    UpstreamChannelPtr channel = co_await m_shared.pool.connect(entry, limit, &failure);
+    m_nobodyListened = failure.nobodyListens;
+    if (!channel)
+        m_lastReason = failure.reason;
+    else
         m_shared.latencies.note(Timed::Connect, RuntimeClock::now() - began);
     co_return channel;
 }
@@ -282,6 +286,8 @@
     const bool ownStop = m_stop != Stop::None;
     if (end == SendEnd::Complete || end == SendEnd::OwnFailure)
         book.succeeded(entry.id);
+    else if (std::exchange(m_nobodyListened, false))
+        book.absent(entry.id, RuntimeClock::now());
     else if (end != SendEnd::RefusedNotRun && !ownStop)
         book.failed(entry.id, RuntimeClock::now());
     else if (end == SendEnd::RefusedNotRun && m_exchange->facts().isOtherLife)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -99,6 +99,7 @@
     bool m_mayHaveRun = false;
     UpstreamId m_lastUpstream;
     std::string m_lastReason;
+    bool m_nobodyListened = false; ///< at the upstream that the last connection was opened to
     double m_lastCost = 0;
     VmName m_placedBy; ///< the gateway that chose the last upstream
     Duration m_placing{}; ///< time that the choices took
--- a/src/include/reachlead/circuit.h
+++ b/src/include/reachlead/circuit.h
@@ -51,6 +51,9 @@
     /// A request failed at the upstream.
     void failed(Time now);
 
+    /// Nobody listens at the upstream's address: opens at once.
+    void absent(Time now);
+
     /// A request ended without word on the upstream's health, as when its caller went away.
     void abandoned();
 
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -160,6 +160,15 @@
     /// Evidence on an upstream's health.
     void succeeded(const UpstreamId &id);
     void failed(const UpstreamId &id, Time now);
+    /// Nobody listens at its address, so its process is gone: no other call is to find that out.
+    void absent(const UpstreamId &id, Time now);
+    /// Another gateway's evidence speaks against an upstream. It counts for reportAge and where two
+    /// gateways agree, this one included: one that is cut off from an upstream must not take it
+    /// from the others. Of 29,400 calls on a day on which 20 of 180 engines crashed at once 4,304
+    /// were sent to where nobody listened, as each gateway had to find out by itself.
+    void reportedFailing(const UpstreamId &id, const VmName &reporter, Time now);
+    static constexpr Duration reportAge = milliseconds(1000);
+    static constexpr std::size_t reportsNeeded = 2;
     /// Another life answers at its address: this one is gone for good, whatever the registry says.
     void replaced(const UpstreamId &id);
 
@@ -216,6 +225,7 @@
         Circuit circuit{circuitSettings()};
         std::uint64_t lastTurn = 0; ///< of all choices, when it was last taken
         bool isReplaced = false; ///< another life answers at its address
+        std::map<VmName, Time> reports; ///< of failures there, by other gateways
         PromptCache cache;
     };
     struct FreshNote
@@ -286,6 +296,7 @@
                                       const UpstreamDirectory &directory, Time now);
     double loadCost(const ChoiceAsk &ask, const UpstreamEntry &entry, const UpstreamLoad &load,
                     bool isHealthy) const;
+    static bool isFailing(Record *record, Time now);
     const ZoneName &zoneOf(const ChoiceAsk &ask) const;
     static Placement placementOf(const ChoiceAsk &ask);
     void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
--- a/src/libreachlead/circuit.cpp
+++ b/src/libreachlead/circuit.cpp
@@ -174,6 +174,12 @@
     m_impl->process_event(Failed{now});
 }
 
+void Circuit::absent(Time now)
+{
+    for (unsigned n = 0; n < m_impl->settings.failuresToOpen; ++n)
+        failed(now); // those behind the last are ignored while it is open
+}
+
 void Circuit::abandoned()
 {
     m_impl->process_event(Abandoned{});
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -188,6 +188,26 @@
         it->second.circuit.failed(now);
 }
 
+void UpstreamBook::absent(const UpstreamId &id, Time now)
+{
+    if (const auto it = m_records.find(id); it != m_records.end())
+        it->second.circuit.absent(now);
+}
+
+void UpstreamBook::reportedFailing(const UpstreamId &id, const VmName &reporter, Time now)
+{
+    m_records[id].reports[reporter] = now;
+}
+
+/// By this gateway's evidence, or by that of enough others.
+bool UpstreamBook::isFailing(Record *record, Time now)
+{
+    std::erase_if(record->reports, [&](const auto &it) { return it.second + reportAge < now; });
+    if (record->isReplaced || !record->circuit.allows(now))
+        return true;
+    return record->reports.size() >= reportsNeeded;
+}
+
 void UpstreamBook::replaced(const UpstreamId &id)
 {
     if (const auto it = m_records.find(id); it != m_records.end())
@@ -234,12 +254,12 @@
 {
     std::vector<UpstreamId> found;
     for (const UpstreamEntry *entry : directory.usableOf(service)) {
+        if (found.size() == most)
+            break;
         const auto it = m_records.find(entry->id);
         const bool isKnown = it != m_records.end();
         if (isKnown && (it->second.isReplaced || !it->second.circuit.allows(now)))
             found.push_back(entry->id);
-        if (found.size() == most)
-            break;
     }
     return found;
 }
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -189,7 +189,7 @@
         Record &record = m_records[entry->id];
         Candidate candidate;
         candidate.entry = entry;
-        candidate.isHealthy = !record.isReplaced && record.circuit.allows(now);
+        candidate.isHealthy = !isFailing(&record, now);
         candidate.isQuiet = quiet.contains(entry->id);
         candidate.held = record.cache.cachedTokens(placement.parts);
         candidate.heldShared = record.cache.cachedTokens(placement.shared());
--- a/src/libreachlead/upstreambook_grants_test.cpp
+++ b/src/libreachlead/upstreambook_grants_test.cpp
@@ -28,6 +28,8 @@
     CPPUNIT_TEST(groupIsLeftOnlyForAClearGain);
     CPPUNIT_TEST(zoneOfTheCallerCounts);
     CPPUNIT_TEST(onePlacerSpreadsABurst);
+    CPPUNIT_TEST(upstreamWhereNobodyListensIsFoundOutOnce);
+    CPPUNIT_TEST(oneGatewaysWordDoesNotTakeAnUpstreamFromOthers);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -192,6 +194,37 @@
         CPPUNIT_ASSERT(upstreams.find(far.upstream)->zone == other);
     }
 
+    /// An engine that crashed looks idle, so that all calls would go there until its entry lapses.
+    void upstreamWhereNobodyListensIsFoundOutOnce()
+    {
+        const UpstreamDirectory upstreams = directory(3);
+        UpstreamBook one = book();
+        const auto parts = prompt(1, 2);
+        const Choice choice = one.choose(ask(parts), upstreams, start).value();
+        one.sent(choice.upstream, ask(parts), choice, start);
+        one.ended(choice.upstream, choice.unreadTokens, choice.isBrief);
+        one.absent(choice.upstream, start);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != choice.upstream);
+        CPPUNIT_ASSERT(one.unhealthyOf(ServiceName("llm"), upstreams, start, 9)
+                       == std::vector{choice.upstream});
+        CPPUNIT_ASSERT(one.unhealthyOf(ServiceName("llm"), upstreams, start, 0).empty());
+    }
+
+    void oneGatewaysWordDoesNotTakeAnUpstreamFromOthers()
+    {
+        const UpstreamDirectory upstreams = directory(3);
+        UpstreamBook one = book();
+        const auto parts = prompt(1, 2);
+        const UpstreamId home = one.choose(ask(parts), upstreams, start)->upstream;
+        one.reportedFailing(home, VmName("cut-off"), start);
+        one.reportedFailing(home, VmName("cut-off"), start);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream == home);
+        one.reportedFailing(home, VmName("another"), start);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, start)->upstream != home);
+        const Time later = start + UpstreamBook::reportAge + milliseconds(1);
+        CPPUNIT_ASSERT(one.choose(ask(parts), upstreams, later)->upstream == home);
+    }
+
     /// What a burst of prompts asks of the engines.
     struct Burst
     {
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -173,10 +173,10 @@
         return AskedPart{part.id, static_cast<std::uint32_t>(part.tokens)};
     });
     if (ask.tried != nullptr)
-        std::ranges::transform(*ask.tried, std::back_inserter(made.avoid), tagOf);
+        std::ranges::transform(*ask.tried, std::back_inserter(made.tried), tagOf);
     const auto failing =
-        m_state.book().unhealthyOf(ask.service, directory, RuntimeClock::now(), mostAvoided);
-    std::ranges::transform(failing, std::back_inserter(made.avoid), tagOf);
+        m_state.book().unhealthyOf(ask.service, directory, RuntimeClock::now(), mostFailing);
+    std::ranges::transform(failing, std::back_inserter(made.failing), tagOf);
     return made;
 }
 
@@ -285,16 +285,23 @@
     std::vector<PromptPart> prompt;
     std::ranges::transform(ask.prompt, std::back_inserter(prompt),
                            [](const AskedPart &part) { return PromptPart{part.id, part.tokens}; });
+    const Time now = RuntimeClock::now();
     std::set<UpstreamId> avoided;
-    for (const UpstreamTagNumber tag : ask.avoid) {
+    for (const UpstreamTagNumber tag : ask.tried) {
         if (const UpstreamEntry *entry = directory.findTag(tag))
             avoided.insert(entry->id);
     }
+    for (const UpstreamTagNumber tag : ask.failing) {
+        const UpstreamEntry *entry = directory.findTag(tag);
+        if (entry == nullptr)
+            continue;
+        avoided.insert(entry->id);
+        m_state.book().reportedFailing(entry->id, ask.report.from, now);
+    }
     ChoiceAsk wanted{group.service, ask.model, prompt, &avoided};
     wanted.info = m_state.table() ? m_state.table()->service(group.service) : nullptr;
     wanted.zone = &ask.zone;
     wanted.group = &m_state.groups().membersOf(group, directory);
-    const Time now = RuntimeClock::now();
     std::optional<Choice> choice;
     if (!m_stopping)
         choice = m_state.book().choose(wanted, directory, now);
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -162,7 +162,8 @@
         ask.zone = ZoneName("z");
         ask.model = "m";
         ask.prompt = {{17, 400}, {18, 13'000}};
-        ask.avoid = {77};
+        ask.tried = {77};
+        ask.failing = {78, 79};
         std::string reason;
         const auto back = decodePlacementAsk(encodePlacementAsk(ask), &reason);
         CPPUNIT_ASSERT(back.has_value());
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -50,16 +50,17 @@
     ZoneName zone; ///< of the asker
     std::string model;
     std::vector<AskedPart> prompt;
-    std::vector<UpstreamTagNumber> avoid; ///< tried in vain, or failing by the asker's evidence
+    std::vector<UpstreamTagNumber> tried; ///< by this call, in vain
+    std::vector<UpstreamTagNumber> failing; ///< by the asker's evidence
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(report, number, zone, model, prompt, avoid);
+        ar(report, number, zone, model, prompt, tried, failing);
     }
 };
 
-/// Upstreams to avoid in one question: 64 bytes.
-inline constexpr std::size_t mostAvoided = 16;
+/// Failing upstreams in one question: 64 bytes.
+inline constexpr std::size_t mostFailing = 16;
 
 /// Where a call is to be placed.
 struct PlacedCall
--- a/src/upstream/upstreamchannel.cpp
+++ b/src/upstream/upstreamchannel.cpp
@@ -57,13 +57,13 @@
 }
 
 asio::awaitable<UpstreamChannelPtr> UpstreamPool::connect(const UpstreamEntry &entry,
-                                                          Duration limit, std::string *reason)
+                                                          Duration limit, ConnectFailure *failure)
 {
     auto channel = std::make_shared<UpstreamChannel>(asio::ip::tcp::socket(m_executor));
     error_code ec;
     const auto address = asio::ip::make_address(entry.address.address, ec);
     if (ec) {
-        *reason = fmt::format("the address {} is no IP number", entry.address.address);
+        failure->reason = fmt::format("the address {} is no IP number", entry.address.address);
         co_return nullptr;
     }
     Timer timer(m_executor);
@@ -76,7 +76,8 @@
                                            asio::redirect_error(asio::use_awaitable, ec));
     timer.cancel();
     if (ec || !channel->socket.is_open()) {
-        *reason = ec ? ec.message() : "no connection in time";
+        failure->reason = ec ? ec.message() : "no connection in time";
+        failure->nobodyListens = ec == asio::error::connection_refused;
         co_return nullptr;
     }
     limitSilence(channel->socket);
--- a/src/upstream/upstreamchannel.h
+++ b/src/upstream/upstreamchannel.h
@@ -44,6 +44,13 @@
 
 using UpstreamChannelPtr = std::shared_ptr<UpstreamChannel>;
 
+/// Why a connection did not open.
+struct ConnectFailure
+{
+    std::string reason;
+    bool nobodyListens = false; ///< the upstream's VM lives and its process does not
+};
+
 /// The idle connections by upstream. All calls on one thread.
 class UpstreamPool
 {
@@ -53,9 +60,9 @@
     /// An idle connection that may be used; null when there is none.
     UpstreamChannelPtr takeIdle(const UpstreamId &id);
 
-    /// Opens a connection. Null with \p reason set when it is not open within \p limit.
+    /// Opens a connection. Null with \p failure set when it is not open within \p limit.
     boost::asio::awaitable<UpstreamChannelPtr> connect(const UpstreamEntry &entry, Duration limit,
-                                                       std::string *reason);
+                                                       ConnectFailure *failure);
 
     /// Keeps a connection whose call ended well.
     void giveBack(const UpstreamId &id, UpstreamChannelPtr channel);
