--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -49,24 +49,32 @@
         m_options.counters->add(c);
 }
 
-const std::map<VmName, Endpoint> &PlacementLink::fleet()
+/// Looks again which gateways there are, if that was a while ago.
+void PlacementLink::refreshFleet()
 {
     const Time now = RuntimeClock::now();
     if (m_fleetAt && now < *m_fleetAt + fleetAge)
-        return m_fleet;
+        return;
     m_fleetAt = now;
     m_fleet = m_peers.fleet();
     const auto names = m_fleet | std::views::keys;
     m_fleetNames = {names.begin(), names.end()};
-    return m_fleet;
 }
 
 VmName PlacementLink::schedulerFor(const GroupName &group)
 {
-    fleet();
+    refreshFleet();
     return m_asks.schedulerFor(group, m_fleetNames, RuntimeClock::now());
 }
 
+/// Sends to a gateway that is still known; to another it is as if the datagram were lost.
+void PlacementLink::sendTo(const VmName &vm, SealedKind kind, const std::string &payload)
+{
+    const auto it = m_fleet.find(vm);
+    if (it != m_fleet.end())
+        m_peers.sendTo(it->second, kind, payload);
+}
+
 // Asking
 
 asio::awaitable<PlacedChoice> PlacementLink::choose(ChoiceAsk ask)
@@ -121,7 +129,7 @@
 {
     const AskNumber number = m_asks.open(scheduler);
     const std::string payload = encodePlacementAsk(makeAsk(number, group, ask));
-    m_peers.sendTo(fleet().at(scheduler), SealedKind::PlacementAsk, payload);
+    sendTo(scheduler, SealedKind::PlacementAsk, payload);
     Waiter waiter(m_io);
     const auto waiters = m_waiters; // may outlive the link
     waiters->emplace(number, &waiter);
@@ -259,7 +267,7 @@
         const GroupLoad report = makeReport(group, load);
         if (scheduler == m_state.vm())
             continue;
-        m_peers.sendTo(fleet().at(scheduler), SealedKind::GroupLoad, encodeReport(report));
+        sendTo(scheduler, SealedKind::GroupLoad, encodeReport(report));
     }
     std::erase_if(m_reported, [](const auto &it) { return it.second.load.empty(); });
 }
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -92,7 +92,8 @@
     void takeAsk(const PlacementAsk &ask, const UdpEndpoint &from);
     void takeAnswer(PlacementAnswer answer);
     void takeReport(const GroupLoad &report);
-    const std::map<VmName, Endpoint> &fleet();
+    void refreshFleet();
+    void sendTo(const VmName &vm, SealedKind kind, const std::string &payload);
     VmName schedulerFor(const GroupName &group);
     void count(Count c);
 
