--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -35,8 +35,8 @@
         ZoneName zone;
         RetryBounds retries;
         UpstreamBook::Costs costs;
-        std::size_t groupSize =
-            PlacementGroups::defaultSize; ///< upstreams that one gateway places for
+        /// Upstreams that one gateway places for, about.
+        std::size_t groupSize = PlacementGroups::defaultSize;
         std::size_t fewestGateways = 1; ///< until others are known: seeds of the settings
     };
 
--- a/src/libreachlead/upstreambook_grants_test.cpp
+++ b/src/libreachlead/upstreambook_grants_test.cpp
@@ -27,7 +27,7 @@
     CPPUNIT_TEST(loadIsTheSumOfWhatStands);
     CPPUNIT_TEST(groupIsLeftOnlyForAClearGain);
     CPPUNIT_TEST(zoneOfTheCallerCounts);
-    CPPUNIT_TEST(onePlacerSpreadsABurst);
+    CPPUNIT_TEST(oneSchedulerSpreadsABurst);
     CPPUNIT_TEST(upstreamWhereNobodyListensIsFoundOutOnce);
     CPPUNIT_TEST(oneGatewaysWordDoesNotTakeAnUpstreamFromOthers);
     CPPUNIT_TEST_SUITE_END();
@@ -255,7 +255,7 @@
 
     /// A burst on cold caches: by itself, each gateway takes every engine for idle, so some get
     /// many prompts at once. Placed by group, the busiest engine has less to read.
-    void onePlacerSpreadsABurst()
+    void oneSchedulerSpreadsABurst()
     {
         const UpstreamDirectory upstreams = directory(64);
         std::map<std::uint64_t, UpstreamBook> alone;
@@ -263,12 +263,12 @@
             return alone.try_emplace(n % 60, book()).first->second;
         });
         PlacementGroups groups;
-        std::map<GroupName, UpstreamBook> placers;
+        std::map<GroupName, UpstreamBook> schedulers;
         const Burst together =
             play(upstreams, [&](std::uint64_t /*n*/, const auto &parts) -> auto & {
                 const auto group =
                     groups.groupOf(ServiceName("llm"), keyParts("m", parts), upstreams);
-                return placers.try_emplace(*group, book()).first->second;
+                return schedulers.try_emplace(*group, book()).first->second;
             });
         CPPUNIT_ASSERT(together.busiest * 2 < apart.busiest);
         CPPUNIT_ASSERT(together.read <= apart.read);
