placement: old loads are dropped once a choice, not once an upstream; the log keeps what was in front

Cause, found by reading: each candidate of a choice looked at each peer (180 x 102 on the large site), and the field ahead of request-ended was 0 for every answer that had begun. No change of decisions; the processor time before and after was not measured apart.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -180,6 +180,7 @@
     m_toRead = choice->unreadTokens;
     m_ahead = choice->aheadTokens;
     m_sentAt = RuntimeClock::now();
+    m_isAwaited = true;
     m_isBrief = choice->isBrief;
     m_fetchFrom.reset();
     if (choice->fetchFrom)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -106,6 +106,7 @@
     TokenCount m_toRead = 0; ///< tokens that the last upstream was believed to have to read
     TokenCount m_ahead = 0; ///< as in Choice, of the send under way
     Time m_sentAt{}; ///< of the send under way
+    bool m_isAwaited = false; ///< its first event is still to come
     std::optional<Duration> m_comeBack; ///< refused early: when it is of use to come again
     TokenCount m_unread = 0; ///< tokens of the send under way, without a first event
     bool m_isBrief = false; ///< the prompt counts as a short one
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -173,9 +173,8 @@
 {
     if (m_unread > 0)
         m_shared.state.book().firstEvent(m_lastUpstream, std::exchange(m_unread, 0));
-    if (m_ahead > 0)
-        m_shared.state.book().noteRead(m_service, std::exchange(m_ahead, 0),
-                                       RuntimeClock::now() - m_sentAt);
+    if (std::exchange(m_isAwaited, false))
+        m_shared.state.book().noteRead(m_service, m_ahead, RuntimeClock::now() - m_sentAt);
     if (m_firstByte)
         return;
     m_firstByte = RuntimeClock::now();
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -312,6 +312,7 @@
                                       const UpstreamDirectory &directory, Time now);
     double loadCost(const ChoiceAsk &ask, const UpstreamEntry &entry, const UpstreamLoad &load,
                     bool isHealthy) const;
+    UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
     const ZoneName &zoneOf(const ChoiceAsk &ask) const;
     static Placement placementOf(const ChoiceAsk &ask);
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -89,6 +89,12 @@
 UpstreamLoad UpstreamBook::loadOf(const UpstreamId &id, Time now)
 {
     dropOldPeers(now);
+    return knownLoad(id);
+}
+
+/// As loadOf(), once old loads were dropped: that takes a look at each peer.
+UpstreamLoad UpstreamBook::knownLoad(const UpstreamId &id) const
+{
     UpstreamLoad total;
     if (const auto it = m_records.find(id); it != m_records.end())
         total = it->second.load;
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -193,7 +193,7 @@
         candidate.isQuiet = quiet.contains(entry->id);
         candidate.held = record.cache.cachedTokens(placement.parts);
         candidate.heldShared = record.cache.cachedTokens(placement.shared());
-        const UpstreamLoad load = loadOf(entry->id, now);
+        const UpstreamLoad load = knownLoad(entry->id);
         candidate.load = load;
         candidate.loadCost = loadCost(ask, *entry, load, candidate.isHealthy);
         all.push_back(candidate);
