--- a/src/include/reachlead/earlyrefusal.h
+++ b/src/include/reachlead/earlyrefusal.h
@@ -32,7 +32,7 @@
     /// A less urgent call waits for its turn up to this many of its targets: the rest of the target
     /// is for its own prompt and for the engine's steps. A late answer still has a use, but each
     /// call that waits makes those behind it late as well. At twice the engines' power 2,382 of
-    /// 3,859 calls of the most urgent kind had their first event in time, 763 without refusals.
+    /// 3,859 calls of the most urgent kind were answered in time, 763 without refusals.
     /// A setting; 0 refuses none.
     double targets = 0.25;
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -360,7 +360,7 @@
 
 /// Whoever knows no more than this gateway and was current at a time vouches that this one was.
 /// Were only equal states to vouch, nobody would while changes follow each other faster than they
-/// spread: 100 gateways then began to read the store at once, 1,100 calls of a day's 1,700.
+/// spread: 100 gateways then began to read the store within half a second.
 void GatewayPeers::takeVouch(const GatewayBeat &beat, Time heardAt)
 {
     if (!isBehind(beat) && beat.ageMs != GatewayBeat::unknownAge)
