usage: one gateway reports each window's counts; upstreams that start again are others; entries of other writers

An upstream may start again under its id; an entry of the registry may be anybody's.

- UsageBook counts by life of a gateway and window (a count that only grows, so words may come twice and late); FleetTime is the median of the gateways' clocks; UsageDuty fixes a window's counts by a conditional write before it sends them; UsageLink asks all gateways once a window has ended and tells counts to three of them meanwhile.
- UpstreamId holds the start of the life.
The earlier life is gone at once and is never held.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -64,6 +64,7 @@
     ForwardState stateNow(SendEnd end);
     void noteEnd(const UpstreamEntry &entry, SendEnd end);
     void noteFirst();
+    void noteBegan();
     void notePause(Time now);
     std::string_view missedBound() const;
 
@@ -118,6 +119,7 @@
     std::string m_wholeBody;
     bool m_headDelivered = false;
     bool m_bodyWhole = false; ///< an answer in pieces was delivered to its end
+    bool m_hasBegun = false; ///< an upstream is known to have worked on it
     std::optional<Time> m_firstByte;
     Time m_lastEvent{}; ///< when events were last passed on
     Duration m_longestPause{}; ///< between events that were passed on
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -173,6 +173,7 @@
 {
     if (m_unread > 0)
         m_shared.state.book().firstEvent(m_lastUpstream, std::exchange(m_unread, 0));
+    noteBegan();
     if (std::exchange(m_isAwaited, false))
         m_shared.state.book().noteRead(m_service, m_ahead, RuntimeClock::now() - m_sentAt);
     if (m_firstByte)
@@ -181,6 +182,16 @@
     m_shared.latencies.note(Timed::FirstByte, *m_firstByte - m_arrived);
 }
 
+/// Counts the call as used by its account, once however often it is sent.
+void ForwardCall::noteBegan()
+{
+    const bool isRefused = m_exchange && m_exchange->facts().notRun;
+    if (isRefused || std::exchange(m_hasBegun, true))
+        return;
+    if (m_account != nullptr && m_shared.began)
+        m_shared.began(m_account->name);
+}
+
 asio::awaitable<bool> ForwardCall::sendHead()
 {
     m_headDelivered = true;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -38,6 +39,8 @@
     /// Calls at work. Held by each of them, as the last ones end with the event loop.
     std::shared_ptr<std::set<ForwardCall *>> calls = std::make_shared<std::set<ForwardCall *>>();
     PlacementAdviser *adviser = nullptr; ///< chooses upstreams; null: the state's own book
+    /// Told when an upstream began to work on a call of an account; may be empty.
+    std::function<void(const AccountName &)> began = {};
     bool stopping = false;
     bool takesRequests = true; ///< what is read after that is refused as not run
 };
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -48,6 +48,10 @@
     PlacementsUnanswered,
     PlacementsGiven,
     PlacementsDeclined,
+    EntriesUnreadable,
+    UsageWindowsSent,
+    UsageSendsFailed,
+    UsageTakeovers,
     Size
 };
 
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -21,8 +21,35 @@
 
 namespace reachlead {
 
-/// One life of one upstream process; a restart has another id.
-using UpstreamId = Name<struct UpstreamTag>;
+/// One life of one upstream process. A process may start again under its name; what was known of
+/// its earlier life says nothing of the new one.
+struct UpstreamId
+{
+    std::string text; ///< its name in the registry
+    std::uint64_t born = 0; ///< start of this life, Unix ms; 0: not told
+
+    UpstreamId() = default;
+    explicit UpstreamId(std::string name, std::uint64_t start = 0)
+        : text(std::move(name)), born(start)
+    { }
+
+    bool empty() const { return text.empty(); }
+    auto operator<=>(const UpstreamId &) const = default;
+
+    template <class Archive> void serialize(Archive &ar) { ar(text, born); }
+};
+
+} // namespace reachlead
+
+template <> struct std::hash<reachlead::UpstreamId>
+{
+    std::size_t operator()(const reachlead::UpstreamId &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.text) ^ std::hash<std::uint64_t>{}(id.born);
+    }
+};
+
+namespace reachlead {
 
 /// Stands for an upstream's id in short messages. Two ids may share one by chance (among 12,000:
 /// one chance in sixty), so it serves only where a mix-up does no harm.
@@ -49,7 +76,7 @@
 /// A change of one entry.
 struct UpstreamChange
 {
-    UpstreamEntry entry; ///< when removed, only the id counts
+    UpstreamEntry entry; ///< when removed, only the name counts: it has no life left
     bool removed = false;
 
     template <class Archive> void serialize(Archive &ar) { ar(entry, removed); }
@@ -88,6 +115,9 @@
 /// and takes effect at once. Held entries are no part of what is told under a revision: an entry
 /// passed on under a later revision than its removal's would be used for 2 s more at each gateway
 /// that hears of it.
+///
+/// An upstream that started again under its name is another upstream: its earlier life is gone at
+/// once and is not held, and a late word of it changes nothing.
 class UpstreamDirectory
 {
 public:
@@ -182,6 +212,8 @@
     void putChanges(const std::vector<UpstreamChange> &changes, Time now, const HeldUntil &held,
                     Changed *changed);
     void erase(const UpstreamId &id);
+    const UpstreamEntry *lifeOf(const std::string &name) const;
+    bool supersedes(const UpstreamEntry &entry, Changed *changed);
     void log(const UpstreamId &id);
     void buildIndex() const;
     void remove(const UpstreamId &id, Time now, const HeldUntil &held, Changed *changed);
--- a/src/include/reachlead/watchduty.h
+++ b/src/include/reachlead/watchduty.h
@@ -15,6 +15,10 @@
 
 namespace reachlead {
 
+/// The place of a gateway in an order that all gateways share, by a hash over its name: how many of
+/// \p others go before it.
+std::size_t rankAmong(const VmName &self, const std::set<VmName> &others);
+
 /// Decides whether this gateway watches the store. Not thread-safe, reads no clock.
 ///
 /// Each waiting watch is a priced call, and the store's rates grow more slowly than the fleet, so
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -24,7 +24,9 @@
     "platform_failures",   "ring_full",
     "orders_taken",        "orders_fenced",
     "placements_answered", "placements_unanswered",
-    "placements_given",    "placements_declined"};
+    "placements_given",    "placements_declined",
+    "entries_unreadable",  "usage_windows_sent",
+    "usage_sends_failed",  "usage_takeovers"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -143,6 +143,7 @@
         const UpstreamEntry *entry = m_directory.find(id); // null: gone again in the same batch
         LogLine(LogLevel::Info, "upstream-added")
             .with("upstream", id.text)
+            .with("born", id.born)
             .with("service", entry != nullptr ? entry->service.text : "-")
             .with("zone", entry != nullptr ? entry->zone.text : "-")
             .with("source", source)
@@ -151,6 +152,7 @@
     for (const UpstreamId &id : changed.left) {
         LogLine(LogLevel::Info, "upstream-left")
             .with("upstream", id.text)
+            .with("born", id.born)
             .with("source", source)
             .with("revision", m_directory.revision());
     }
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -13,7 +13,8 @@
 
 UpstreamTagNumber tagOf(const UpstreamId &id)
 {
-    return XXH32(id.text.data(), id.text.size(), 0);
+    const std::uint64_t life = XXH64(&id.born, sizeof id.born, 0);
+    return XXH32(id.text.data(), id.text.size(), static_cast<XXH32_hash_t>(life));
 }
 
 /// Moves on to a whole list's revision. What came and went behind the last one is unknown then, so
@@ -28,14 +29,14 @@
 void UpstreamDirectory::putAll(const std::vector<UpstreamEntry> &entries, Time now,
                                const HeldUntil &held, Changed *changed)
 {
-    std::set<UpstreamId> listed;
+    std::set<std::string> listed;
     for (const UpstreamEntry &entry : entries) {
-        listed.insert(entry.id);
+        listed.insert(entry.id.text);
         put(entry, changed);
     }
     std::vector<UpstreamId> absent;
     std::ranges::copy_if(m_entries | std::views::keys, std::back_inserter(absent),
-                         [&](const UpstreamId &id) { return !listed.contains(id); });
+                         [&](const UpstreamId &id) { return !listed.contains(id.text); });
     for (const UpstreamId &id : absent)
         remove(id, now, held, changed);
 }
@@ -205,19 +206,19 @@
 {
     if (m_revision == 0 || revision < m_logFloor)
         return std::nullopt;
-    std::set<UpstreamId> ids;
+    std::set<std::string> names;
     for (const LoggedChange &change : m_log) {
         if (change.revision > revision)
-            ids.insert(change.id);
+            names.insert(change.id.text);
     }
     std::vector<UpstreamChange> changes;
-    for (const UpstreamId &id : ids) {
+    for (const std::string &name : names) {
         UpstreamChange change;
-        const UpstreamEntry *entry = m_missing.contains(id) ? nullptr : find(id);
-        change.removed = entry == nullptr;
-        if (entry != nullptr)
+        change.entry.id = UpstreamId(name);
+        const UpstreamEntry *entry = lifeOf(name);
+        change.removed = entry == nullptr || m_missing.contains(entry->id);
+        if (!change.removed)
             change.entry = *entry;
-        change.entry.id = id;
         changes.push_back(std::move(change));
     }
     return changes;
@@ -237,8 +238,33 @@
     m_entries.erase(id);
 }
 
+/// The life of an upstream that is known; null when there is none.
+const UpstreamEntry *UpstreamDirectory::lifeOf(const std::string &name) const
+{
+    const auto it = m_entries.lower_bound(UpstreamId(name));
+    return it != m_entries.end() && it->first.text == name ? &it->second : nullptr;
+}
+
+/// Makes room for a life that is newer than the known one, which is gone; false for an older life.
+bool UpstreamDirectory::supersedes(const UpstreamEntry &entry, Changed *changed)
+{
+    const UpstreamEntry *known = lifeOf(entry.id.text);
+    if (known == nullptr || known->id == entry.id)
+        return true;
+    const bool bothTold = known->id.born > 0 && entry.id.born > 0;
+    if (bothTold ? entry.id.born < known->id.born : entry.revision < known->revision)
+        return false;
+    const UpstreamId gone = known->id;
+    m_missing.erase(gone);
+    erase(gone);
+    changed->left.push_back(gone);
+    return true;
+}
+
 void UpstreamDirectory::put(const UpstreamEntry &entry, Changed *changed)
 {
+    if (!supersedes(entry, changed))
+        return;
     const bool wasHeld = m_missing.erase(entry.id) > 0;
     const auto [it, fresh] = m_entries.try_emplace(entry.id, entry);
     if (wasHeld)
@@ -271,20 +297,21 @@
 void UpstreamDirectory::remove(const UpstreamId &id, Time now, const HeldUntil &held,
                                Changed *changed)
 {
-    const auto it = m_entries.find(id);
-    if (it == m_entries.end()) {
+    const UpstreamEntry *known = lifeOf(id.text);
+    if (known == nullptr) {
         log(id); // it came and went between two changes that were told: others may know it
         return;
     }
-    if (m_missing.contains(id))
+    const UpstreamId life = known->id;
+    if (m_missing.contains(life))
         return; // its removal was taken before
-    log(id);
-    if (const auto until = heldUntil(it->second, now, held)) {
-        m_missing.emplace(id, *until);
+    log(life);
+    if (const auto until = heldUntil(*known, now, held)) {
+        m_missing.emplace(life, *until);
         return;
     }
-    erase(id);
-    changed->left.push_back(id);
+    erase(life);
+    changed->left.push_back(life);
 }
 
 } // namespace reachlead
--- /dev/null
+++ b/src/libreachlead/usageduty.cpp
@@ -0,0 +1,101 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/usageduty.h>
+
+#include <algorithm>
+
+namespace reachlead {
+
+WindowNumber UsageDuty::wanted(WindowNumber due) const
+{
+    const WindowNumber after = m_known ? m_known->record.window + 1 : 0;
+    return std::max({after, m_skipped + 1, due - mostBehind});
+}
+
+void UsageDuty::skip(WindowNumber window)
+{
+    m_skipped = std::max(m_skipped, window);
+}
+
+/// The holder has not reported for a while: what it fixed is sent again, then the rest.
+UsageAction UsageDuty::takeOver(const UsageView &view, UsageAction action) const
+{
+    if (m_readAt + readAge < view.now) {
+        action.step = UsageStep::Read;
+        return action;
+    }
+    if (view.now < m_seenAt + m_lease)
+        return action;
+    ++action.record.token;
+    action.step = UsageStep::Write;
+    action.isTakeover = true;
+    return action;
+}
+
+UsageAction UsageDuty::next(const UsageView &view) const
+{
+    UsageAction action;
+    if (!m_isKnown) {
+        action.step = UsageStep::Read;
+        return action;
+    }
+    const WindowNumber window = wanted(view.due);
+    const bool isDue = window <= view.due && !view.counts.empty();
+    if (m_known) {
+        action.record = m_known->record;
+        action.revision = m_known->revision;
+    }
+    action.record.holder = m_self;
+    ++action.record.renewals;
+    if (m_known && !isHolder())
+        return isDue ? takeOver(view, std::move(action)) : action;
+    if (m_known && !m_isSent) {
+        const bool maySend = m_writtenAt && view.now < *m_writtenAt + sendSpan();
+        action.step = maySend ? UsageStep::Send : UsageStep::Write;
+        if (maySend) {
+            action.record = m_known->record;
+            action.limit = *m_writtenAt + sendSpan() - view.now;
+        }
+        return action;
+    }
+    if (!isDue || !view.isComplete)
+        return action;
+    action.isTakeover = !m_known;
+    action.record.token = std::max<FencingToken>(action.record.token, 1);
+    action.record.window = window;
+    action.record.counts = view.counts;
+    action.step = UsageStep::Write;
+    return action;
+}
+
+void UsageDuty::wasRead(const std::optional<StoredUsage> &stored, Time now)
+{
+    const bool isSame = m_known && stored && m_known->revision == stored->revision;
+    m_isKnown = true;
+    m_readAt = now;
+    if (isSame)
+        return;
+    m_known = stored;
+    m_seenAt = now; // the holder began its write before: its lease ends no later than this one
+    m_writtenAt.reset();
+    m_isSent = false;
+}
+
+void UsageDuty::wasWritten(const UsageRecord &record, std::uint64_t revision, Time began)
+{
+    m_known = {record, revision};
+    m_isKnown = true;
+    m_readAt = began;
+    m_seenAt = began;
+    m_writtenAt = began;
+    m_isSent = false;
+}
+
+void UsageDuty::wasSent(const UsageRecord &record)
+{
+    if (m_known && m_known->record == record)
+        m_isSent = true;
+}
+
+} // namespace reachlead
--- a/src/libreachlead/watchduty.cpp
+++ b/src/libreachlead/watchduty.cpp
@@ -18,6 +18,13 @@
 
 } // namespace
 
+std::size_t rankAmong(const VmName &self, const std::set<VmName> &others)
+{
+    const std::uint64_t own = rankOf(self);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(others, [&](const VmName &vm) { return rankOf(vm) < own; }));
+}
+
 void WatchDuty::vouched(Time at)
 {
     m_vouchedAt = std::max(m_vouchedAt, at);
@@ -29,10 +36,7 @@
         return true;
     if (others.empty() && now < m_begin + staleLimit)
         return false;
-    const std::uint64_t own = rankOf(m_self);
-    const auto ahead =
-        std::ranges::count_if(others, [&](const VmName &vm) { return rankOf(vm) < own; });
-    return static_cast<std::size_t>(ahead) < watchers;
+    return rankAmong(m_self, others) < watchers;
 }
 
 } // namespace reachlead
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include <reachlead/fleetsource.h>
+#include <reachlead/fleettime.h>
 #include <reachlead/upstreambook.h>
 
 namespace reachlead {
@@ -58,6 +59,7 @@
     std::uint64_t configVersion = 0;
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
+    UnixMillis clock = 0; ///< the sender's time of day
     std::vector<TaggedLoad> load;
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
@@ -67,8 +69,8 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, load, openFrom,
-           prompts, sample);
+        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, clock, load,
+           openFrom, prompts, sample);
     }
 };
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -143,6 +143,9 @@
     beat.sequence = nextSequence();
     beat.configVersion = m_state.configVersion();
     beat.registryRevision = m_state.directory().revision();
+    beat.clock = vmTimeOfDay();
+    m_time.note(m_options.self.vm, beat.clock, RuntimeClock::now());
+    m_time.dropOld(RuntimeClock::now());
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = tagLoad(m_state.book().ownLoad());
@@ -251,8 +254,8 @@
         return;
     }
     if (kind != SealedKind::Beat) {
-        if (m_onPlacement)
-            m_onPlacement(kind, *message, from);
+        if (const auto it = m_takers.find(kind); it != m_takers.end())
+            it->second(kind, *message, from);
         return;
     }
     std::string reason;
@@ -263,6 +266,23 @@
         LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
 }
 
+void GatewayPeers::onDatagram(std::initializer_list<SealedKind> kinds, const TakeDatagram &callback)
+{
+    for (const SealedKind kind : kinds)
+        m_takers[kind] = callback;
+}
+
+std::set<GatewayLife> GatewayPeers::livesHeard(Duration span) const
+{
+    const Time now = RuntimeClock::now();
+    std::set<GatewayLife> lives;
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.heard + span > now && peer.incarnation.value != 0)
+            lives.insert({vm, peer.incarnation});
+    }
+    return lives;
+}
+
 std::map<VmName, Endpoint> GatewayPeers::fleet() const
 {
     std::map<VmName, Endpoint> all{{m_options.self.vm, m_options.self.address}};
@@ -340,6 +360,7 @@
     if (fresh)
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
+    m_time.note(beat.from.vm, beat.clock, now);
     m_state.noteGateways(m_peers.size() + 1);
     const Duration valid = m_options.beats.loadAge(m_lastTargets, m_peers.size());
     m_state.book().setPeerLoad(
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -23,7 +23,9 @@
 
 #include <reachlead/counters.h>
 #include <reachlead/fleetkeys.h>
+#include <reachlead/fleettime.h>
 #include <reachlead/gatewaystate.h>
+#include <reachlead/usagebook.h>
 
 #include "peer/beatbudget.h"
 #include "peer/gatewaymessages.h"
@@ -77,10 +79,16 @@
     void sendTo(const Endpoint &to, SealedKind kind, std::string payload);
     void sendTo(const boost::asio::ip::udp::endpoint &to, SealedKind kind, std::string payload);
 
-    /// Called with each datagram of this fleet that is no beat.
-    using TakePlacement =
+    /// Called with each datagram of this fleet that has one of these kinds.
+    using TakeDatagram =
         std::function<void(SealedKind, std::string_view, const boost::asio::ip::udp::endpoint &)>;
-    void onPlacement(TakePlacement callback) { m_onPlacement = std::move(callback); }
+    void onDatagram(std::initializer_list<SealedKind> kinds, const TakeDatagram &callback);
+
+    /// The lives of other gateways that were heard in the last \p span.
+    std::set<GatewayLife> livesHeard(Duration span) const;
+
+    /// The time of day by the clocks of all gateways that were heard.
+    UnixMillis timeOfDay() const { return m_time.at(RuntimeClock::now()); }
 
     /// Asked for ToldLoad::openFrom of the next beat.
     void tellOpenAsks(std::function<AskNumber()> callback) { m_openAsks = std::move(callback); }
@@ -145,7 +153,8 @@
     std::uint64_t m_beats = 0; ///< that were made
     Time m_announcedAt{};
     std::optional<Time> m_behindSince;
-    TakePlacement m_onPlacement;
+    std::map<SealedKind, TakeDatagram> m_takers;
+    FleetTime m_time;
     std::function<AskNumber()> m_openAsks;
     bool m_fetching = false;
     bool m_stopped = false;
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -35,9 +35,11 @@
                              GatewayPeers &peers)
     : m_io(io), m_options(options), m_state(state), m_peers(peers), m_asks(state.vm())
 {
-    m_peers.onPlacement([this](SealedKind kind, std::string_view message, const UdpEndpoint &from) {
-        take(kind, message, from);
-    });
+    m_peers.onDatagram(
+        {SealedKind::PlacementAsk, SealedKind::PlacementAnswer, SealedKind::GroupLoad},
+        [this](SealedKind kind, std::string_view message, const UdpEndpoint &from) {
+            take(kind, message, from);
+        });
     m_peers.tellOpenAsks([this] { return m_asks.openFrom(); });
     if (m_options.isOn)
         asio::co_spawn(io, reportLoop(), asio::detached);
--- a/src/peer/proof.h
+++ b/src/peer/proof.h
@@ -31,7 +31,9 @@
     News = 'n',
     PlacementAsk = 'p',
     PlacementAnswer = 'q',
-    GroupLoad = 'l'
+    GroupLoad = 'l',
+    UsageAsk = 'v',
+    UsageTold = 'u'
 };
 
 /// A message of gateways with its proof behind it; without keys, the message alone. \p nonce binds
--- /dev/null
+++ b/src/peer/usagelink.cpp
@@ -0,0 +1,325 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/usagelink.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+#include <ranges>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <reachlead/log.h>
+#include <reachlead/watchduty.h>
+
+#include "peer/payload.h"
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+constexpr Duration lookInterval = milliseconds(100); ///< between looks at what the duty wants
+constexpr Duration failurePause = milliseconds(300); ///< after a call that failed
+constexpr Duration askAgain = milliseconds(350); ///< a question or its answer was lost
+
+std::uint64_t callsOf(const UsageCounts &counts)
+{
+    const auto each = counts | std::views::values;
+    return std::accumulate(each.begin(), each.end(), std::uint64_t{0});
+}
+
+std::int64_t millisOf(Duration d)
+{
+    return static_cast<std::int64_t>(toMillis(d));
+}
+
+} // namespace
+
+UsageLink::UsageLink(asio::io_context &io, const Options &options, GatewayPeers &peers,
+                     std::unique_ptr<UsagePlatform> platform)
+    : m_io(io), m_options(options), m_peers(peers), m_platform(std::move(platform)),
+      m_book({peers.self().vm, peers.incarnation()}, options.window),
+      m_duty(m_book.self(), options.lease)
+{
+    if (!m_options.isOn)
+        return;
+    m_peers.onDatagram(
+        {SealedKind::UsageAsk, SealedKind::UsageTold},
+        [this](SealedKind kind, std::string_view message, const udp::endpoint &from) {
+            std::string reason;
+            if (kind == SealedKind::UsageAsk) {
+                if (auto ask = pvt::decodePayload<UsageAsk>(message, &reason))
+                    takeAsk(*ask, from);
+            } else if (auto told = pvt::decodePayload<WindowUsage>(message, &reason))
+                m_book.learn(*told);
+            if (!reason.empty())
+                LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+        });
+    asio::co_spawn(io, tellLoop(), asio::detached);
+    asio::co_spawn(io, dutyLoop(), asio::detached);
+}
+
+void UsageLink::count(Count c)
+{
+    if (m_options.counters != nullptr)
+        m_options.counters->add(c);
+}
+
+void UsageLink::began(const AccountName &account)
+{
+    if (m_options.isOn)
+        m_book.began(account, m_peers.timeOfDay());
+}
+
+void UsageLink::stop()
+{
+    m_stopped = true;
+    if (!m_options.isOn)
+        return;
+    tellCollectors(true);
+    m_platform->stop();
+}
+
+// Telling
+
+std::set<VmName> UsageLink::othersHeard() const
+{
+    std::set<VmName> names;
+    std::ranges::transform(m_peers.livesHeard(lifeAge), std::inserter(names, names.end()),
+                           &GatewayLife::vm);
+    return names;
+}
+
+std::size_t UsageLink::rank() const
+{
+    return rankAmong(m_book.self().vm, othersHeard());
+}
+
+void UsageLink::tell(const udp::endpoint &to, const WindowUsage &usage)
+{
+    m_peers.sendTo(to, SealedKind::UsageTold, pvt::encodePayload(usage));
+}
+
+/// Tells the gateways that are first in rank what this one counted since it last told them.
+void UsageLink::tellCollectors(bool isLast)
+{
+    const std::set<VmName> others = othersHeard();
+    std::vector<VmName> first(others.begin(), others.end());
+    std::ranges::sort(first, {}, [&](const VmName &vm) { return rankAmong(vm, others); });
+    first.resize(std::min(first.size(), collectors));
+    if (std::exchange(m_toldTo, first) != first)
+        m_told.clear();
+    const std::map<VmName, Endpoint> fleet = m_peers.fleet();
+    const UnixMillis now = m_peers.timeOfDay();
+    const WindowNumber current = m_book.windowOf(now);
+    for (const WindowNumber window : {current - 1, current}) {
+        WindowUsage usage = m_book.own(window, now);
+        usage.isFinal = usage.isFinal || isLast;
+        const std::uint64_t calls = callsOf(usage.counts);
+        if (std::exchange(m_told[window], calls) == calls && !isLast)
+            continue;
+        for (const VmName &vm : first) {
+            if (const auto it = fleet.find(vm); it != fleet.end())
+                m_peers.sendTo(it->second, SealedKind::UsageTold, pvt::encodePayload(usage));
+        }
+    }
+    m_told.erase(m_told.begin(), m_told.lower_bound(current - 1));
+}
+
+asio::awaitable<void> UsageLink::tellLoop()
+{
+    Timer timer(m_io);
+    while (!m_stopped) {
+        boost::system::error_code ec;
+        timer.expires_after(tellInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        if (m_stopped)
+            co_return;
+        tellCollectors(false);
+        const WindowNumber current = m_book.windowOf(m_peers.timeOfDay());
+        m_book.dropBefore(current - UsageBook::mostWindows);
+        m_asked.erase(m_asked.begin(), m_asked.lower_bound(current - UsageBook::mostWindows));
+    }
+}
+
+/// Answers with this gateway's counts, and with those of gateways that can no longer answer.
+void UsageLink::takeAsk(const UsageAsk &ask, const udp::endpoint &from)
+{
+    tell(from, m_book.own(ask.window, m_peers.timeOfDay()));
+    const std::set<GatewayLife> live = m_peers.livesHeard(GatewayPeers::peerLimit);
+    for (const WindowUsage &usage : m_book.ofEnded(live, ask.window))
+        tell(from, usage);
+}
+
+void UsageLink::ask(WindowNumber window)
+{
+    const Time now = RuntimeClock::now();
+    const auto [it, isFirst] = m_asked.try_emplace(window, Asked{now, now});
+    if (!isFirst && now < it->second.last + askAgain)
+        return;
+    it->second.last = now;
+    const std::string payload = pvt::encodePayload(UsageAsk{window});
+    for (const auto &[vm, at] : m_peers.fleet()) {
+        if (vm != m_book.self().vm)
+            m_peers.sendTo(at, SealedKind::UsageAsk, payload);
+    }
+}
+
+/// True when all gateways that live have told their counts of a window, or had their time to.
+bool UsageLink::isComplete(WindowNumber window)
+{
+    const auto it = m_asked.find(window);
+    if (it == m_asked.end())
+        return false;
+    return it->second.first + askLimit <= RuntimeClock::now()
+        || std::ranges::all_of(m_peers.livesHeard(lifeAge), [&](const GatewayLife &life) {
+               return m_book.isFinal(life, window);
+           });
+}
+
+// The duty
+
+/// The last window that this gateway may report: the holder soon after its end, the others later by
+/// their rank, so that they come to it only when nobody else did.
+WindowNumber UsageLink::lastDue() const
+{
+    Duration delay = holderDelay;
+    if (!m_duty.isHolder())
+        delay = standbyDelay + standbyStep * static_cast<std::int64_t>(rank());
+    return m_book.windowOf(m_peers.timeOfDay() - millisOf(delay)) - 1;
+}
+
+/// What is to be done now; the windows in which nothing began are passed over.
+void UsageLink::lookAtDuty(UsageAction *action)
+{
+    UsageView view;
+    view.now = RuntimeClock::now();
+    view.due = lastDue();
+    const WindowNumber window = m_duty.wanted(view.due);
+    const bool isOurs = m_duty.isHolder() || !m_duty.known();
+    if (window <= view.due) {
+        if (isOurs)
+            ask(window);
+        view.counts = m_book.total(window);
+        view.isComplete = isComplete(window);
+        const bool hadTime = view.isComplete || !isOurs;
+        if (view.counts.empty() && hadTime)
+            m_duty.skip(window);
+    }
+    *action = m_duty.next(view);
+}
+
+asio::awaitable<void> UsageLink::dutyLoop()
+{
+    Timer timer(m_io);
+    while (!m_stopped) {
+        boost::system::error_code ec;
+        timer.expires_after(lookInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        const bool rests = RuntimeClock::now() < m_restUntil;
+        if (m_stopped || rests || m_peers.timeOfDay() == 0)
+            continue;
+        if (!m_duty.isHolder() && rank() >= mostCandidates)
+            continue;
+        UsageAction action;
+        lookAtDuty(&action);
+        co_await perform(std::move(action));
+    }
+}
+
+asio::awaitable<void> UsageLink::perform(UsageAction action)
+{
+    switch (action.step) {
+    case UsageStep::Rest:
+        co_return;
+    case UsageStep::Read:
+        co_await read();
+        co_return;
+    case UsageStep::Write:
+        co_await write(std::move(action));
+        co_return;
+    case UsageStep::Send:
+        co_await send(std::move(action));
+        co_return;
+    }
+}
+
+asio::awaitable<void> UsageLink::read()
+{
+    const UsageAnswer answer = co_await m_platform->read();
+    if (answer.end == UsageEnd::Done) {
+        m_duty.wasRead(answer.stored, RuntimeClock::now());
+        noteHolder();
+    } else {
+        noteFailure("read", answer);
+    }
+}
+
+asio::awaitable<void> UsageLink::write(UsageAction action)
+{
+    const Time began = RuntimeClock::now();
+    const UsageRecord record = action.record;
+    const UsageAnswer answer = co_await m_platform->write(record, action.revision);
+    if (answer.end == UsageEnd::Done) {
+        m_duty.wasWritten(record, answer.revision, began);
+        if (action.isTakeover)
+            count(Count::UsageTakeovers);
+        noteHolder();
+        co_return;
+    }
+    m_duty.isUnsure();
+    if (answer.end != UsageEnd::Conflict)
+        noteFailure("write", answer);
+}
+
+asio::awaitable<void> UsageLink::send(UsageAction action)
+{
+    const UsageRecord record = action.record;
+    const UsageAnswer answer = co_await m_platform->send(record, action.limit);
+    if (answer.end != UsageEnd::Done) {
+        count(Count::UsageSendsFailed);
+        noteFailure("send", answer);
+        if (++m_failures >= mostFailures && !othersHeard().empty()) {
+            m_restUntil = RuntimeClock::now() + m_options.window + standbyDelay + m_options.lease;
+            m_failures = 0;
+        }
+        co_return;
+    }
+    m_failures = 0;
+    m_duty.wasSent(record);
+    count(Count::UsageWindowsSent);
+    LogLine(LogLevel::Info, "usage-reported")
+        .with("window", record.window)
+        .with("token", record.token)
+        .with("accounts", record.counts.size())
+        .with("calls", callsOf(record.counts))
+        .with("age_ms", m_peers.timeOfDay() - m_book.endOf(record.window))
+        .with("gateways", m_peers.livesHeard(lifeAge).size() + 1);
+}
+
+void UsageLink::noteFailure(std::string_view step, const UsageAnswer &answer)
+{
+    LogLine(LogLevel::Warn, "usage-call-failed").with("step", step).with("reason", answer.reason);
+    m_restUntil = std::max(m_restUntil, RuntimeClock::now() + failurePause);
+}
+
+void UsageLink::noteHolder()
+{
+    if (!m_duty.known() || m_duty.known()->record.holder == m_holder)
+        return;
+    const UsageRecord &record = m_duty.known()->record;
+    m_holder = record.holder;
+    LogLine(LogLevel::Info, "usage-holder")
+        .with("holder", record.holder.vm.text)
+        .with("token", record.token)
+        .with("window", record.window);
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/usagelink.h
@@ -0,0 +1,123 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Gathers the gateways' counts of usage and reports them while this gateway holds the duty.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <reachlead/counters.h>
+#include <reachlead/usagebook.h>
+#include <reachlead/usageduty.h>
+#include <reachlead/usageplatform.h>
+
+#include "peer/gatewaypeers.h"
+
+namespace reachlead {
+
+/// Asks for a window's counts.
+struct UsageAsk
+{
+    WindowNumber window = 0;
+
+    template <class Archive> void serialize(Archive &ar) { ar(window); }
+};
+
+/// One thread. The holder asks all gateways once a window has ended, so that what is told grows
+/// with the windows and not with the calls; meanwhile each gateway tells its counts to the few that
+/// are next in rank, so that they outlive it.
+class UsageLink
+{
+public:
+    struct Options
+    {
+        bool isOn = false;
+        Duration window = seconds(5); ///< that a report is of; multiples of it since 1970
+        Duration lease = seconds(3); ///< in which no two gateways may hold the duty by turns
+        Counters *counters = nullptr; ///< must outlive the link; null: nothing is counted
+    };
+
+    UsageLink(boost::asio::io_context &io, const Options &options, GatewayPeers &peers,
+              std::unique_ptr<UsagePlatform> platform);
+
+    /// A call of an account began to run about now.
+    void began(const AccountName &account);
+
+    /// Ends the duty; what was counted is told to those that stay.
+    void stop();
+
+    const UsageDuty &duty() const { return m_duty; }
+
+    /// Gateways that may become the holder, by rank: enough that some of them live and reach the
+    /// store whatever fails together. Each reads the record once a window.
+    static constexpr std::size_t mostCandidates = 6;
+    /// Gateways that hear of counts before a window ends.
+    static constexpr std::size_t collectors = 3;
+    /// Between two tellings to the collectors: a gateway that is killed takes less than this of its
+    /// counts with it.
+    static constexpr Duration tellInterval = milliseconds(500);
+    /// From a window's end until its holder asks for counts: they have settled by then.
+    static constexpr Duration holderDelay = UsageBook::settleTime + milliseconds(100);
+    /// From a window's end until the first other candidate looks whether it was reported, and from
+    /// each candidate to the next.
+    static constexpr Duration standbyDelay = milliseconds(2500);
+    static constexpr Duration standbyStep = milliseconds(700);
+    /// A gateway that has not told its counts this long after it was asked is not waited for.
+    static constexpr Duration askLimit = milliseconds(1000);
+    /// A gateway that was not heard for this long is not waited for: some rounds of beats.
+    static constexpr Duration lifeAge = milliseconds(3000);
+    /// Reports in a row that fail until the holder leaves the duty to others, for long enough that
+    /// they come to the next window first: the platform may be out of reach for this VM alone.
+    static constexpr unsigned mostFailures = 3;
+
+private:
+    struct Asked
+    {
+        Time first;
+        Time last;
+    };
+
+    boost::asio::awaitable<void> tellLoop();
+    boost::asio::awaitable<void> dutyLoop();
+    boost::asio::awaitable<void> perform(UsageAction action);
+    boost::asio::awaitable<void> read();
+    boost::asio::awaitable<void> write(UsageAction action);
+    boost::asio::awaitable<void> send(UsageAction action);
+    void lookAtDuty(UsageAction *action);
+    std::set<VmName> othersHeard() const;
+    std::size_t rank() const;
+    WindowNumber lastDue() const;
+    bool isComplete(WindowNumber window);
+    void ask(WindowNumber window);
+    void tellCollectors(bool isLast);
+    void tell(const boost::asio::ip::udp::endpoint &to, const WindowUsage &usage);
+    void takeAsk(const UsageAsk &ask, const boost::asio::ip::udp::endpoint &from);
+    void noteFailure(std::string_view step, const UsageAnswer &answer);
+    void noteHolder();
+    void count(Count c);
+
+    boost::asio::io_context &m_io;
+    Options m_options;
+    GatewayPeers &m_peers;
+    std::unique_ptr<UsagePlatform> m_platform;
+    UsageBook m_book;
+    UsageDuty m_duty;
+    std::map<WindowNumber, Asked> m_asked;
+    std::map<WindowNumber, std::uint64_t> m_told; ///< calls that the collectors heard of
+    std::vector<VmName> m_toldTo;
+    GatewayLife m_holder; ///< that was logged last
+    unsigned m_failures = 0; ///< of reports, in a row
+    Time m_restUntil{};
+    bool m_stopped = false;
+};
+
+} // namespace reachlead
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -56,23 +56,33 @@
     return options;
 }
 
+UsageLink::Options usageOptions(const GatewaySettings &settings, Counters *counters)
+{
+    UsageLink::Options options = settings.usage;
+    options.counters = counters;
+    return options;
+}
+
 } // namespace
 
 GatewayDaemon::GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect,
-                             const MakeSource &source, Reload reload)
+                             const MakeSource &source, const MakeUsagePlatform &usagePlatform,
+                             Reload reload)
     : m_settings(settings), m_dialect(dialect), m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_state(settings.state),
       m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
       m_forwarder(settings.forwarder, m_shared),
       m_peers(m_io, peerOptions(settings, &m_counters), m_state),
       m_placement(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
+      m_usage(m_io, usageOptions(settings, &m_counters), m_peers, usagePlatform(m_io)),
       m_ready(m_io, settings.ready, [this](HttpAsk ask) { return answerReady(std::move(ask)); }),
       m_operators(m_io, settings.operators,
                   [this](HttpAsk ask) { return answerOperator(std::move(ask)); }),
-      m_source(source(m_io)), m_reload(std::move(reload))
+      m_source(source(m_io, &m_counters)), m_reload(std::move(reload))
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
     m_shared.adviser = &m_placement;
+    m_shared.began = [this](const AccountName &account) { m_usage.began(account); };
     m_state.onUpstreamsLeft([this](const std::vector<UpstreamId> &left) {
         std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
     });
@@ -150,6 +160,7 @@
     m_forwarder.abortAll();
     LogLine(cut > 0 ? LogLevel::Warn : LogLevel::Info, "stopped").with("connections_cut", cut);
     m_source->stop();
+    m_usage.stop();
     m_peers.stop();
     m_io.stop();
 }
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -19,6 +19,7 @@
 #include "gatewaysettings.h"
 #include "peer/gatewaypeers.h"
 #include "peer/placementlink.h"
+#include "peer/usagelink.h"
 
 namespace reachlead {
 
@@ -27,11 +28,14 @@
 class GatewayDaemon
 {
 public:
-    using MakeSource = std::function<std::unique_ptr<FleetSource>(boost::asio::io_context &)>;
+    using MakeSource =
+        std::function<std::unique_ptr<FleetSource>(boost::asio::io_context &, Counters *)>;
+    using MakeUsagePlatform =
+        std::function<std::unique_ptr<UsagePlatform>(boost::asio::io_context &)>;
     using Reload = std::function<std::optional<GatewaySettings>()>;
 
     GatewayDaemon(const GatewaySettings &settings, const Dialect &dialect, const MakeSource &source,
-                  Reload reload);
+                  const MakeUsagePlatform &usagePlatform, Reload reload);
 
     /// Serves until it is told to stop, and then until all work has ended.
     void run();
@@ -55,6 +59,7 @@
     Forwarder m_forwarder;
     GatewayPeers m_peers;
     PlacementLink m_placement;
+    UsageLink m_usage;
     HttpServer m_ready;
     HttpServer m_operators;
     std::unique_ptr<FleetSource> m_source;
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -47,14 +47,14 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 7> readers{
+    constexpr std::array<Reader, 8> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
-        &GatewaySettings::readPlacement, &GatewaySettings::readStop,
-        &GatewaySettings::readLogSection};
-    if (auto fault = unknownSection(
-            file,
-            {"gateway", "peers", "operators", "store", "placement", "retries", "stop", "log"}))
+        &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
+        &GatewaySettings::readStop,      &GatewaySettings::readLogSection};
+    if (auto fault = unknownSection(file,
+                                    {"gateway", "peers", "operators", "store", "placement",
+                                     "retries", "usage", "stop", "log"}))
         return fault;
     for (const Reader reader : readers) {
         if (auto fault = (this->*reader)(file))
@@ -184,6 +184,25 @@
     return reader.finish();
 }
 
+/// The duty is off unless `duties` names it.
+std::optional<std::string> GatewaySettings::readUsage(const IniFile &file)
+{
+    constexpr std::string_view duty = "usage";
+    std::vector<std::string> duties;
+    double windowSeconds = toSeconds(usage.window);
+    double leaseMs = toMillis(usage.lease);
+    IniReader reader(file, "usage");
+    if (!reader.has("duties"))
+        return reader.finish();
+    reader.takeList("duties", &duties)
+        .takeNumber("window_s", 0.1, 86'400.0, &windowSeconds)
+        .takeNumber("lease_ms", 100.0, 600'000.0, &leaseMs);
+    usage.isOn = std::ranges::find(duties, duty) != duties.end();
+    usage.window = fromSeconds(windowSeconds);
+    usage.lease = fromSeconds(leaseMs / 1000.0);
+    return takeEndpoints(file, reader, "usage", {{"api", &usageApi}});
+}
+
 std::optional<std::string> GatewaySettings::readStop(const IniFile &file)
 {
     double limitSeconds = toSeconds(stopLimit);
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -16,6 +16,7 @@
 #include "forward/forwarder.h"
 #include "peer/gatewaypeers.h"
 #include "peer/placementlink.h"
+#include "peer/usagelink.h"
 
 namespace reachlead {
 
@@ -25,6 +26,8 @@
     Forwarder::Options forwarder;
     GatewayPeers::Options peers;
     PlacementLink::Options placement;
+    UsageLink::Options usage;
+    Endpoint usageApi; ///< takes the reports of usage
     Endpoint ready; ///< where the balancer asks whether new connections may come
     Endpoint operators; ///< counters and histograms
     Endpoint store; ///< of configuration and registry
@@ -42,6 +45,7 @@
     std::optional<std::string> readAddresses(const IniFile &file);
     std::optional<std::string> readPlacement(const IniFile &file);
     std::optional<std::string> readRetries(const IniFile &file);
+    std::optional<std::string> readUsage(const IniFile &file);
     std::optional<std::string> readStop(const IniFile &file);
     std::optional<std::string> readLogSection(const IniFile &file);
 };
--- a/src/reachlead-gateway/main.cpp
+++ b/src/reachlead-gateway/main.cpp
@@ -14,6 +14,7 @@
 #include "operators/daemon.h"
 #include "platform/headers.h"
 #include "platform/source.h"
+#include "platform/usageapi.h"
 
 int main(int argc, char **argv)
 {
@@ -41,15 +42,21 @@
         LogLine(LogLevel::Error, "settings-refused").with("reason", *fault);
         return std::nullopt;
     };
-    const auto source = [&](boost::asio::io_context &io) -> std::unique_ptr<FleetSource> {
+    const auto source = [&](boost::asio::io_context &io,
+                            Counters *counters) -> std::unique_ptr<FleetSource> {
         platform::PlatformSource::Options options;
         options.store = settings.store;
+        options.counters = counters;
         return std::make_unique<platform::PlatformSource>(io, options);
     };
+    const auto usagePlatform = [&](boost::asio::io_context &io) -> std::unique_ptr<UsagePlatform> {
+        return std::make_unique<platform::UsageApi>(
+            io, platform::UsageApi::Options{settings.store, settings.usageApi});
+    };
     program.run = [&] {
         setLogLevel(static_cast<LogLevel>(settings.logLevel));
         const platform::PlatformDialect dialect;
-        GatewayDaemon daemon(settings, dialect, source, reload);
+        GatewayDaemon daemon(settings, dialect, source, usagePlatform, reload);
         daemon.run();
     };
     return program(argc, argv);
