placement: strong gateways place for the others; less urgent calls wait while more urgent ones are refused

Gateways tell their share; those with at least half of the largest place. A refusal now keeps less urgent calls out for a second, with one call each 5 s as floor.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -134,7 +134,7 @@
 {
     ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried, m_table->service(m_service)};
     ask.patience = {milliseconds(m_route->targetLatencyMs), timeLeft(),
-                    m_table->isMostUrgent(*m_route, m_service)};
+                    m_table->isMostUrgent(*m_route, m_service), m_route->priority};
     ask.mayRefuse = m_tried.empty() && !m_facts.resumeAfter;
     return ask;
 }
--- a/src/include/reachlead/earlyrefusal.h
+++ b/src/include/reachlead/earlyrefusal.h
@@ -19,6 +19,7 @@
     Duration target{}; ///< to its first event; zero: none is promised
     Duration left{}; ///< until its caller gives up
     bool isMostUrgent = false; ///< no kind of call of its service goes before it
+    unsigned rank = 0; ///< of its kind; 0 is the most urgent
 };
 
 /// Decides whether a call has a use where it would be placed. Pure.
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -23,8 +23,12 @@
 {
     VmName vm;
     Endpoint address; ///< of its peer port, TCP and UDP
+    MilliCores cores = 0; ///< what its process may use
 
-    template <class Archive> void serialize(Archive &ar) { ar(vm, address.address, address.port); }
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(vm, address.address, address.port, cores);
+    }
 };
 
 /// What one gateway tells another that is behind.
--- a/src/include/reachlead/ids.h
+++ b/src/include/reachlead/ids.h
@@ -91,6 +91,9 @@
 /// One dispatch of a request; a retry has a higher number. The first is 1.
 using Attempt = std::uint32_t;
 
+/// A share of a processor core, in thousandths; 0: not told.
+using MilliCores = std::uint32_t;
+
 /// A number of model tokens.
 using TokenCount = std::uint64_t;
 
--- a/src/include/reachlead/openasks.h
+++ b/src/include/reachlead/openasks.h
@@ -27,7 +27,8 @@
     explicit OpenAsks(VmName self) : m_self(std::move(self)) { }
 
     /// The gateway to ask for a group, of those that are known; it may be this one.
-    VmName schedulerFor(const GroupName &group, const std::set<VmName> &known, Time now) const;
+    VmName schedulerFor(const GroupName &group, const std::map<VmName, MilliCores> &known,
+                        Time now) const;
 
     /// A question is asked of \p scheduler; its number.
     AskNumber open(const VmName &scheduler);
--- a/src/include/reachlead/placementgroups.h
+++ b/src/include/reachlead/placementgroups.h
@@ -71,6 +71,11 @@
     std::optional<std::uint64_t> m_madeAt; ///< the directory's count of changes
 };
 
+/// The gateways that place for others, of those whose share of a processor is known: all that have
+/// at least half of the largest one. A choice looks at all upstreams, and on a VM with 0.09 of a
+/// core it waits behind calls.
+std::set<VmName> strongestOf(const std::map<VmName, MilliCores> &gateways);
+
 /// The gateway that places for a group: the first of those in question by a hash over its name and
 /// the group's (rendezvous hashing), so that a gateway that comes or goes moves only its own
 /// groups. None among none.
--- a/src/libreachlead/openasks.cpp
+++ b/src/libreachlead/openasks.cpp
@@ -4,16 +4,18 @@
 #include <reachlead/openasks.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace reachlead {
 
-VmName OpenAsks::schedulerFor(const GroupName &group, const std::set<VmName> &known, Time now) const
+VmName OpenAsks::schedulerFor(const GroupName &group, const std::map<VmName, MilliCores> &known,
+                              Time now) const
 {
-    std::set<VmName> asked{m_self};
-    std::ranges::copy_if(known, std::inserter(asked, asked.end()),
-                         [&](const VmName &vm) { return !m_silent.isSilent(vm, now); });
-    return *schedulerOf(group, asked);
+    std::map<VmName, MilliCores> asked{{m_self, 0}};
+    for (const auto &[vm, cores] : known) {
+        if (vm == m_self || !m_silent.isSilent(vm, now))
+            asked.insert_or_assign(vm, cores);
+    }
+    return *schedulerOf(group, strongestOf(asked));
 }
 
 AskNumber OpenAsks::open(const VmName &scheduler)
--- a/src/libreachlead/placementgroups.cpp
+++ b/src/libreachlead/placementgroups.cpp
@@ -87,6 +87,19 @@
     return it == m_members.end() ? none : it->second;
 }
 
+std::set<VmName> strongestOf(const std::map<VmName, MilliCores> &gateways)
+{
+    std::set<VmName> strong;
+    if (gateways.empty())
+        return strong;
+    const MilliCores most = std::ranges::max(gateways | std::views::values);
+    for (const auto &[vm, cores] : gateways) {
+        if (2 * cores >= most)
+            strong.insert(vm);
+    }
+    return strong;
+}
+
 std::optional<VmName> schedulerOf(const GroupName &group, const std::set<VmName> &among)
 {
     if (among.empty())
--- a/src/libreachlead/placementgroups_test.cpp
+++ b/src/libreachlead/placementgroups_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(lostUpstreamMovesFewOthers);
     CPPUNIT_TEST(lostGatewayMovesOnlyItsGroups);
     CPPUNIT_TEST(serviceWithoutUpstreamsHasNoGroup);
+    CPPUNIT_TEST(strongGatewaysPlaceForTheOthers);
     CPPUNIT_TEST(silentSchedulerIsPassedOverForAWhile);
     CPPUNIT_TEST(questionsThatMissTogetherCountOnce);
     CPPUNIT_TEST(openFromNamesTheOldestOpenQuestion);
@@ -123,9 +124,36 @@
         CPPUNIT_ASSERT(!groups.groupOf(UpstreamId("gone"), directory(3)));
     }
 
+    static std::map<VmName, MilliCores> cores(const std::set<VmName> &names)
+    {
+        std::map<VmName, MilliCores> equal;
+        for (const VmName &vm : names)
+            equal.emplace(vm, 500);
+        equal.emplace(VmName("self"), 500);
+        return equal;
+    }
+
+    void strongGatewaysPlaceForTheOthers()
+    {
+        CPPUNIT_ASSERT(strongestOf({}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             strongestOf({{VmName("a"), 0}, {VmName("b"), 0}}).size());
+        std::map<VmName, MilliCores> fleet = cores(gateways(3));
+        for (int n = 0; n < 20; ++n)
+            fleet[VmName(fmt::format("weak{}", n))] = 90;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, strongestOf(fleet).size());
+        OpenAsks asks(VmName("weak1"));
+        for (std::uint16_t n = 0; n < 20; ++n)
+            CPPUNIT_ASSERT(!asks.schedulerFor({service, n}, fleet, start).text.starts_with("weak"));
+        // Once all strong ones are silent, a weak one is better than none.
+        for (const VmName &vm : strongestOf(fleet))
+            asks.missed(asks.open(vm), start);
+        CPPUNIT_ASSERT(asks.schedulerFor({service, 0}, fleet, start).text.starts_with("weak"));
+    }
+
     void silentSchedulerIsPassedOverForAWhile()
     {
-        const std::set<VmName> all = gateways(10);
+        const std::map<VmName, MilliCores> all = cores(gateways(10));
         const GroupName group{service, 0};
         OpenAsks asks(VmName("self"));
         const VmName first = asks.schedulerFor(group, all, start);
@@ -143,7 +171,7 @@
 
     void questionsThatMissTogetherCountOnce()
     {
-        const std::set<VmName> all = gateways(10);
+        const std::map<VmName, MilliCores> all = cores(gateways(10));
         const GroupName group{service, 0};
         OpenAsks asks(VmName("self"));
         const VmName first = asks.schedulerFor(group, all, start);
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -283,13 +283,13 @@
     return lives;
 }
 
-std::map<VmName, Endpoint> GatewayPeers::fleet() const
+std::map<VmName, GatewayEntry> GatewayPeers::fleet() const
 {
-    std::map<VmName, Endpoint> all{{m_options.self.vm, m_options.self.address}};
+    std::map<VmName, GatewayEntry> all{{m_options.self.vm, m_options.self}};
     for (const GatewayEntry &entry : m_state.gateways())
-        all.emplace(entry.vm, entry.address);
+        all.emplace(entry.vm, entry);
     for (const auto &[vm, peer] : m_peers)
-        all.insert_or_assign(vm, peer.entry.address);
+        all.insert_or_assign(vm, peer.entry);
     return all;
 }
 
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -73,7 +73,7 @@
     bool isStopped() const { return m_stopped; }
 
     /// All gateways that the registry names or that were heard, this one included.
-    std::map<VmName, Endpoint> fleet() const;
+    std::map<VmName, GatewayEntry> fleet() const;
 
     /// Sends a datagram with its proof; one that cannot leave now is lost.
     void sendTo(const Endpoint &to, SealedKind kind, std::string payload);
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -59,14 +59,15 @@
         return;
     m_fleetAt = now;
     m_fleet = m_peers.fleet();
-    const auto names = m_fleet | std::views::keys;
-    m_fleetNames = {names.begin(), names.end()};
+    m_cores.clear();
+    for (const auto &[vm, entry] : m_fleet)
+        m_cores.emplace(vm, entry.cores);
 }
 
 VmName PlacementLink::schedulerFor(const GroupName &group)
 {
     refreshFleet();
-    return m_asks.schedulerFor(group, m_fleetNames, RuntimeClock::now());
+    return m_asks.schedulerFor(group, m_cores, RuntimeClock::now());
 }
 
 /// Sends to a gateway that is still known; to another it is as if the datagram were lost.
@@ -74,7 +75,7 @@
 {
     const auto it = m_fleet.find(vm);
     if (it != m_fleet.end())
-        m_peers.sendTo(it->second, kind, payload);
+        m_peers.sendTo(it->second.address, kind, payload);
 }
 
 // Asking
@@ -120,9 +121,16 @@
     placed.choice = m_state.book().choose(ask, m_state.directory(), RuntimeClock::now());
     if (!placed.choice || !ask.mayRefuse)
         return placed;
+    const Time now = RuntimeClock::now();
     placed.comeBack = m_options.refusal.decide(ask.patience, placed.choice->leastWait);
+    if (placed.comeBack)
+        m_refusals.refused(ask.service, ask.patience.rank, now);
+    else if (m_options.refusal.targets > 0)
+        placed.comeBack = m_refusals.holdOf(ask.service, ask.patience.rank, now);
     if (placed.comeBack)
         placed.choice.reset();
+    else
+        m_refusals.placed(ask.service, ask.patience.rank, now);
     return placed;
 }
 
@@ -213,6 +221,7 @@
     made.targetMs = static_cast<std::uint32_t>(toMillis(ask.patience.target));
     made.leftMs = static_cast<std::uint32_t>(std::max(0.0, toMillis(ask.patience.left)));
     made.isMostUrgent = ask.patience.isMostUrgent;
+    made.rank = static_cast<std::uint8_t>(std::min(ask.patience.rank, 255U));
     made.mayRefuse = ask.mayRefuse;
     return made;
 }
@@ -342,7 +351,8 @@
     wanted.info = m_state.table() ? m_state.table()->service(group.service) : nullptr;
     wanted.zone = &ask.zone;
     wanted.group = &m_state.groups().membersOf(group, directory);
-    wanted.patience = {milliseconds(ask.targetMs), milliseconds(ask.leftMs), ask.isMostUrgent};
+    wanted.patience = {milliseconds(ask.targetMs), milliseconds(ask.leftMs), ask.isMostUrgent,
+                       ask.rank};
     wanted.mayRefuse = ask.mayRefuse;
     PlacedChoice chosen;
     if (!m_stopping)
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -18,6 +18,7 @@
 #include <reachlead/gatewaystate.h>
 #include <reachlead/openasks.h>
 #include <reachlead/placementadviser.h>
+#include <reachlead/refusalorder.h>
 
 #include "peer/gatewaypeers.h"
 #include "peer/placementmessages.h"
@@ -104,8 +105,9 @@
     OpenAsks m_asks;
     std::shared_ptr<Waiters> m_waiters = std::make_shared<Waiters>();
     std::map<GroupName, Reported> m_reported;
-    std::map<VmName, Endpoint> m_fleet; ///< as of m_fleetAt
-    std::set<VmName> m_fleetNames;
+    std::map<VmName, GatewayEntry> m_fleet; ///< as of m_fleetAt
+    std::map<VmName, MilliCores> m_cores; ///< of the same
+    RefusalOrder m_refusals;
     std::optional<Time> m_fleetAt;
     bool m_stopping = false;
 };
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -56,12 +56,13 @@
     std::uint32_t targetMs = 0; ///< to the first event; 0: none is promised
     std::uint32_t leftMs = 0; ///< until the caller gives up
     bool isMostUrgent = false; ///< as in Patience
+    std::uint8_t rank = 0; ///< as in Patience
     bool mayRefuse = false; ///< as in ChoiceAsk
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(report, number, zone, model, prompt, tried, failing, targetMs, leftMs, isMostUrgent,
-           mayRefuse);
+           rank, mayRefuse);
     }
 };
 
--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -116,7 +116,7 @@
     first.resize(std::min(first.size(), collectors));
     if (std::exchange(m_toldTo, first) != first)
         m_told.clear();
-    const std::map<VmName, Endpoint> fleet = m_peers.fleet();
+    const std::map<VmName, GatewayEntry> fleet = m_peers.fleet();
     const UnixMillis now = m_peers.timeOfDay();
     const WindowNumber current = m_book.windowOf(now);
     for (const WindowNumber window : {current - 1, current}) {
@@ -127,7 +127,8 @@
             continue;
         for (const VmName &vm : first) {
             if (const auto it = fleet.find(vm); it != fleet.end())
-                m_peers.sendTo(it->second, SealedKind::UsageTold, pvt::encodePayload(usage));
+                m_peers.sendTo(it->second.address, SealedKind::UsageTold,
+                               pvt::encodePayload(usage));
         }
     }
     m_told.erase(m_told.begin(), m_told.lower_bound(current - 1));
@@ -166,9 +167,9 @@
         return;
     it->second.last = now;
     const std::string payload = pvt::encodePayload(UsageAsk{window});
-    for (const auto &[vm, at] : m_peers.fleet()) {
+    for (const auto &[vm, entry] : m_peers.fleet()) {
         if (vm != m_book.self().vm)
-            m_peers.sendTo(at, SealedKind::UsageAsk, payload);
+            m_peers.sendTo(entry.address, SealedKind::UsageAsk, payload);
     }
 }
 
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -71,12 +71,14 @@
         .takeText("vm", &state.vm.text)
         .takeText("zone", &state.zone.text)
         .takeInteger("memory_mb", 16, 1'000'000, &memoryMb)
-        .takeInteger("descriptors", 256, 1'000'000, &descriptors);
+        .takeInteger("descriptors", 256, 1'000'000, &descriptors)
+        .takeNumber("cores", 0.0, 1024.0, &cores);
     const std::int64_t byMemory = memoryMb / 2 * connectionsPerMb;
     const std::int64_t most =
         std::max(fewestConnections, std::min(byMemory, descriptors - descriptorsKept));
     forwarder.mostConnections = static_cast<std::size_t>(most);
     peers.self.vm = state.vm;
+    peers.self.cores = static_cast<MilliCores>(cores * 1000.0);
     return takeEndpoints(file, reader, "gateway",
                          {{"listen", &forwarder.listen}, {"ready", &ready}});
 }
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -32,6 +32,7 @@
     Endpoint operators; ///< counters and histograms
     Endpoint store; ///< of configuration and registry
     std::int64_t memoryMb = 128; ///< that the process may use
+    double cores = 0; ///< of a processor, that the process may use; 0: not told
     std::int64_t descriptors = 1024; ///< that the process may open
     Duration stopLimit = seconds(8); ///< from the order to stop until the process is killed
     std::size_t logLevel = 1;
