--- a/src/libreachlead/refusalorder_test.cpp
+++ b/src/libreachlead/refusalorder_test.cpp
@@ -21,24 +21,24 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
-    const ServiceName llm{"llm"};
+    const ServiceName m_llm{"llm"};
 
     void nothingIsHeldWithoutRefusals()
     {
         RefusalOrder order;
-        CPPUNIT_ASSERT(!order.holdOf(llm, 2, start));
+        CPPUNIT_ASSERT(!order.holdOf(m_llm, 2, start));
         order.refused(ServiceName("other"), 0, start);
-        CPPUNIT_ASSERT(!order.holdOf(llm, 2, start));
+        CPPUNIT_ASSERT(!order.holdOf(m_llm, 2, start));
     }
 
     void lessUrgentWaitsForTheMoreUrgent()
     {
         RefusalOrder order;
-        order.placed(llm, 1, start);
-        order.refused(llm, 0, start);
-        CPPUNIT_ASSERT(order.holdOf(llm, 1, start) == RefusalOrder::defaultHold);
-        CPPUNIT_ASSERT(!order.holdOf(llm, 0, start));
-        CPPUNIT_ASSERT(!order.holdOf(llm, 1, start + RefusalOrder::defaultHold));
+        order.placed(m_llm, 1, start);
+        order.refused(m_llm, 0, start);
+        CPPUNIT_ASSERT(order.holdOf(m_llm, 1, start) == RefusalOrder::defaultHold);
+        CPPUNIT_ASSERT(!order.holdOf(m_llm, 0, start));
+        CPPUNIT_ASSERT(!order.holdOf(m_llm, 1, start + RefusalOrder::defaultHold));
     }
 
     void heldRankGetsItsFloor()
@@ -46,10 +46,10 @@
         RefusalOrder order;
         unsigned placed = 0;
         for (Time now = start; now < start + seconds(20); now += milliseconds(50)) {
-            order.refused(llm, 0, now);
-            if (order.holdOf(llm, 1, now))
+            order.refused(m_llm, 0, now);
+            if (order.holdOf(m_llm, 1, now))
                 continue;
-            order.placed(llm, 1, now);
+            order.placed(m_llm, 1, now);
             ++placed;
         }
         CPPUNIT_ASSERT_EQUAL(4U, placed);
@@ -62,9 +62,9 @@
             Time now = start;
             for (const unsigned char step : steps) {
                 now += milliseconds(step);
-                order.refused(llm, 1 + step % 3, now);
-                RC_ASSERT(!order.holdOf(llm, 0, now));
-                RC_ASSERT(!order.holdOf(llm, 1, now));
+                order.refused(m_llm, 1 + step % 3, now);
+                RC_ASSERT(!order.holdOf(m_llm, 0, now));
+                RC_ASSERT(!order.holdOf(m_llm, 1, now));
             }
         }));
     }
@@ -90,14 +90,14 @@
                 ++running;
                 ends.emplace(now + seconds(4), 1);
             } else {
-                order.refused(llm, 0, now);
+                order.refused(m_llm, 0, now);
                 refusedAt = now;
                 ++urgentRefused;
             }
             const bool isLess = (now - start) % milliseconds(100) == Duration{};
-            if (!isLess || running + 2 > places || order.holdOf(llm, 1, now))
+            if (!isLess || running + 2 > places || order.holdOf(m_llm, 1, now))
                 continue;
-            order.placed(llm, 1, now);
+            order.placed(m_llm, 1, now);
             running += 2;
             ends.emplace(now + seconds(4), 2);
             lessBeside += refusedAt && now < *refusedAt + RefusalOrder::defaultHold ? 1U : 0U;
