usage: whoever does not hold the duty passes over no window; a datagram's way is a function of its own

Cause (found by reading): a gateway that is not the holder took a window in which it knew of no calls for empty and passed it over; had it then taken over, that window would not have been reported. Only the holder, who has asked all, does so.

--- a/src/include/reachlead/usageduty.h
+++ b/src/include/reachlead/usageduty.h
@@ -41,6 +41,7 @@
 /// What the duty wants to be done next.
 enum class UsageStep : std::uint8_t {
     Rest, ///< nothing now
+    Skip, ///< the record's window: nothing began in it, and no report is due
     Read, ///< the store's record
     Write, ///< the record, if the store still has the revision that was read
     Send ///< the record's window to the platform
@@ -61,8 +62,8 @@
     Time now;
     WindowNumber due = 0; ///< the last window that this gateway may report by now
     bool isComplete = false; ///< the counts of all gateways that live are known up to it
-    UsageCounts
-        counts; ///< of the window that wanted() names; empty: nothing began in it, and none is due
+    UsageCounts counts; ///< of the window that wanted() names
+    bool hasCalls = false; ///< calls are known in it or a later window that is due
 };
 
 /// The holder's part of the report of usage. Pure: it is told of time, reads and writes.
--- a/src/libreachlead/usageduty.cpp
+++ b/src/libreachlead/usageduty.cpp
@@ -41,7 +41,7 @@
         return action;
     }
     const WindowNumber window = wanted(view.due);
-    const bool isDue = window <= view.due && !view.counts.empty();
+    const bool isDue = window <= view.due;
     if (m_known) {
         action.record = m_known->record;
         action.revision = m_known->revision;
@@ -49,7 +49,7 @@
     action.record.holder = m_self;
     ++action.record.renewals;
     if (m_known && !isHolder())
-        return isDue ? takeOver(view, std::move(action)) : action;
+        return isDue && view.hasCalls ? takeOver(view, std::move(action)) : action;
     if (m_known && !m_isSent) {
         const bool maySend = m_writtenAt && view.now < *m_writtenAt + sendSpan();
         action.step = maySend ? UsageStep::Send : UsageStep::Write;
@@ -61,9 +61,13 @@
     }
     if (!isDue || !view.isComplete)
         return action;
+    action.record.window = window;
+    if (view.counts.empty()) {
+        action.step = UsageStep::Skip;
+        return action;
+    }
     action.isTakeover = !m_known;
     action.record.token = std::max<FencingToken>(action.record.token, 1);
-    action.record.window = window;
     action.record.counts = view.counts;
     action.step = UsageStep::Write;
     return action;
--- a/src/libreachlead/usageduty_test.cpp
+++ b/src/libreachlead/usageduty_test.cpp
@@ -90,6 +90,7 @@
         view.now = now;
         view.due = 1 + ticks / 2;
         view.isComplete = true;
+        view.hasCalls = true;
         view.counts = {
             {AccountName("t"), static_cast<std::uint32_t>(1 + gateway) + 10 * (ticks % 2)}};
         return view;
@@ -255,6 +256,7 @@
     CPPUNIT_TEST(successorSendsWhatWasFixed);
     CPPUNIT_TEST(holderThatWasPausedDoesNotSend);
     CPPUNIT_TEST(emptyWindowsArePassedOver);
+    CPPUNIT_TEST(standbyThatKnowsOfNoCallsSkipsNothing);
     CPPUNIT_TEST(oldWindowsAreNotMadeUpFor);
     CPPUNIT_TEST(noOrderOfEventsBreaksThePromise);
     CPPUNIT_TEST(shorterLeaseIsFoundOut);
@@ -270,6 +272,7 @@
         made.now = now;
         made.due = due;
         made.isComplete = true;
+        made.hasCalls = calls > 0;
         if (calls > 0)
             made.counts = {{AccountName("t"), calls}};
         return made;
@@ -351,11 +354,27 @@
     {
         UsageDuty duty(life("a"), seconds(3));
         duty.wasRead(std::nullopt, start);
-        CPPUNIT_ASSERT(duty.next(view(start, 1, 0)).step == UsageStep::Rest);
-        duty.skip(1);
+        UsageView early = view(start, 1, 0);
+        early.isComplete = false;
+        CPPUNIT_ASSERT(duty.next(early).step == UsageStep::Rest);
+        const UsageAction action = duty.next(view(start, 1, 0));
+        CPPUNIT_ASSERT(action.step == UsageStep::Skip);
+        duty.skip(action.record.window);
         CPPUNIT_ASSERT_EQUAL(WindowNumber{2}, duty.wanted(2));
     }
 
+    /// It would leave out the window when it takes over.
+    void standbyThatKnowsOfNoCallsSkipsNothing()
+    {
+        UsageDuty next(life("b"), seconds(3));
+        next.wasRead(holder().known(), start);
+        CPPUNIT_ASSERT(next.next(view(start + seconds(4), 2, 0)).step == UsageStep::Rest);
+        CPPUNIT_ASSERT_EQUAL(WindowNumber{2}, next.wanted(2));
+        UsageView later = view(start + seconds(4), 3, 0);
+        later.hasCalls = true; // of a window behind an empty one
+        CPPUNIT_ASSERT(next.next(later).step == UsageStep::Read);
+    }
+
     void oldWindowsAreNotMadeUpFor()
     {
         const UsageDuty duty = holder();
--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -50,18 +50,9 @@
 {
     if (!m_options.isOn)
         return;
-    m_peers.onDatagram(
-        {SealedKind::UsageAsk, SealedKind::UsageTold},
-        [this](SealedKind kind, std::string_view message, const udp::endpoint &from) {
-            std::string reason;
-            if (kind == SealedKind::UsageAsk) {
-                if (auto ask = pvt::decodePayload<UsageAsk>(message, &reason))
-                    takeAsk(*ask, from);
-            } else if (auto told = pvt::decodePayload<WindowUsage>(message, &reason))
-                m_book.learn(*told);
-            if (!reason.empty())
-                LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
-        });
+    m_peers.onDatagram({SealedKind::UsageAsk, SealedKind::UsageTold},
+                       [this](SealedKind kind, std::string_view message,
+                              const udp::endpoint &from) { take(kind, message, from); });
     asio::co_spawn(io, tellLoop(), asio::detached);
     asio::co_spawn(io, dutyLoop(), asio::detached);
 }
@@ -150,6 +141,19 @@
     }
 }
 
+void UsageLink::take(SealedKind kind, std::string_view message, const udp::endpoint &from)
+{
+    std::string reason;
+    if (kind == SealedKind::UsageAsk) {
+        if (const auto ask = pvt::decodePayload<UsageAsk>(message, &reason))
+            takeAsk(*ask, from);
+    } else if (const auto told = pvt::decodePayload<WindowUsage>(message, &reason)) {
+        m_book.learn(*told);
+    }
+    if (!reason.empty())
+        LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+}
+
 /// Answers with this gateway's counts, and with those of gateways that can no longer answer.
 void UsageLink::takeAsk(const UsageAsk &ask, const udp::endpoint &from)
 {
@@ -197,8 +201,7 @@
     return m_book.windowOf(m_peers.timeOfDay() - millisOf(delay)) - 1;
 }
 
-/// What is to be done now; the windows in which nothing began are passed over.
-void UsageLink::lookAtDuty(UsageAction *action)
+UsageAction UsageLink::nextAction()
 {
     UsageView view;
     view.now = RuntimeClock::now();
@@ -210,11 +213,10 @@
             ask(window);
         view.counts = m_book.total(window);
         view.isComplete = isComplete(window);
-        const bool hadTime = view.isComplete || !isOurs;
-        if (view.counts.empty() && hadTime)
-            m_duty.skip(window);
+        for (WindowNumber it = window; it <= view.due; ++it)
+            view.hasCalls = view.hasCalls || !m_book.total(it).empty();
     }
-    *action = m_duty.next(view);
+    return m_duty.next(view);
 }
 
 asio::awaitable<void> UsageLink::dutyLoop()
@@ -229,8 +231,7 @@
             continue;
         if (!m_duty.isHolder() && rank() >= mostCandidates)
             continue;
-        UsageAction action;
-        lookAtDuty(&action);
+        UsageAction action = nextAction();
         co_await perform(std::move(action));
     }
 }
@@ -240,6 +241,9 @@
     switch (action.step) {
     case UsageStep::Rest:
         co_return;
+    case UsageStep::Skip:
+        m_duty.skip(action.record.window);
+        co_return;
     case UsageStep::Read:
         co_await read();
         co_return;
--- a/src/peer/usagelink.h
+++ b/src/peer/usagelink.h
@@ -92,7 +92,7 @@
     boost::asio::awaitable<void> read();
     boost::asio::awaitable<void> write(UsageAction action);
     boost::asio::awaitable<void> send(UsageAction action);
-    void lookAtDuty(UsageAction *action);
+    UsageAction nextAction();
     std::set<VmName> othersHeard() const;
     std::size_t rank() const;
     WindowNumber lastDue() const;
@@ -100,6 +100,8 @@
     void ask(WindowNumber window);
     void tellCollectors(bool isLast);
     void tell(const boost::asio::ip::udp::endpoint &to, const WindowUsage &usage);
+    void take(SealedKind kind, std::string_view message,
+              const boost::asio::ip::udp::endpoint &from);
     void takeAsk(const UsageAsk &ask, const boost::asio::ip::udp::endpoint &from);
     void noteFailure(std::string_view step, const UsageAnswer &answer);
     void noteHolder();
