placement, usage: what is looked up for each call no longer grows with the fleet

The strongest gateways were sought anew at each question and report, ranks compared by quadratic sorts each half second, and the median of the clocks at each call. They are now kept from look to look.

--- a/src/include/reachlead/fleettime.h
+++ b/src/include/reachlead/fleettime.h
@@ -47,7 +47,10 @@
         Time heard;
     };
 
+    void findMedian();
+
     std::map<VmName, Clock> m_clocks;
+    std::int64_t m_offsetMs = 0; ///< the median of theirs
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/openasks.h
+++ b/src/include/reachlead/openasks.h
@@ -26,9 +26,10 @@
 public:
     explicit OpenAsks(VmName self) : m_self(std::move(self)) { }
 
-    /// The gateway to ask for a group, of those that are known; it may be this one.
-    VmName schedulerFor(const GroupName &group, const std::map<VmName, MilliCores> &known,
-                        Time now) const;
+    /// The gateway to ask for a group, of the \p strong ones, or of \p all if these are silent; it
+    /// may be this one.
+    VmName schedulerFor(const GroupName &group, const std::set<VmName> &strong,
+                        const std::set<VmName> &all, Time now) const;
 
     /// A question is asked of \p scheduler; its number.
     AskNumber open(const VmName &scheduler);
--- a/src/include/reachlead/silentgateways.h
+++ b/src/include/reachlead/silentgateways.h
@@ -29,6 +29,9 @@
     /// An answer came, in time or not.
     void answered(const VmName &vm) { m_silent.erase(vm); }
 
+    /// True when any gateway is passed over.
+    bool isAny(Time now) const;
+
     /// True while the gateway is not to be asked.
     bool isSilent(const VmName &vm, Time now) const;
 
--- a/src/include/reachlead/watchduty.h
+++ b/src/include/reachlead/watchduty.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include <reachlead/clock.h>
 #include <reachlead/ids.h>
@@ -19,6 +20,9 @@
 /// \p others go before it.
 std::size_t rankAmong(const VmName &self, const std::set<VmName> &others);
 
+/// The first \p n of the others in that order.
+std::vector<VmName> firstByRank(const std::set<VmName> &others, std::size_t n);
+
 /// Decides whether this gateway watches the store. Not thread-safe, reads no clock.
 ///
 /// Each waiting watch is a priced call, and the store's rates grow more slowly than the fleet, so
--- a/src/libreachlead/fleettime.cpp
+++ b/src/libreachlead/fleettime.cpp
@@ -31,23 +31,31 @@
 void FleetTime::note(const VmName &vm, UnixMillis clock, Time at)
 {
     m_clocks[vm] = {clock - steadyMillis(at), at};
+    findMedian();
 }
 
-UnixMillis FleetTime::at(Time at) const
+void FleetTime::findMedian()
 {
     if (m_clocks.empty())
-        return 0;
+        return;
     std::vector<std::int64_t> offsets;
+    offsets.reserve(m_clocks.size());
     std::ranges::transform(m_clocks | std::views::values, std::back_inserter(offsets),
                            &Clock::offsetMs);
     const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
     std::ranges::nth_element(offsets, middle);
-    return *middle + steadyMillis(at);
+    m_offsetMs = *middle;
+}
+
+UnixMillis FleetTime::at(Time at) const
+{
+    return m_clocks.empty() ? 0 : m_offsetMs + steadyMillis(at);
 }
 
 void FleetTime::dropOld(Time now)
 {
     std::erase_if(m_clocks, [&](const auto &it) { return it.second.heard + clockAge < now; });
+    findMedian();
 }
 
 } // namespace reachlead
--- a/src/libreachlead/openasks.cpp
+++ b/src/libreachlead/openasks.cpp
@@ -4,18 +4,23 @@
 #include <reachlead/openasks.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace reachlead {
 
-VmName OpenAsks::schedulerFor(const GroupName &group, const std::map<VmName, MilliCores> &known,
-                              Time now) const
+VmName OpenAsks::schedulerFor(const GroupName &group, const std::set<VmName> &strong,
+                              const std::set<VmName> &all, Time now) const
 {
-    std::map<VmName, MilliCores> asked{{m_self, 0}};
-    for (const auto &[vm, cores] : known) {
-        if (vm == m_self || !m_silent.isSilent(vm, now))
-            asked.insert_or_assign(vm, cores);
-    }
-    return *schedulerOf(group, strongestOf(asked));
+    if (!strong.empty() && !m_silent.isAny(now))
+        return *schedulerOf(group, strong);
+    const auto isAwake = [&](const VmName &vm) {
+        return vm == m_self || !m_silent.isSilent(vm, now);
+    };
+    std::set<VmName> asked;
+    std::ranges::copy_if(strong, std::inserter(asked, asked.end()), isAwake);
+    if (asked.empty())
+        std::ranges::copy_if(all, std::inserter(asked, asked.end()), isAwake);
+    return schedulerOf(group, asked).value_or(m_self);
 }
 
 AskNumber OpenAsks::open(const VmName &scheduler)
--- a/src/libreachlead/placementgroups_test.cpp
+++ b/src/libreachlead/placementgroups_test.cpp
@@ -142,42 +142,50 @@
         for (int n = 0; n < 20; ++n)
             fleet[VmName(fmt::format("weak{}", n))] = 90;
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, strongestOf(fleet).size());
+        const std::set<VmName> strong = strongestOf(fleet);
+        std::set<VmName> all;
+        for (const auto &[vm, share] : fleet)
+            all.insert(vm);
         OpenAsks asks(VmName("weak1"));
         for (std::uint16_t n = 0; n < 20; ++n)
-            CPPUNIT_ASSERT(!asks.schedulerFor({service, n}, fleet, start).text.starts_with("weak"));
+            CPPUNIT_ASSERT(
+                !asks.schedulerFor({service, n}, strong, all, start).text.starts_with("weak"));
         // Once all strong ones are silent, a weak one is better than none.
-        for (const VmName &vm : strongestOf(fleet))
+        for (const VmName &vm : strong)
             asks.missed(asks.open(vm), start);
-        CPPUNIT_ASSERT(asks.schedulerFor({service, 0}, fleet, start).text.starts_with("weak"));
+        CPPUNIT_ASSERT(
+            asks.schedulerFor({service, 0}, strong, all, start).text.starts_with("weak"));
     }
 
     void silentSchedulerIsPassedOverForAWhile()
     {
-        const std::map<VmName, MilliCores> all = cores(gateways(10));
+        const std::set<VmName> all = gateways(10);
         const GroupName group{service, 0};
         OpenAsks asks(VmName("self"));
-        const VmName first = asks.schedulerFor(group, all, start);
+        const VmName first = asks.schedulerFor(group, all, all, start);
         asks.missed(asks.open(first), start);
-        const VmName second = asks.schedulerFor(group, all, start);
+        const VmName second = asks.schedulerFor(group, all, all, start);
         CPPUNIT_ASSERT(second != first);
         const Time later = start + SilentGateways::firstPause;
-        CPPUNIT_ASSERT(asks.schedulerFor(group, all, later) == first);
+        CPPUNIT_ASSERT(asks.schedulerFor(group, all, all, later) == first);
         asks.missed(asks.open(first), later); // the pause doubles
-        CPPUNIT_ASSERT(asks.schedulerFor(group, all, later + SilentGateways::firstPause) != first);
+        CPPUNIT_ASSERT(asks.schedulerFor(group, all, all, later + SilentGateways::firstPause)
+                       != first);
         const AskNumber late = asks.open(first);
         asks.answered(late, first); // and ends with a word of it
-        CPPUNIT_ASSERT(asks.schedulerFor(group, all, later) == first);
+        CPPUNIT_ASSERT(asks.schedulerFor(group, all, all, later) == first);
     }
 
     void questionsThatMissTogetherCountOnce()
     {
-        const std::map<VmName, MilliCores> all = cores(gateways(10));
+        const std::set<VmName> all = gateways(10);
         const GroupName group{service, 0};
         OpenAsks asks(VmName("self"));
-        const VmName first = asks.schedulerFor(group, all, start);
+        const VmName first = asks.schedulerFor(group, all, all, start);
         for (int n = 0; n < 20; ++n)
             asks.missed(asks.open(first), start);
-        CPPUNIT_ASSERT(asks.schedulerFor(group, all, start + SilentGateways::firstPause) == first);
+        CPPUNIT_ASSERT(asks.schedulerFor(group, all, all, start + SilentGateways::firstPause)
+                       == first);
     }
 
     void openFromNamesTheOldestOpenQuestion()
--- a/src/libreachlead/silentgateways.cpp
+++ b/src/libreachlead/silentgateways.cpp
@@ -18,6 +18,11 @@
     it->second.until = now + it->second.pause;
 }
 
+bool SilentGateways::isAny(Time now) const
+{
+    return std::ranges::any_of(m_silent, [&](const auto &it) { return now < it.second.until; });
+}
+
 bool SilentGateways::isSilent(const VmName &vm, Time now) const
 {
     const auto it = m_silent.find(vm);
--- a/src/libreachlead/watchduty.cpp
+++ b/src/libreachlead/watchduty.cpp
@@ -4,6 +4,8 @@
 #include <reachlead/watchduty.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -25,6 +27,19 @@
         std::ranges::count_if(others, [&](const VmName &vm) { return rankOf(vm) < own; }));
 }
 
+std::vector<VmName> firstByRank(const std::set<VmName> &others, std::size_t n)
+{
+    std::vector<std::pair<std::uint64_t, VmName>> ranked;
+    ranked.reserve(others.size());
+    for (const VmName &vm : others)
+        ranked.emplace_back(rankOf(vm), vm);
+    std::ranges::sort(ranked);
+    ranked.resize(std::min(n, ranked.size()));
+    std::vector<VmName> first;
+    std::ranges::transform(ranked, std::back_inserter(first), [](auto &it) { return it.second; });
+    return first;
+}
+
 void WatchDuty::vouched(Time at)
 {
     m_vouchedAt = std::max(m_vouchedAt, at);
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -59,15 +59,19 @@
         return;
     m_fleetAt = now;
     m_fleet = m_peers.fleet();
-    m_cores.clear();
-    for (const auto &[vm, entry] : m_fleet)
-        m_cores.emplace(vm, entry.cores);
+    m_names.clear();
+    std::map<VmName, MilliCores> cores;
+    for (const auto &[vm, entry] : m_fleet) {
+        m_names.insert(vm);
+        cores.emplace(vm, entry.cores);
+    }
+    m_strong = strongestOf(cores);
 }
 
 VmName PlacementLink::schedulerFor(const GroupName &group)
 {
     refreshFleet();
-    return m_asks.schedulerFor(group, m_cores, RuntimeClock::now());
+    return m_asks.schedulerFor(group, m_strong, m_names, RuntimeClock::now());
 }
 
 /// Sends to a gateway that is still known; to another it is as if the datagram were lost.
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -108,7 +108,8 @@
     std::shared_ptr<Waiters> m_waiters = std::make_shared<Waiters>();
     std::map<GroupName, Reported> m_reported;
     std::map<VmName, GatewayEntry> m_fleet; ///< as of m_fleetAt
-    std::map<VmName, MilliCores> m_cores; ///< of the same
+    std::set<VmName> m_names; ///< of the same
+    std::set<VmName> m_strong; ///< of these, those that place for the others
     RefusalOrder m_refusals{m_options.lessUrgentHold};
     std::optional<Time> m_fleetAt;
     bool m_stopping = false;
--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -80,17 +80,13 @@
 
 // Telling
 
-std::set<VmName> UsageLink::othersHeard() const
+/// Looks again which gateways live: at 300 of them that takes some 0.1 ms.
+void UsageLink::refreshOthers()
 {
-    std::set<VmName> names;
-    std::ranges::transform(m_peers.livesHeard(lifeAge), std::inserter(names, names.end()),
+    m_others.clear();
+    std::ranges::transform(m_peers.livesHeard(lifeAge), std::inserter(m_others, m_others.end()),
                            &GatewayLife::vm);
-    return names;
-}
-
-std::size_t UsageLink::rank() const
-{
-    return rankAmong(m_book.self().vm, othersHeard());
+    m_rank = rankAmong(m_book.self().vm, m_others);
 }
 
 void UsageLink::tell(const udp::endpoint &to, const WindowUsage &usage)
@@ -101,10 +97,7 @@
 /// Tells the gateways that are first in rank what this one counted since it last told them.
 void UsageLink::tellCollectors(bool isLast)
 {
-    const std::set<VmName> others = othersHeard();
-    std::vector<VmName> first(others.begin(), others.end());
-    std::ranges::sort(first, {}, [&](const VmName &vm) { return rankAmong(vm, others); });
-    first.resize(std::min(first.size(), collectors));
+    const std::vector<VmName> first = firstByRank(m_others, collectors);
     if (std::exchange(m_toldTo, first) != first)
         m_told.clear();
     const std::map<VmName, GatewayEntry> fleet = m_peers.fleet();
@@ -134,6 +127,7 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         if (m_stopped)
             co_return;
+        refreshOthers();
         tellCollectors(false);
         const WindowNumber current = m_book.windowOf(m_peers.timeOfDay());
         m_book.dropBefore(current - UsageBook::mostWindows);
@@ -197,7 +191,7 @@
 {
     Duration delay = holderDelay;
     if (!m_duty.isHolder())
-        delay = standbyDelay + standbyStep * static_cast<std::int64_t>(rank());
+        delay = standbyDelay + standbyStep * static_cast<std::int64_t>(m_rank);
     return m_book.windowOf(m_peers.timeOfDay() - millisOf(delay)) - 1;
 }
 
@@ -229,7 +223,7 @@
         const bool rests = RuntimeClock::now() < m_restUntil;
         if (m_stopped || rests || m_peers.timeOfDay() == 0)
             continue;
-        if (!m_duty.isHolder() && rank() >= mostCandidates)
+        if (!m_duty.isHolder() && m_rank >= mostCandidates)
             continue;
         UsageAction action = nextAction();
         co_await perform(std::move(action));
@@ -291,7 +285,7 @@
     if (answer.end != UsageEnd::Done) {
         count(Count::UsageSendsFailed);
         noteFailure("send", answer);
-        if (++m_failures >= mostFailures && !othersHeard().empty()) {
+        if (++m_failures >= mostFailures && !m_others.empty()) {
             m_restUntil = RuntimeClock::now() + m_options.window + standbyDelay + m_options.lease;
             m_failures = 0;
         }
--- a/src/peer/usagelink.h
+++ b/src/peer/usagelink.h
@@ -93,8 +93,7 @@
     boost::asio::awaitable<void> write(UsageAction action);
     boost::asio::awaitable<void> send(UsageAction action);
     UsageAction nextAction();
-    std::set<VmName> othersHeard() const;
-    std::size_t rank() const;
+    void refreshOthers();
     WindowNumber lastDue() const;
     bool isComplete(WindowNumber window);
     void ask(WindowNumber window);
@@ -113,6 +112,8 @@
     std::unique_ptr<UsagePlatform> m_platform;
     UsageBook m_book;
     UsageDuty m_duty;
+    std::set<VmName> m_others; ///< that live, as of the last telling
+    std::size_t m_rank = 0; ///< of this gateway among them
     std::map<WindowNumber, Asked> m_asked;
     std::map<WindowNumber, std::uint64_t> m_told; ///< calls that the collectors heard of
     std::vector<VmName> m_toldTo;
