forward: a line for each upstream that is lost under a call, with the call's content

The logs named the account and the length of a prompt, which only let one guess that the same request came again and again. The line names the content by a cryptographic hash, the load ahead of the call and beside it, and whether an event had come: what tells the three hypotheses of the incident apart. No decision is changed.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -121,6 +121,22 @@
     });
 }
 
+const RequestDigest &ForwardCall::digest()
+{
+    if (!m_digest) {
+        const auto host = m_request[http::field::host];
+        const auto target = m_request.target();
+        RequestContent content;
+        if (m_account != nullptr)
+            content.account = m_account->name;
+        content.host = {host.data(), host.size()};
+        content.target = {target.data(), target.size()};
+        content.body = m_request.body();
+        m_digest = digestOf(content);
+    }
+    return *m_digest;
+}
+
 ErrorKind ForwardCall::kindOfStop() const
 {
     if (m_stop == Stop::CallerGone)
@@ -188,6 +204,8 @@
     state.book().sent(entry.id, makeAsk(), *choice, RuntimeClock::now());
     const SendEnd end = co_await exchange(entry);
     noteEnd(entry, end);
+    if (end == SendEnd::Lost && m_stop == Stop::None)
+        noteLost(entry);
     if (m_stop != Stop::None && end != SendEnd::Complete) {
         const bool notRun = end == SendEnd::NotConnected && !m_mayHaveRun;
         const ForwardStep step = notRun ? ForwardStep::Refuse : ForwardStep::Fail;
@@ -322,6 +340,21 @@
     m_channel.reset();
 }
 
+/// An upstream was lost under the call. The line names the content of the call, so that one that
+/// comes again and again is seen as one.
+void ForwardCall::noteLost(const UpstreamEntry &entry)
+{
+    LogLine(LogLevel::Info, "upstream-lost-under-call")
+        .with("attempt", m_facts.attemptId)
+        .with("request", toString(digest()))
+        .with("upstream", entry.id.text)
+        .with("born", entry.id.born)
+        .with("events", m_events.events())
+        .with("ahead", m_ahead)
+        .with("running", m_shared.state.book().loadOf(entry.id, RuntimeClock::now()).running)
+        .with("ms", static_cast<std::int64_t>(toMillis(RuntimeClock::now() - m_sentAt)));
+}
+
 asio::awaitable<bool> ForwardCall::finish(ForwardDecision decision)
 {
     switch (decision.step) {
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -13,6 +13,7 @@
 
 #include <reachlead/eventsplitter.h>
 #include <reachlead/forwardpolicy.h>
+#include <reachlead/requestdigest.h>
 
 #include "forwarder.h"
 #include "upstream/upstreamexchange.h"
@@ -63,10 +64,12 @@
     SendEnd judgeHead() const;
     ForwardState stateNow(SendEnd end);
     void noteEnd(const UpstreamEntry &entry, SendEnd end);
+    void noteLost(const UpstreamEntry &entry);
     void noteFirst();
     void noteBegan();
     void notePause(Time now);
     std::string_view missedBound() const;
+    const RequestDigest &digest();
 
     // The answer to the caller.
     boost::asio::awaitable<bool> finish(ForwardDecision decision);
@@ -84,6 +87,7 @@
     CallerStream &m_caller;
     CallerRequest m_request;
     CallFacts m_facts;
+    std::optional<RequestDigest> m_digest; ///< once it was asked for: bodies may be long
     RouteTablePtr m_table; ///< in force when the request arrived
     const Route *m_route = nullptr;
     const AccountKeys *m_account = nullptr;
--- /dev/null
+++ b/src/include/reachlead/requestdigest.h
@@ -0,0 +1,58 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Names a request by its content, so that it is known again when it comes once more.
+
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <reachlead/ids.h>
+
+namespace reachlead {
+
+/// The content of a request. Equal for equal requests of one account, whatever the attempt, the
+/// connection and the gateway. Accounts do not trust each other, so it is a cryptographic hash: no
+/// account can make a request that counts as another one's.
+struct RequestDigest
+{
+    std::array<std::uint64_t, 2> words{};
+
+    auto operator<=>(const RequestDigest &) const = default;
+
+    template <class Archive> void serialize(Archive &ar) { ar(words[0], words[1]); }
+};
+
+/// What a digest covers. The method is left out: an upstream is handed the same work by it.
+struct RequestContent
+{
+    AccountName account; ///< empty where the route needs none
+    std::string_view host;
+    std::string_view target; ///< path and query
+    std::string_view body;
+};
+
+RequestDigest digestOf(const RequestContent &content);
+
+/// 32 hex digits, as logs and the platform's store have it.
+std::string toString(const RequestDigest &digest);
+
+/// Reads what toString() wrote; nothing for a text of another shape.
+std::optional<RequestDigest> parseRequestDigest(std::string_view text);
+
+} // namespace reachlead
+
+template <> struct std::hash<reachlead::RequestDigest>
+{
+    std::size_t operator()(const reachlead::RequestDigest &digest) const noexcept
+    {
+        return digest.words[0];
+    }
+};
--- /dev/null
+++ b/src/libreachlead/requestdigest.cpp
@@ -0,0 +1,72 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/requestdigest.h>
+
+#include <charconv>
+#include <cstring>
+#include <memory>
+
+#include <fmt/format.h>
+#include <openssl/evp.h>
+
+namespace reachlead {
+
+namespace {
+
+constexpr std::size_t wordDigits = 16;
+
+using Hash = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
+
+/// Adds a text with its length ahead, so that no two lists of texts look alike.
+void add(const Hash &hash, std::string_view text)
+{
+    const std::uint64_t size = text.size();
+    EVP_DigestUpdate(hash.get(), &size, sizeof size);
+    EVP_DigestUpdate(hash.get(), text.data(), text.size());
+}
+
+std::optional<std::uint64_t> parseWord(std::string_view text)
+{
+    constexpr int base = 16;
+    std::uint64_t word = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), word, base);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return word;
+}
+
+} // namespace
+
+RequestDigest digestOf(const RequestContent &content)
+{
+    const Hash hash(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
+    EVP_DigestInit_ex(hash.get(), EVP_sha256(), nullptr);
+    add(hash, content.account.text);
+    add(hash, content.host);
+    add(hash, content.target);
+    add(hash, content.body);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
+    EVP_DigestFinal_ex(hash.get(), bytes.data(), nullptr);
+    RequestDigest digest;
+    std::memcpy(digest.words.data(), bytes.data(), sizeof digest.words);
+    return digest;
+}
+
+std::string toString(const RequestDigest &digest)
+{
+    return fmt::format("{:016x}{:016x}", digest.words[0], digest.words[1]);
+}
+
+std::optional<RequestDigest> parseRequestDigest(std::string_view text)
+{
+    if (text.size() != 2 * wordDigits)
+        return std::nullopt;
+    const auto first = parseWord(text.substr(0, wordDigits));
+    const auto second = parseWord(text.substr(wordDigits));
+    if (!first || !second)
+        return std::nullopt;
+    return RequestDigest{{*first, *second}};
+}
+
+} // namespace reachlead
