Requests that end upstreams are kept from all of them, fleet-wide

Cause: each call was judged by itself. A lost upstream made the call a victim that was sent again, and nothing that was learned of the request outlived the call or left its gateway, while the request comes to any gateway. Class: evidence is kept by upstream and by call, never by the content of the work.

Change: a call that lost its upstream has one connection attempt tell whether the process ended (CrashWatch); each such end is counted by the request's content at three gateways that all choose alike (CrashLink, CrashBook); at the third upstream the request is in quarantine for ten minutes: refused as not run at every gateway, told to all at once, in a mark of each beat for those who missed it, and kept in the store for gateways that start. A request that completes is cleared.

Ruled out: a count at each gateway alone (four gateways see three ends each before any acts); a write to the store for each end (a price for each call beside a crash); two ends instead of three (calls that ran beside it are then refused as well).

--- /dev/null
+++ b/src/forward/crashwatch.cpp
@@ -0,0 +1,59 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "crashwatch.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+
+void CrashWatch::lost(const UpstreamEntry &entry, const RequestDigest &request)
+{
+    forgetOld(RuntimeClock::now());
+    if (m_ended.contains(entry.id)) {
+        m_onEnded(request, entry.id);
+        return;
+    }
+    const auto [it, isFirst] = m_open.try_emplace(entry.id);
+    it->second.push_back(request);
+    if (isFirst)
+        asio::co_spawn(m_io, look(entry), asio::detached);
+}
+
+asio::awaitable<void> CrashWatch::look(UpstreamEntry entry)
+{
+    ConnectFailure failure;
+    UpstreamChannelPtr channel = co_await m_pool.connect(entry, connectLimit, &failure);
+    const auto it = m_open.find(entry.id);
+    const std::vector<RequestDigest> requests = std::move(it->second);
+    m_open.erase(it);
+    if (channel)
+        m_pool.giveBack(entry.id, std::move(channel));
+    if (!failure.nobodyListens)
+        co_return;
+    const Time now = RuntimeClock::now();
+    m_ended[entry.id] = now;
+    m_state.book().absent(entry.id, now);
+    m_counters.add(Count::UpstreamsEnded);
+    LogLine(LogLevel::Warn, "upstream-process-ended")
+        .with("upstream", entry.id.text)
+        .with("born", entry.id.born)
+        .with("service", entry.service.text)
+        .with("calls", requests.size());
+    for (const RequestDigest &request : requests)
+        m_onEnded(request, entry.id);
+}
+
+void CrashWatch::forgetOld(Time now)
+{
+    std::erase_if(m_ended, [&](const auto &it) { return it.second + knownFor < now; });
+}
+
+} // namespace reachlead
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -7,6 +7,7 @@
 
 #include <reachlead/log.h>
 
+#include "crashwatch.h"
 #include "refusal.h"
 
 namespace reachlead {
@@ -171,9 +172,31 @@
     co_return placed;
 }
 
+/// What ends the call when its request is known to end upstreams. One such request ended 39 engines
+/// in 18 s, as each call that it came with was sent to another engine after the first was lost.
+std::optional<ForwardDecision> ForwardCall::quarantined()
+{
+    const CrashBook &crashes = m_shared.state.crashes();
+    const Time now = RuntimeClock::now();
+    if (crashes.isQuarantineEmpty(now))
+        return std::nullopt;
+    const auto left = crashes.leftFor(digest(), now);
+    if (!left)
+        return std::nullopt;
+    m_comeBack = left;
+    m_lastReason = "upstreams ended under this request, at whatever gateway it came";
+    if (m_headDelivered)
+        return ForwardDecision{ForwardStep::Cut, ErrorKind::RequestQuarantined};
+    if (m_mayHaveRun)
+        return ForwardDecision{ForwardStep::Fail, ErrorKind::UpstreamLost};
+    return ForwardDecision{ForwardStep::Refuse, ErrorKind::RequestQuarantined};
+}
+
 /// Chooses an upstream and sends once. Nothing: send again; else what ends the call.
 asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendOnce()
 {
+    if (const auto decision = quarantined())
+        co_return decision;
     GatewayState &state = m_shared.state;
     const PlacedChoice placed = co_await choose();
     const std::optional<Choice> &choice = placed.choice;
@@ -272,7 +295,6 @@
     m_exchange.reset();
     m_channel = co_await openChannel(entry);
     if (!m_channel || m_stop != Stop::None) {
-        ++m_misses;
         co_return SendEnd::NotConnected;
     }
     if (m_sends == 0)
@@ -318,6 +340,9 @@
     if (m_exchange && m_lastReason.empty())
         m_lastReason = m_exchange->reason();
     const bool ownStop = m_stop != Stop::None;
+    if (end == SendEnd::Complete && m_digest && m_shared.cleared
+        && m_shared.state.crashes().isSuspect(*m_digest))
+        m_shared.cleared(*m_digest);
     if (end == SendEnd::Complete && !m_facts.prompt.empty())
         book.noteHeld(m_service, RuntimeClock::now() - m_sentAt);
     if (end == SendEnd::Complete || end == SendEnd::OwnFailure)
@@ -353,6 +378,8 @@
         .with("ahead", m_ahead)
         .with("running", m_shared.state.book().loadOf(entry.id, RuntimeClock::now()).running)
         .with("ms", static_cast<std::int64_t>(toMillis(RuntimeClock::now() - m_sentAt)));
+    if (m_shared.crashes != nullptr)
+        m_shared.crashes->lost(entry, digest());
 }
 
 asio::awaitable<bool> ForwardCall::finish(ForwardDecision decision)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -49,6 +49,7 @@
     void stop(Stop why);
 
     // Sends.
+    std::optional<ForwardDecision> quarantined();
     ChoiceAsk makeAsk() const;
     boost::asio::awaitable<PlacedChoice> choose();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <reachlead/counters.h>
+#include <reachlead/crashbook.h>
 #include <reachlead/gatewaystate.h>
 #include <reachlead/latency.h>
 #include <reachlead/placementadviser.h>
@@ -24,6 +25,7 @@
 
 namespace reachlead {
 
+class CrashWatch;
 class ForwardCall;
 
 /// What all calls of a gateway share. One thread.
@@ -39,6 +41,9 @@
     /// Calls at work. Held by each of them, as the last ones end with the event loop.
     std::shared_ptr<std::set<ForwardCall *>> calls = std::make_shared<std::set<ForwardCall *>>();
     PlacementAdviser *adviser = nullptr; ///< chooses upstreams; null: the state's own book
+    CrashWatch *crashes = nullptr; ///< told of calls that lost their upstream; null: nobody is
+    /// Told of a request that completed although an upstream had ended under it; may be empty.
+    std::function<void(const RequestDigest &)> cleared = {};
     /// Told when an upstream began to work on a call of an account; may be empty.
     std::function<void(const AccountName &)> began = {};
     bool stopping = false;
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -52,6 +52,8 @@
     UsageWindowsSent,
     UsageSendsFailed,
     UsageTakeovers,
+    UpstreamsEnded,
+    QuarantinesBegun,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -55,6 +55,7 @@
     UpstreamStalled,
     UpstreamRefused,
     RetryBudgetSpent,
+    RequestQuarantined,
     // Not-repeatable calls.
     ClaimStoreDown,
     KeyInUse,
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include <reachlead/crashbook.h>
 #include <reachlead/routing.h>
 #include <reachlead/routingdelta.h>
 #include <reachlead/upstreamdirectory.h>
@@ -55,6 +56,9 @@
 
     /// The registry answered just now, and all that it had was told.
     virtual void current() = 0;
+
+    /// Requests that end upstreams, as some gateway published them.
+    virtual void quarantineRead(std::vector<QuarantinedRequest> requests) = 0;
 };
 
 /// Reads configuration and registry, and keeps on following them.
@@ -69,6 +73,9 @@
     /// Whether to go on following, or to rest after the first reading until told otherwise.
     virtual void setDuty(bool watches) = 0;
 
+    /// Keeps a quarantine where gateways that start later read it.
+    virtual void publish(const QuarantinedRequest &request) = 0;
+
     /// Ends all calls.
     virtual void stop() = 0;
 };
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include <reachlead/crashbook.h>
 #include <reachlead/fleetsource.h>
 #include <reachlead/placementgroups.h>
 #include <reachlead/retryshare.h>
@@ -49,6 +50,10 @@
     void gatewaysChanged(std::vector<GatewayEntry> all) override;
     void contactChanged(bool inContact) override;
     void current() override;
+    void quarantineRead(std::vector<QuarantinedRequest> requests) override;
+
+    /// Takes up requests that others know to be in quarantine.
+    void learnQuarantine(const std::vector<QuarantinedRequest> &requests, std::string_view source);
 
     /// What another gateway told: the same, where it is newer.
     void peerTold(const VmName &peer, const GatewayNews &news);
@@ -79,6 +84,7 @@
     const VmName &vm() const { return m_options.vm; }
     const ZoneName &zone() const { return m_options.zone; }
     RetryShare &retries() { return m_retries; }
+    CrashBook &crashes() { return m_crashes; }
     const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
@@ -110,6 +116,7 @@
     UpstreamBook m_book;
     PlacementGroups m_groups;
     RetryShare m_retries;
+    CrashBook m_crashes;
     std::vector<GatewayEntry> m_gateways;
     std::size_t m_heardGateways = 1;
     std::optional<Time> m_currentAt;
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -26,7 +26,8 @@
     "placements_answered", "placements_unanswered",
     "placements_given",    "placements_declined",
     "entries_unreadable",  "usage_windows_sent",
-    "usage_sends_failed",  "usage_takeovers"};
+    "usage_sends_failed",  "usage_takeovers",
+    "upstreams_ended",     "quarantines_begun"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -65,6 +65,8 @@
     {UpstreamRefused, "upstream-refused", 502, notRun, soon, "The upstream refused the request."},
     {RetryBudgetSpent, "retry-budget-spent", 503, notRun, later,
      "Too many retries are under way for this class."},
+    {RequestQuarantined, "request-quarantined", 503, notRun, muchLater,
+     "Upstreams ended while they ran this very request, so it is sent to none."},
     {ClaimStoreDown, "claim-store-down", 503, notRun, muchLater,
      "The key could not be claimed, so the call was not made."},
     {KeyInUse, "key-in-use", 409, notRun, soon, "A request with this key is in progress."},
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -87,6 +87,24 @@
     m_currentAt = now();
 }
 
+void GatewayState::quarantineRead(std::vector<QuarantinedRequest> requests)
+{
+    learnQuarantine(requests, "platform");
+}
+
+void GatewayState::learnQuarantine(const std::vector<QuarantinedRequest> &requests,
+                                   std::string_view source)
+{
+    for (const QuarantinedRequest &it : requests) {
+        if (!m_crashes.learn(it.request, milliseconds(it.leftMs), now()))
+            continue;
+        LogLine(LogLevel::Warn, "quarantine-learned")
+            .with("request", toString(it.request))
+            .with("left_ms", it.leftMs)
+            .with("source", source);
+    }
+}
+
 void GatewayState::vouched(Time at)
 {
     m_duty.vouched(at);
--- /dev/null
+++ b/src/peer/crashlink.cpp
@@ -0,0 +1,131 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/crashlink.h"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+#include <cereal/types/optional.hpp>
+#include <cereal/types/vector.hpp>
+#include <xxhash.h>
+
+#include <reachlead/log.h>
+
+#include "peer/payload.h"
+
+namespace reachlead {
+
+std::vector<VmName> countersFor(const RequestDigest &request, const std::vector<VmName> &all,
+                                std::size_t n)
+{
+    std::vector<std::pair<std::uint64_t, VmName>> ranked;
+    ranked.reserve(all.size());
+    std::ranges::transform(all, std::back_inserter(ranked), [&](const VmName &vm) {
+        return std::pair(XXH64(vm.text.data(), vm.text.size(), request.words[0]), vm);
+    });
+    std::ranges::sort(ranked);
+    ranked.resize(std::min(n, ranked.size()));
+    std::vector<VmName> first;
+    std::ranges::transform(ranked, std::back_inserter(first), [](auto &it) { return it.second; });
+    return first;
+}
+
+CrashLink::CrashLink(GatewayState &state, GatewayPeers &peers, Counters *counters, Publish publish)
+    : m_state(state), m_peers(peers), m_counters(counters), m_publish(std::move(publish))
+{
+    m_peers.onDatagram({SealedKind::CrashWord, SealedKind::Quarantine},
+                       [this](SealedKind kind, std::string_view message,
+                              const UdpEndpoint & /*from*/) { take(kind, message); });
+    m_peers.onMark([this](std::uint64_t mark, const Endpoint &peer) { compareMark(mark, peer); });
+}
+
+void CrashLink::ended(const RequestDigest &request, const UpstreamId &upstream)
+{
+    const CrashWord word{request, tagOf(upstream)};
+    takeWord(word);
+    tellCounters(word);
+}
+
+void CrashLink::completed(const RequestDigest &request)
+{
+    const CrashWord word{request, std::nullopt};
+    takeWord(word);
+    tellCounters(word);
+}
+
+void CrashLink::tellCounters(const CrashWord &word)
+{
+    const std::map<VmName, GatewayEntry> fleet = m_peers.fleet();
+    std::vector<VmName> names;
+    std::ranges::copy(fleet | std::views::keys, std::back_inserter(names));
+    const std::string payload = pvt::encodePayload(word);
+    for (const VmName &vm : countersFor(word.request, names, counters)) {
+        if (vm != m_state.vm())
+            m_peers.sendTo(fleet.at(vm).address, SealedKind::CrashWord, payload);
+    }
+}
+
+void CrashLink::takeWord(const CrashWord &word)
+{
+    CrashBook &book = m_state.crashes();
+    if (!word.ended) {
+        book.completed(word.request);
+        return;
+    }
+    if (book.ended(word.request, *word.ended, RuntimeClock::now()))
+        begin(word.request);
+}
+
+/// Puts a request into quarantine everywhere.
+void CrashLink::begin(const RequestDigest &request)
+{
+    const auto leftMs = static_cast<std::uint32_t>(toMillis(CrashBook::quarantine));
+    LogLine(LogLevel::Warn, "quarantine-began")
+        .with("request", toString(request))
+        .with("ended", CrashBook::crashLimit)
+        .with("left_ms", leftMs);
+    if (m_counters != nullptr)
+        m_counters->add(Count::QuarantinesBegun);
+    const QuarantinedRequest quarantined{request, leftMs};
+    const std::string payload = pvt::encodePayload(std::vector{quarantined});
+    for (const auto &[vm, entry] : m_peers.fleet()) {
+        if (vm != m_state.vm())
+            m_peers.sendTo(entry.address, SealedKind::Quarantine, payload);
+    }
+    if (m_publish)
+        m_publish(quarantined);
+}
+
+void CrashLink::takeQuarantine(const std::vector<QuarantinedRequest> &told)
+{
+    m_state.learnQuarantine(told, "peer");
+}
+
+void CrashLink::compareMark(std::uint64_t mark, const Endpoint &peer)
+{
+    const CrashBook &book = m_state.crashes();
+    const Time now = RuntimeClock::now();
+    if (mark == book.mark(now) || book.isQuarantineEmpty(now))
+        return;
+    m_peers.sendTo(peer, SealedKind::Quarantine, pvt::encodePayload(book.quarantined(now)));
+}
+
+void CrashLink::take(SealedKind kind, std::string_view message)
+{
+    std::string reason;
+    if (kind == SealedKind::CrashWord) {
+        if (const auto word = pvt::decodePayload<CrashWord>(message, &reason))
+            takeWord(*word);
+    } else {
+        using Told = std::vector<QuarantinedRequest>;
+        if (const auto told = pvt::decodePayload<Told>(message, &reason))
+            takeQuarantine(*told);
+    }
+    if (!reason.empty())
+        LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+}
+
+} // namespace reachlead
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -60,6 +60,7 @@
     std::uint64_t registryRevision = 0;
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
     UnixMillis clock = 0; ///< the sender's time of day
+    std::uint64_t quarantineMark = 0; ///< as CrashBook::mark()
     std::vector<TaggedLoad> load;
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
@@ -69,8 +70,8 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, clock, load,
-           openFrom, prompts, sample);
+        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, clock,
+           quarantineMark, load, openFrom, prompts, sample);
     }
 };
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -149,6 +149,7 @@
     if (const auto at = m_state.currentAt())
         beat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
     beat.load = tagLoad(m_state.book().ownLoad());
+    beat.quarantineMark = m_state.crashes().mark(RuntimeClock::now());
     beat.openFrom = m_openAsks ? m_openAsks() : 0;
     m_state.book().told();
     const Time now = RuntimeClock::now();
@@ -360,6 +361,8 @@
     if (fresh)
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
+    if (m_onMark)
+        m_onMark(beat.quarantineMark, beat.from.address);
     m_time.note(beat.from.vm, beat.clock, now);
     m_state.noteGateways(m_peers.size() + 1);
     const Duration valid = m_options.beats.loadAge(m_lastTargets, m_peers.size());
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -93,6 +93,12 @@
     /// Asked for ToldLoad::openFrom of the next beat.
     void tellOpenAsks(std::function<AskNumber()> callback) { m_openAsks = std::move(callback); }
 
+    /// Called with the quarantineMark of each beat and where its sender listens.
+    void onMark(std::function<void(std::uint64_t, const Endpoint &)> callback)
+    {
+        m_onMark = std::move(callback);
+    }
+
     /// Numbers what this life of the gateway sends of its load.
     std::uint64_t nextSequence() { return ++m_sequence; }
 
@@ -156,6 +162,7 @@
     std::map<SealedKind, TakeDatagram> m_takers;
     FleetTime m_time;
     std::function<AskNumber()> m_openAsks;
+    std::function<void(std::uint64_t, const Endpoint &)> m_onMark;
     bool m_fetching = false;
     bool m_stopped = false;
 };
--- a/src/peer/proof.h
+++ b/src/peer/proof.h
@@ -33,7 +33,9 @@
     PlacementAnswer = 'q',
     GroupLoad = 'l',
     UsageAsk = 'v',
-    UsageTold = 'u'
+    UsageTold = 'u',
+    CrashWord = 'c',
+    Quarantine = 'k'
 };
 
 /// A message of gateways with its proof behind it; without keys, the message alone. \p nonce binds
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -73,6 +73,12 @@
       m_shared{m_io, m_state, dialect, m_counters, m_latencies, UpstreamPool(m_io.get_executor())},
       m_forwarder(settings.forwarder, m_shared),
       m_peers(m_io, peerOptions(settings, &m_counters), m_state),
+      m_crashes(m_state, m_peers, &m_counters,
+                [this](const QuarantinedRequest &request) { m_source->publish(request); }),
+      m_crashWatch(m_io, m_shared.pool, m_state, m_counters,
+                   [this](const RequestDigest &request, const UpstreamId &upstream) {
+                       m_crashes.ended(request, upstream);
+                   }),
       m_placement(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
       m_usage(m_io, usageOptions(settings, &m_counters), m_peers, usagePlatform(m_io)),
       m_ready(m_io, settings.ready, [this](HttpAsk ask) { return answerReady(std::move(ask)); }),
@@ -82,6 +88,8 @@
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
     m_shared.adviser = &m_placement;
+    m_shared.crashes = &m_crashWatch;
+    m_shared.cleared = [this](const RequestDigest &request) { m_crashes.completed(request); };
     m_shared.began = [this](const AccountName &account) { m_usage.began(account); };
     m_state.onUpstreamsLeft([this](const std::vector<UpstreamId> &left) {
         std::ranges::for_each(left, [this](const UpstreamId &id) { m_shared.pool.forget(id); });
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -15,8 +15,10 @@
 
 #include <reachlead/http.h>
 
+#include "forward/crashwatch.h"
 #include "forward/forwarder.h"
 #include "gatewaysettings.h"
+#include "peer/crashlink.h"
 #include "peer/gatewaypeers.h"
 #include "peer/placementlink.h"
 #include "peer/usagelink.h"
@@ -58,6 +60,8 @@
     ForwardShared m_shared;
     Forwarder m_forwarder;
     GatewayPeers m_peers;
+    CrashLink m_crashes;
+    CrashWatch m_crashWatch;
     PlacementLink m_placement;
     UsageLink m_usage;
     HttpServer m_ready;
