forward: upstreams where nobody listens no longer use up a call's connection attempts

Cause: after four connection attempts a call was refused, whether each took 300 ms or was refused in a round trip.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -258,6 +258,7 @@
     now.sends = m_sends;
     now.maxAttempts = m_route->maxAttempts;
     now.misses = m_misses;
+    now.absences = m_absences;
     const Duration needed = std::max<Duration>(
         milliseconds(m_route->targetLatencyMs) / targetPartForSend, leastTimeForSend);
     now.timeLeft = timeLeft() > needed;
@@ -295,6 +296,7 @@
     m_exchange.reset();
     m_channel = co_await openChannel(entry);
     if (!m_channel || m_stop != Stop::None) {
+        ++(m_nobodyListened ? m_absences : m_misses);
         co_return SendEnd::NotConnected;
     }
     if (m_sends == 0)
@@ -475,6 +477,7 @@
         .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
         .with("sends", m_sends)
         .with("misses", m_misses)
+        .with("absences", m_absences)
         .with("prompt", m_facts.promptTokens)
         .with("to_read", m_toRead)
         .with("ahead", m_ahead)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -101,7 +101,8 @@
 
     std::set<UpstreamId> m_tried;
     unsigned m_sends = 0; ///< that may have reached an upstream
-    unsigned m_misses = 0; ///< that never left
+    unsigned m_misses = 0; ///< that never left, as in ForwardState
+    unsigned m_absences = 0; ///< as in ForwardState
     bool m_mayHaveRun = false;
     UpstreamId m_lastUpstream;
     std::string m_lastReason;
--- a/src/include/reachlead/forwardpolicy.h
+++ b/src/include/reachlead/forwardpolicy.h
@@ -37,7 +37,8 @@
     unsigned sends = 0; ///< that may have reached an upstream, this one included
     unsigned maxAttempts = 1;
     bool mayHaveRun = false; ///< an earlier send ended without proof that it did not run
-    unsigned misses = 0; ///< sends that never left
+    unsigned misses = 0; ///< sends that never left, as no connection opened in time
+    unsigned absences = 0; ///< sends that never left, as nobody listens at the upstream's address
     bool retryLeft = false; ///< the retry budget has one more
     bool timeLeft = false; ///< enough for another send to be of use
     bool othersLeft = false; ///< an upstream that was not tried is there
@@ -61,7 +62,13 @@
 /// Decides what follows a send. Pure.
 ForwardDecision afterSend(SendEnd end, const ForwardState &state);
 
-/// The most sends that never left before a call is refused: each costs a connection attempt.
+/// The most sends that never left before a call is refused: each may cost the caller the whole
+/// limit of a connection attempt.
 inline constexpr unsigned mostMisses = 4;
 
+/// The same where nobody listened, which shows in one round trip. After some upstreams ended at
+/// once, the registry names them for seconds: with a bound of 4 a call was refused although 12 of
+/// 16 upstreams would have served it.
+inline constexpr unsigned mostAbsences = 16;
+
 } // namespace reachlead
--- a/src/libreachlead/forwardpolicy.cpp
+++ b/src/libreachlead/forwardpolicy.cpp
@@ -45,7 +45,7 @@
     if (!state.timeLeft || !state.othersLeft)
         return false;
     if (end == SendEnd::NotConnected)
-        return state.misses < mostMisses;
+        return state.misses < mostMisses && state.absences < mostAbsences;
     if (state.sends >= state.maxAttempts || !state.retryLeft)
         return false;
     return rowOf(end).provesNotRun || isRepeatable(state);
--- a/src/libreachlead/forwardpolicy_test.cpp
+++ b/src/libreachlead/forwardpolicy_test.cpp
@@ -41,6 +41,7 @@
                         state.sends = sends;
                         state.maxAttempts = 2;
                         state.misses = sends;
+                        state.absences = sends * mostAbsences / 3;
                         const auto sent = static_cast<SendEnd>(end);
                         check(sent, state, afterSend(sent, state));
                     }
@@ -92,7 +93,7 @@
                 return;
             CPPUNIT_ASSERT(state.timeLeft && state.othersLeft);
             if (end == SendEnd::NotConnected)
-                CPPUNIT_ASSERT(state.misses < mostMisses);
+                CPPUNIT_ASSERT(state.misses < mostMisses && state.absences < mostAbsences);
             else
                 CPPUNIT_ASSERT(state.sends < state.maxAttempts && state.retryLeft);
         });
