clock: the time for which a VM was suspended counts

Cause: the runtime's clock was the monotonic one, which stands still while a VM is suspended. A holder of the usage duty that woke would have found its write as young as before (UsageDuty::sendSpan) and sent a report with a token that others had passed; the state of the fleet would have counted as current. Change: the clock since boot.

--- a/src/include/reachlead/clock.h
+++ b/src/include/reachlead/clock.h
@@ -14,6 +14,10 @@
 namespace reachlead {
 
 /// A monotonic clock that can be paused. Thread-safe.
+///
+/// It counts the time for which the VM was suspended, which the usual monotonic clock does not: by
+/// that one a holder of a lease that was suspended past the lease's end would find it still held,
+/// and the state of the fleet as of before would still count as current.
 class RuntimeClock
 {
 public:
--- a/src/libreachlead/clock.cpp
+++ b/src/libreachlead/clock.cpp
@@ -3,6 +3,8 @@
 
 #include <reachlead/clock.h>
 
+#include <ctime>
+
 namespace reachlead {
 
 std::atomic<bool> RuntimeClock::s_paused{false};
@@ -12,7 +14,9 @@
 {
     if (s_paused.load(std::memory_order_acquire))
         return time_point(duration(s_pausedAt.load(std::memory_order_acquire)));
-    return time_point(std::chrono::steady_clock::now().time_since_epoch());
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(seconds(now.tv_sec) + duration(now.tv_nsec));
 }
 
 void RuntimeClock::pause(time_point at)
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -122,9 +122,9 @@
 void AgentDaemon::stop()
 {
     m_sessions->post([](AgentCore &core) { core.drain(); });
-    const auto limit = std::chrono::steady_clock::now() + m_settings.stopLimit;
+    const auto limit = RuntimeClock::now() + m_settings.stopLimit;
     bool idle = false;
-    while (!idle && std::chrono::steady_clock::now() < limit) {
+    while (!idle && RuntimeClock::now() < limit) {
         idle = m_sessions->ask<bool>([](AgentCore &core) { return core.idle(); }).get();
         if (!idle)
             std::this_thread::sleep_for(stopPoll);
--- a/src/reachlead-router/routerdaemon.cpp
+++ b/src/reachlead-router/routerdaemon.cpp
@@ -96,8 +96,8 @@
     m_callers->beginStop();
     std::this_thread::sleep_for(m_settings.stopNotice);
     m_callers->stopAccepting();
-    const auto limit = std::chrono::steady_clock::now() + m_settings.stopLimit;
-    while (m_callers->busyConnections() > 0 && std::chrono::steady_clock::now() < limit)
+    const auto limit = RuntimeClock::now() + m_settings.stopLimit;
+    while (m_callers->busyConnections() > 0 && RuntimeClock::now() < limit)
         std::this_thread::sleep_for(stopPoll);
     const std::size_t left = m_callers->busyConnections();
     LogLine(left == 0 ? LogLevel::Info : LogLevel::Warn, "stopped").with("cut_off", left);
--- a/src/reachlead/fleetcommands.cpp
+++ b/src/reachlead/fleetcommands.cpp
@@ -103,7 +103,7 @@
 
 Exit waitInForce(const Context &context, ObjectVersion version)
 {
-    const auto limit = std::chrono::steady_clock::now() + context.wait;
+    const auto limit = RuntimeClock::now() + context.wait;
     std::vector<std::string> lagging;
     do {
         lagging.clear();
@@ -119,7 +119,7 @@
             return Exit::Good;
         }
         std::this_thread::sleep_for(poll);
-    } while (std::chrono::steady_clock::now() < limit);
+    } while (RuntimeClock::now() < limit);
     std::cerr << fmt::format("written, but not seen in force at: {}\n", fmt::join(lagging, ", "));
     return Exit::NotInForce;
 }
