tests: requests that end upstreams, without whole programs

Counting by content in any order of words (property), ends seen at three gateways adding up at a fourth that saw none, a gateway that starts later, strangers, connections that only broke, calls beside such a request.

--- /dev/null
+++ b/src/libreachlead/crashbook_test.cpp
@@ -0,0 +1,169 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <ranges>
+
+#include <rapidcheck.h>
+
+#include <reachlead/crashbook.h>
+
+namespace reachlead {
+
+/// Which requests are kept from upstreams, and for how long.
+class CrashBookTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashBookTest);
+    CPPUNIT_TEST(contentNamesARequest);
+    CPPUNIT_TEST(digestComesBackFromItsText);
+    CPPUNIT_TEST(thirdUpstreamBeginsTheQuarantine);
+    CPPUNIT_TEST(oneUpstreamCountsOnce);
+    CPPUNIT_TEST(requestThatCompletesIsCleared);
+    CPPUNIT_TEST(oneMoreEndRenewsAQuarantine);
+    CPPUNIT_TEST(whatOthersSayIsBounded);
+    CPPUNIT_TEST(manySuspectsTakeNoMoreRoom);
+    CPPUNIT_TEST(marksAgreeWhereQuarantinesDo);
+    CPPUNIT_TEST(anyOrderOfWordsLeadsToTheSame);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+
+    static RequestDigest request(std::string_view body, const std::string &account = "a")
+    {
+        return digestOf({AccountName(account), "h", "/p", body});
+    }
+
+    /// A book with so many upstreams ended under a request.
+    static CrashBook bookWith(std::string_view body, std::size_t ends)
+    {
+        CrashBook book;
+        for (std::size_t n = 0; n < ends; ++n)
+            book.ended(request(body), static_cast<UpstreamTagNumber>(n), start);
+        return book;
+    }
+
+    void contentNamesARequest()
+    {
+        CPPUNIT_ASSERT(request("x") == request("x"));
+        CPPUNIT_ASSERT(request("x") != request("y"));
+        CPPUNIT_ASSERT(request("x", "a") != request("x", "b"));
+        const RequestDigest joined = digestOf({AccountName("ah"), "", "/p", "x"});
+        CPPUNIT_ASSERT(joined != request("x"));
+    }
+
+    void digestComesBackFromItsText()
+    {
+        const RequestDigest digest = request("x");
+        CPPUNIT_ASSERT(parseRequestDigest(toString(digest)) == digest);
+        for (const std::string_view text : {"", "12", "zz", "0123456789abcdef0123456789abcdeg"})
+            CPPUNIT_ASSERT(!parseRequestDigest(text));
+    }
+
+    void thirdUpstreamBeginsTheQuarantine()
+    {
+        CrashBook book = bookWith("bad", 2);
+        CPPUNIT_ASSERT(!book.leftFor(request("bad"), start));
+        CPPUNIT_ASSERT(book.ended(request("bad"), 2, start));
+        CPPUNIT_ASSERT(book.leftFor(request("bad"), start) == CrashBook::quarantine);
+        CPPUNIT_ASSERT(!book.ended(request("bad"), 3, start)); // known already
+        CPPUNIT_ASSERT(!book.leftFor(request("good"), start));
+        CPPUNIT_ASSERT(!book.leftFor(request("bad"), start + CrashBook::quarantine));
+    }
+
+    void oneUpstreamCountsOnce()
+    {
+        CrashBook book;
+        for (int n = 0; n < 10; ++n)
+            CPPUNIT_ASSERT(!book.ended(request("bad"), 7, start));
+    }
+
+    /// It ran beside another one, and its upstream was lost for that one's sake.
+    void requestThatCompletesIsCleared()
+    {
+        CrashBook book = bookWith("beside", 2);
+        book.completed(request("beside"));
+        CPPUNIT_ASSERT(!book.isSuspect(request("beside")));
+        CPPUNIT_ASSERT(!book.ended(request("beside"), 2, start));
+    }
+
+    void oneMoreEndRenewsAQuarantine()
+    {
+        CrashBook book = bookWith("bad", 3);
+        const Time after = start + CrashBook::quarantine + seconds(1);
+        CPPUNIT_ASSERT(book.isQuarantineEmpty(after));
+        CPPUNIT_ASSERT(book.ended(request("bad"), 9, after));
+        CPPUNIT_ASSERT(book.leftFor(request("bad"), after).has_value());
+    }
+
+    void whatOthersSayIsBounded()
+    {
+        CrashBook book;
+        CPPUNIT_ASSERT(!book.learn(request("bad"), Duration{}, start));
+        CPPUNIT_ASSERT(book.learn(request("bad"), std::chrono::hours(100), start));
+        CPPUNIT_ASSERT(!book.learn(request("bad"), seconds(5), start));
+        CPPUNIT_ASSERT(book.leftFor(request("bad"), start) == CrashBook::quarantine);
+        for (std::size_t n = 0; n < 2 * CrashBook::mostQuarantined; ++n)
+            book.learn(request(std::to_string(n)), seconds(1 + n), start);
+        CPPUNIT_ASSERT_EQUAL(CrashBook::mostQuarantined, book.quarantined(start).size());
+        CPPUNIT_ASSERT(book.leftFor(request("bad"), start).has_value());
+    }
+
+    /// Engines that end in numbers take many calls with them, none of which did anything.
+    void manySuspectsTakeNoMoreRoom()
+    {
+        CrashBook book = bookWith("old", 2);
+        for (std::size_t n = 0; n < 2 * CrashBook::mostSuspects; ++n)
+            book.ended(request(std::to_string(n)), 1, start + milliseconds(n + 1));
+        CPPUNIT_ASSERT_EQUAL(CrashBook::mostSuspects, book.suspects());
+        CPPUNIT_ASSERT(!book.isSuspect(request("old")));
+    }
+
+    void marksAgreeWhereQuarantinesDo()
+    {
+        CrashBook one = bookWith("bad", 3);
+        CrashBook other;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, other.mark(start));
+        CPPUNIT_ASSERT(one.mark(start) != other.mark(start));
+        for (const QuarantinedRequest &it : one.quarantined(start))
+            other.learn(it.request, milliseconds(it.leftMs), start);
+        CPPUNIT_ASSERT_EQUAL(one.mark(start), other.mark(start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, one.mark(start + CrashBook::quarantine));
+    }
+
+    /// Datagrams overtake each other: what is in quarantine depends on what was told alone.
+    void anyOrderOfWordsLeadsToTheSame()
+    {
+        const bool good = rc::check("order of ends", [] {
+            auto ends = *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
+                rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0U, 5U)));
+            const auto markOf = [](const std::vector<std::pair<int, unsigned>> &all) {
+                CrashBook book;
+                for (const auto &[content, upstream] : all)
+                    book.ended(request(std::to_string(content)), upstream, start);
+                return book.mark(start);
+            };
+            const std::uint64_t mark = markOf(ends);
+            std::ranges::reverse(ends);
+            RC_ASSERT(markOf(ends) == mark);
+            for (int content = 0; content < 4; ++content) {
+                std::set<unsigned> distinct;
+                for (const auto &[it, upstream] : ends) {
+                    if (it == content)
+                        distinct.insert(upstream);
+                }
+                CrashBook book;
+                for (const auto &[it, upstream] : ends)
+                    book.ended(request(std::to_string(it)), upstream, start);
+                RC_ASSERT(book.leftFor(request(std::to_string(content)), start).has_value()
+                          == (distinct.size() >= CrashBook::crashLimit));
+            }
+        });
+        CPPUNIT_ASSERT(good);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashBookTest);
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/crashlink_test.cpp
@@ -0,0 +1,195 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <vector>
+
+#include "peer/crashlink.h"
+
+namespace reachlead {
+
+/// What gateways know together of requests that end upstreams.
+class CrashLinkTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashLinkTest);
+    CPPUNIT_TEST(endsSeenAtThreeGatewaysAddUp);
+    CPPUNIT_TEST(gatewayThatStartsLaterLearnsOfIt);
+    CPPUNIT_TEST(gatewayAloneCountsByItself);
+    CPPUNIT_TEST(completedRequestIsClearedEverywhere);
+    CPPUNIT_TEST(strangersWordDoesNotCount);
+    CPPUNIT_TEST(allGatewaysChooseTheSameCounters);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+    static constexpr const char *fleetKey = "the key of this fleet";
+
+    static RequestDigest request(std::string_view body)
+    {
+        return digestOf({AccountName("a"), "h", "/p", body});
+    }
+
+    struct Node
+    {
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
+             std::vector<Endpoint> seeds)
+            : state(stateOptions(vm)), peers(io, options(vm, key, std::move(seeds)), state),
+              link(state, peers, &counters,
+                   [this](const QuarantinedRequest &it) { published.push_back(it); })
+        { }
+        ~Node() { peers.stop(); }
+        Node(const Node &) = delete;
+        Node &operator=(const Node &) = delete;
+
+        static GatewayState::Options stateOptions(const std::string &vm)
+        {
+            GatewayState::Options made;
+            made.vm = VmName(vm);
+            return made;
+        }
+        static GatewayPeers::Options options(const std::string &vm, const std::string &key,
+                                             std::vector<Endpoint> seeds)
+        {
+            GatewayPeers::Options made;
+            made.self = {VmName(vm), {"127.0.0.1", 0}};
+            made.seeds = std::move(seeds);
+            std::string reason;
+            made.keys = FleetKeys::parse(key, &reason).value();
+            return made;
+        }
+        bool refuses(const RequestDigest &it)
+        {
+            return state.crashes().leftFor(it, RuntimeClock::now()).has_value();
+        }
+
+        Counters counters;
+        GatewayState state;
+        GatewayPeers peers;
+        std::vector<QuarantinedRequest> published;
+        CrashLink link;
+    };
+
+    /// Gateways of one fleet on a paused clock, each with the first as its seed.
+    struct Fleet
+    {
+        explicit Fleet(std::size_t n)
+        {
+            RuntimeClock::pause(start);
+            for (std::size_t it = 0; it < n; ++it)
+                add("g" + std::to_string(it), fleetKey);
+            advance(seconds(2));
+        }
+        ~Fleet()
+        {
+            nodes.clear();
+            io.stop();
+            RuntimeClock::resume();
+        }
+
+        Node &add(const std::string &vm, const std::string &key)
+        {
+            std::vector<Endpoint> seeds;
+            if (!nodes.empty())
+                seeds.push_back({"127.0.0.1", nodes.front()->peers.port()});
+            nodes.push_back(std::make_unique<Node>(io, vm, key, seeds));
+            return *nodes.back();
+        }
+        void advance(Duration d)
+        {
+            constexpr Duration step = milliseconds(10);
+            for (Duration moved{}; moved < d; moved += step) {
+                RuntimeClock::advance(step);
+                io.restart();
+                io.run_for(std::chrono::milliseconds(2));
+            }
+        }
+
+        boost::asio::io_context io{1};
+        std::vector<std::unique_ptr<Node>> nodes;
+    };
+
+    /// No gateway saw more than one end; the fourth saw none.
+    void endsSeenAtThreeGatewaysAddUp()
+    {
+        Fleet fleet(4);
+        for (std::size_t n = 0; n < 3; ++n) {
+            fleet.nodes[n]->link.ended(request("bad"), UpstreamId("u" + std::to_string(n)));
+            fleet.advance(milliseconds(30));
+        }
+        std::size_t published = 0;
+        for (const auto &node : fleet.nodes) {
+            CPPUNIT_ASSERT(node->refuses(request("bad")));
+            CPPUNIT_ASSERT(!node->refuses(request("good")));
+            published += node->published.size();
+        }
+        CPPUNIT_ASSERT(published >= 1);
+    }
+
+    void gatewayThatStartsLaterLearnsOfIt()
+    {
+        Fleet fleet(2);
+        for (const char *upstream : {"u0", "u1", "u2"})
+            fleet.nodes[1]->link.ended(request("bad"), UpstreamId(upstream));
+        Node &late = fleet.add("late", fleetKey);
+        CPPUNIT_ASSERT(!late.refuses(request("bad")));
+        fleet.advance(seconds(2));
+        CPPUNIT_ASSERT(late.refuses(request("bad")));
+        CPPUNIT_ASSERT(late.published.empty());
+    }
+
+    void gatewayAloneCountsByItself()
+    {
+        Fleet fleet(1);
+        for (const char *upstream : {"u0", "u1", "u2"})
+            fleet.nodes[0]->link.ended(request("bad"), UpstreamId(upstream));
+        CPPUNIT_ASSERT(fleet.nodes[0]->refuses(request("bad")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.nodes[0]->published.size());
+    }
+
+    void completedRequestIsClearedEverywhere()
+    {
+        Fleet fleet(4);
+        const auto lose = [&](std::size_t node, const char *upstream) {
+            fleet.nodes[node]->link.ended(request("beside"), UpstreamId(upstream));
+            fleet.advance(milliseconds(30));
+        };
+        lose(0, "u0");
+        lose(0, "u1");
+        fleet.nodes[0]->link.completed(request("beside"));
+        fleet.advance(milliseconds(30));
+        lose(0, "u2");
+        lose(0, "u3");
+        for (const auto &node : fleet.nodes)
+            CPPUNIT_ASSERT(!node->refuses(request("beside")));
+    }
+
+    void strangersWordDoesNotCount()
+    {
+        Fleet fleet(1);
+        Node &stranger = fleet.add("stranger", "a key of somebody else");
+        for (const char *upstream : {"u0", "u1", "u2"})
+            stranger.link.ended(request("good"), UpstreamId(upstream));
+        fleet.advance(seconds(2));
+        CPPUNIT_ASSERT(stranger.refuses(request("good")));
+        CPPUNIT_ASSERT(!fleet.nodes[0]->refuses(request("good")));
+    }
+
+    void allGatewaysChooseTheSameCounters()
+    {
+        std::vector<VmName> names;
+        for (int n = 0; n < 30; ++n)
+            names.emplace_back("g" + std::to_string(n));
+        const auto chosen = countersFor(request("bad"), names, CrashLink::counters);
+        CPPUNIT_ASSERT_EQUAL(CrashLink::counters, chosen.size());
+        std::ranges::reverse(names);
+        CPPUNIT_ASSERT(countersFor(request("bad"), names, CrashLink::counters) == chosen);
+        CPPUNIT_ASSERT(countersFor(request("other"), names, CrashLink::counters) != chosen);
+        names.resize(2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, countersFor(request("bad"), names, 3).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashLinkTest);
+
+} // namespace reachlead
