crashbook: calls that complete clear a request that others lost; a fast mark before the proof

Cause: only the call that had lost its upstream itself cleared its request when it completed. A request that many callers ask alike, in flight at three upstreams that ended for other reasons within 20 minutes, would have been kept from upstreams although it completes all the time. Change: each call that completes clears its request where that is suspect. A digest now begins with a fast hash of path and body, so that the proof is made only of requests that may be known.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -122,22 +122,33 @@
     });
 }
 
+RequestContent ForwardCall::content() const
+{
+    const auto host = m_request[http::field::host];
+    const auto target = m_request.target();
+    RequestContent content;
+    if (m_account != nullptr)
+        content.account = m_account->name;
+    content.host = {host.data(), host.size()};
+    content.target = {target.data(), target.size()};
+    content.body = m_request.body();
+    return content;
+}
+
 const RequestDigest &ForwardCall::digest()
 {
-    if (!m_digest) {
-        const auto host = m_request[http::field::host];
-        const auto target = m_request.target();
-        RequestContent content;
-        if (m_account != nullptr)
-            content.account = m_account->name;
-        content.host = {host.data(), host.size()};
-        content.target = {target.data(), target.size()};
-        content.body = m_request.body();
-        m_digest = digestOf(content);
-    }
+    if (!m_digest)
+        m_digest = digestOf(content());
     return *m_digest;
 }
 
+/// Whether upstreams may have ended under this request, here or at gateways that told of it.
+bool ForwardCall::mayBeSuspect() const
+{
+    const CrashBook &crashes = m_shared.state.crashes();
+    return !crashes.isEmpty() && crashes.mayKnow(markOf(content()));
+}
+
 ErrorKind ForwardCall::kindOfStop() const
 {
     if (m_stop == Stop::CallerGone)
@@ -176,11 +187,9 @@
 /// in 18 s, as each call that it came with was sent to another engine after the first was lost.
 std::optional<ForwardDecision> ForwardCall::quarantined()
 {
-    const CrashBook &crashes = m_shared.state.crashes();
-    const Time now = RuntimeClock::now();
-    if (crashes.isQuarantineEmpty(now))
+    if (!mayBeSuspect())
         return std::nullopt;
-    const auto left = crashes.leftFor(digest(), now);
+    const auto left = m_shared.state.crashes().leftFor(digest(), RuntimeClock::now());
     if (!left)
         return std::nullopt;
     m_comeBack = left;
@@ -342,9 +351,9 @@
     if (m_exchange && m_lastReason.empty())
         m_lastReason = m_exchange->reason();
     const bool ownStop = m_stop != Stop::None;
-    if (end == SendEnd::Complete && m_digest && m_shared.cleared
-        && m_shared.state.crashes().isSuspect(*m_digest))
-        m_shared.cleared(*m_digest);
+    if (end == SendEnd::Complete && m_shared.cleared && mayBeSuspect()
+        && m_shared.state.crashes().isSuspect(digest()))
+        m_shared.cleared(digest());
     if (end == SendEnd::Complete && !m_facts.prompt.empty())
         book.noteHeld(m_service, RuntimeClock::now() - m_sentAt);
     if (end == SendEnd::Complete || end == SendEnd::OwnFailure)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -70,7 +70,9 @@
     void noteBegan();
     void notePause(Time now);
     std::string_view missedBound() const;
+    RequestContent content() const;
     const RequestDigest &digest();
+    bool mayBeSuspect() const;
 
     // The answer to the caller.
     boost::asio::awaitable<bool> finish(ForwardDecision decision);
--- a/src/include/reachlead/crashbook.h
+++ b/src/include/reachlead/crashbook.h
@@ -68,6 +68,10 @@
     /// True when upstreams ended under the request lately.
     bool isSuspect(const RequestDigest &request) const { return m_suspects.contains(request); }
 
+    /// False for the mark of a request that is neither suspect nor in quarantine: its proof need
+    /// not be made.
+    bool mayKnow(std::uint64_t mark) const;
+
     /// Another gateway, or the platform's store, says that a request is in quarantine for another
     /// \p left. True when this book did not know.
     bool learn(const RequestDigest &request, Duration left, Time now);
@@ -75,8 +79,9 @@
     /// What is left of a request's quarantine; nothing when it may be sent.
     std::optional<Duration> leftFor(const RequestDigest &request, Time now) const;
 
-    /// Whether any request is in quarantine: only then are contents worth a look.
     bool isQuarantineEmpty(Time now) const;
+    /// Nothing is known of any request.
+    bool isEmpty() const { return m_suspects.empty() && m_quarantined.empty(); }
 
     std::vector<QuarantinedRequest> quarantined(Time now) const;
 
--- a/src/include/reachlead/requestdigest.h
+++ b/src/include/reachlead/requestdigest.h
@@ -6,7 +6,6 @@
 
 #pragma once
 
-#include <array>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -19,15 +18,19 @@
 namespace reachlead {
 
 /// The content of a request. Equal for equal requests of one account, whatever the attempt, the
-/// connection and the gateway. Accounts do not trust each other, so it is a cryptographic hash: no
-/// account can make a request that counts as another one's.
+/// connection and the gateway.
 struct RequestDigest
 {
-    std::array<std::uint64_t, 2> words{};
+    /// A fast hash of path and body: tells most other requests apart before the proof is made,
+    /// which takes some twenty times as long.
+    std::uint64_t mark = 0;
+    /// A part of a cryptographic hash of all: accounts do not trust each other, and none can make a
+    /// request that counts as another one's.
+    std::uint64_t proof = 0;
 
     auto operator<=>(const RequestDigest &) const = default;
 
-    template <class Archive> void serialize(Archive &ar) { ar(words[0], words[1]); }
+    template <class Archive> void serialize(Archive &ar) { ar(mark, proof); }
 };
 
 /// What a digest covers. The method is left out: an upstream is handed the same work by it.
@@ -41,6 +44,9 @@
 
 RequestDigest digestOf(const RequestContent &content);
 
+/// RequestDigest::mark alone.
+std::uint64_t markOf(const RequestContent &content);
+
 /// 32 hex digits, as logs and the platform's store have it.
 std::string toString(const RequestDigest &digest);
 
@@ -53,6 +59,6 @@
 {
     std::size_t operator()(const reachlead::RequestDigest &digest) const noexcept
     {
-        return digest.words[0];
+        return digest.mark;
     }
 };
--- a/src/libreachlead/crashbook.cpp
+++ b/src/libreachlead/crashbook.cpp
@@ -31,6 +31,15 @@
     return true;
 }
 
+bool CrashBook::mayKnow(std::uint64_t mark) const
+{
+    const auto isIn = [mark](const auto &requests) {
+        const auto it = requests.lower_bound(RequestDigest{mark, 0});
+        return it != requests.end() && it->first.mark == mark;
+    };
+    return isIn(m_suspects) || isIn(m_quarantined);
+}
+
 /// Drops suspects that are too old, and the oldest one where there are too many.
 void CrashBook::makeRoom(Time now)
 {
@@ -90,7 +99,7 @@
     std::uint64_t mark = 0;
     for (const auto &[request, until] : m_quarantined) {
         if (until > now)
-            mark ^= request.words[0] ^ request.words[1];
+            mark ^= request.mark ^ request.proof;
     }
     return mark;
 }
--- a/src/libreachlead/requestdigest.cpp
+++ b/src/libreachlead/requestdigest.cpp
@@ -3,12 +3,14 @@
 
 #include <reachlead/requestdigest.h>
 
+#include <array>
 #include <charconv>
 #include <cstring>
 #include <memory>
 
 #include <fmt/format.h>
 #include <openssl/evp.h>
+#include <xxhash.h>
 
 namespace reachlead {
 
@@ -49,13 +51,20 @@
     std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
     EVP_DigestFinal_ex(hash.get(), bytes.data(), nullptr);
     RequestDigest digest;
-    std::memcpy(digest.words.data(), bytes.data(), sizeof digest.words);
+    digest.mark = markOf(content);
+    std::memcpy(&digest.proof, bytes.data(), sizeof digest.proof);
     return digest;
 }
 
+std::uint64_t markOf(const RequestContent &content)
+{
+    const std::uint64_t seed = XXH64(content.target.data(), content.target.size(), 0);
+    return XXH64(content.body.data(), content.body.size(), seed);
+}
+
 std::string toString(const RequestDigest &digest)
 {
-    return fmt::format("{:016x}{:016x}", digest.words[0], digest.words[1]);
+    return fmt::format("{:016x}{:016x}", digest.mark, digest.proof);
 }
 
 std::optional<RequestDigest> parseRequestDigest(std::string_view text)
@@ -66,7 +75,7 @@
     const auto second = parseWord(text.substr(wordDigits));
     if (!first || !second)
         return std::nullopt;
-    return RequestDigest{{*first, *second}};
+    return RequestDigest{*first, *second};
 }
 
 } // namespace reachlead
--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -24,7 +24,7 @@
     std::vector<std::pair<std::uint64_t, VmName>> ranked;
     ranked.reserve(all.size());
     std::ranges::transform(all, std::back_inserter(ranked), [&](const VmName &vm) {
-        return std::pair(XXH64(vm.text.data(), vm.text.size(), request.words[0]), vm);
+        return std::pair(XXH64(vm.text.data(), vm.text.size(), request.proof), vm);
     });
     std::ranges::sort(ranked);
     ranked.resize(std::min(n, ranked.size()));
