crashbook: ends under a request that are far apart do not add up

Cause: a suspect was forgotten only where the table was full, not after its time as documented, so a popular request that is in flight whenever some upstream ends would have been put into quarantine in the end. Test first: endsFarApartDoNotAddUp (failed at the third end). Lint of a test.

--- a/src/include/reachlead/crashbook.h
+++ b/src/include/reachlead/crashbook.h
@@ -88,6 +88,9 @@
     /// Equal at gateways that have the same requests in quarantine; 0 for none.
     std::uint64_t mark(Time now) const;
 
+    /// Drops suspects and quarantines whose time is over.
+    void forgetOld(Time now);
+
     std::size_t suspects() const { return m_suspects.size(); }
 
 private:
@@ -97,7 +100,7 @@
         Time last{};
     };
 
-    void makeRoom(Time now);
+    void makeRoom();
     void keep(const RequestDigest &request, Time until, Time now);
 
     std::map<RequestDigest, Suspect> m_suspects;
--- a/src/libreachlead/crashbook.cpp
+++ b/src/libreachlead/crashbook.cpp
@@ -19,8 +19,9 @@
 
 bool CrashBook::ended(const RequestDigest &request, UpstreamTagNumber upstream, Time now)
 {
+    forgetOld(now);
     if (!m_suspects.contains(request))
-        makeRoom(now);
+        makeRoom();
     Suspect &suspect = m_suspects[request];
     suspect.last = now;
     if (suspect.ended.size() < mostEndsKept)
@@ -40,12 +41,15 @@
     return isIn(m_suspects) || isIn(m_quarantined);
 }
 
-/// Drops suspects that are too old, and the oldest one where there are too many.
-void CrashBook::makeRoom(Time now)
+void CrashBook::forgetOld(Time now)
 {
-    if (m_suspects.size() < mostSuspects)
-        return;
     std::erase_if(m_suspects, [&](const auto &it) { return it.second.last + suspicion < now; });
+    std::erase_if(m_quarantined, [&](const auto &it) { return it.second <= now; });
+}
+
+/// Drops the suspect whose last end is longest ago, where there are too many.
+void CrashBook::makeRoom()
+{
     if (m_suspects.size() < mostSuspects)
         return;
     const auto oldest =
@@ -55,7 +59,7 @@
 
 void CrashBook::keep(const RequestDigest &request, Time until, Time now)
 {
-    std::erase_if(m_quarantined, [&](const auto &it) { return it.second <= now; });
+    forgetOld(now);
     m_quarantined[request] = until;
     if (m_quarantined.size() > mostQuarantined)
         m_quarantined.erase(
--- a/src/libreachlead/crashbook_test.cpp
+++ b/src/libreachlead/crashbook_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(oneUpstreamCountsOnce);
     CPPUNIT_TEST(requestThatCompletesIsCleared);
     CPPUNIT_TEST(oneMoreEndRenewsAQuarantine);
+    CPPUNIT_TEST(endsFarApartDoNotAddUp);
     CPPUNIT_TEST(whatOthersSayIsBounded);
     CPPUNIT_TEST(manySuspectsTakeNoMoreRoom);
     CPPUNIT_TEST(marksAgreeWhereQuarantinesDo);
@@ -97,6 +98,19 @@
         CPPUNIT_ASSERT(book.leftFor(request("bad"), after).has_value());
     }
 
+    /// Upstreams end now and then, and a popular request is always in flight somewhere.
+    void endsFarApartDoNotAddUp()
+    {
+        CrashBook book;
+        Time now = start;
+        for (UpstreamTagNumber upstream = 0; upstream < 10; ++upstream) {
+            CPPUNIT_ASSERT(!book.ended(request("popular"), upstream, now));
+            now += CrashBook::suspicion + seconds(1);
+        }
+        book.forgetOld(now);
+        CPPUNIT_ASSERT(book.isEmpty());
+    }
+
     void whatOthersSayIsBounded()
     {
         CrashBook book;
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -146,6 +146,7 @@
 void GatewayState::tick()
 {
     noteChange(m_directory.expire(now()), "missing-after-outage");
+    m_crashes.forgetOld(now());
 }
 
 bool GatewayState::isReady() const
--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -177,8 +177,10 @@
 
     void allGatewaysChooseTheSameCounters()
     {
+        constexpr int gateways = 30;
         std::vector<VmName> names;
-        for (int n = 0; n < 30; ++n)
+        names.reserve(gateways);
+        for (int n = 0; n < gateways; ++n)
             names.emplace_back("g" + std::to_string(n));
         const auto chosen = countersFor(request("bad"), names, CrashLink::counters);
         CPPUNIT_ASSERT_EQUAL(CrashLink::counters, chosen.size());
