--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -18,8 +18,8 @@
 
 namespace reachlead {
 
-std::vector<VmName> countersFor(const RequestDigest &request, const std::vector<VmName> &all,
-                                std::size_t n)
+std::vector<VmName> collectorsFor(const RequestDigest &request, const std::vector<VmName> &all,
+                                  std::size_t n)
 {
     std::vector<std::pair<std::uint64_t, VmName>> ranked;
     ranked.reserve(all.size());
@@ -46,23 +46,23 @@
 {
     const CrashWord word{request, tagOf(upstream)};
     takeWord(word);
-    tellCounters(word);
+    tellCollectors(word);
 }
 
 void CrashLink::completed(const RequestDigest &request)
 {
     const CrashWord word{request, std::nullopt};
     takeWord(word);
-    tellCounters(word);
+    tellCollectors(word);
 }
 
-void CrashLink::tellCounters(const CrashWord &word)
+void CrashLink::tellCollectors(const CrashWord &word)
 {
     const std::map<VmName, GatewayEntry> fleet = m_peers.fleet();
     std::vector<VmName> names;
     std::ranges::copy(fleet | std::views::keys, std::back_inserter(names));
     const std::string payload = pvt::encodePayload(word);
-    for (const VmName &vm : countersFor(word.request, names, counters)) {
+    for (const VmName &vm : collectorsFor(word.request, names, collectors)) {
         if (vm != m_state.vm())
             m_peers.sendTo(fleet.at(vm).address, SealedKind::CrashWord, payload);
     }
--- a/src/peer/crashlink.h
+++ b/src/peer/crashlink.h
@@ -52,12 +52,12 @@
 
     /// Gateways that count for a request: a datagram may be lost and a gateway may end, so each
     /// word goes to more than one.
-    static constexpr std::size_t counters = 3;
+    static constexpr std::size_t collectors = 3;
 
 private:
     using UdpEndpoint = boost::asio::ip::udp::endpoint;
 
-    void tellCounters(const CrashWord &word);
+    void tellCollectors(const CrashWord &word);
     void takeWord(const CrashWord &word);
     void begin(const RequestDigest &request);
     void takeQuarantine(const std::vector<QuarantinedRequest> &told);
@@ -71,7 +71,7 @@
 };
 
 /// The first \p n of \p all for a request, in an order that all gateways share.
-std::vector<VmName> countersFor(const RequestDigest &request, const std::vector<VmName> &all,
-                                std::size_t n);
+std::vector<VmName> collectorsFor(const RequestDigest &request, const std::vector<VmName> &all,
+                                  std::size_t n);
 
 } // namespace reachlead
--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -19,7 +19,7 @@
     CPPUNIT_TEST(gatewayAloneCountsByItself);
     CPPUNIT_TEST(completedRequestIsClearedEverywhere);
     CPPUNIT_TEST(strangersWordDoesNotCount);
-    CPPUNIT_TEST(allGatewaysChooseTheSameCounters);
+    CPPUNIT_TEST(allGatewaysChooseTheSameCollectors);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -175,20 +175,20 @@
         CPPUNIT_ASSERT(!fleet.nodes[0]->refuses(request("good")));
     }
 
-    void allGatewaysChooseTheSameCounters()
+    void allGatewaysChooseTheSameCollectors()
     {
         constexpr int gateways = 30;
         std::vector<VmName> names;
         names.reserve(gateways);
         for (int n = 0; n < gateways; ++n)
             names.emplace_back("g" + std::to_string(n));
-        const auto chosen = countersFor(request("bad"), names, CrashLink::counters);
-        CPPUNIT_ASSERT_EQUAL(CrashLink::counters, chosen.size());
+        const auto chosen = collectorsFor(request("bad"), names, CrashLink::collectors);
+        CPPUNIT_ASSERT_EQUAL(CrashLink::collectors, chosen.size());
         std::ranges::reverse(names);
-        CPPUNIT_ASSERT(countersFor(request("bad"), names, CrashLink::counters) == chosen);
-        CPPUNIT_ASSERT(countersFor(request("other"), names, CrashLink::counters) != chosen);
+        CPPUNIT_ASSERT(collectorsFor(request("bad"), names, CrashLink::collectors) == chosen);
+        CPPUNIT_ASSERT(collectorsFor(request("other"), names, CrashLink::collectors) != chosen);
         names.resize(2);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, countersFor(request("bad"), names, 3).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, collectorsFor(request("bad"), names, 3).size());
     }
 };
 
