testsuite: a process that starts again is not taken for its earlier life

The output of a process that starts in the background is truncated by its own subshell; on a busy machine the test read 'event=start' and the ports of the process that it had just killed, and asked those. Ruled out: the gateway (its line of start was never looked at). Change: the file is emptied before the start, in start_gateway and in launch, which has the same cause. No check was eased. Conclusion: a fault of the test's harness; the product's was none.

--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -34,6 +34,7 @@
 launch() {
     local name=$1 n
     shift
+    : >"$FLEET_DIR/$name.out" # what an earlier life of that name wrote is not to be taken for this one's
     "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
     PID[$name]=$!
     FLEET_PIDS+=("$!")
--- a/testsuite/gateway.bash
+++ b/testsuite/gateway.bash
@@ -25,6 +25,7 @@
 [stop]
 limit_s = 6
 INI
+    : >"$FLEET_DIR/$name.out" # what an earlier life of that name wrote is not to be taken for this one's
     "$BIN/reachlead-gateway" --settings "$FLEET_DIR/$name.ini" >"$FLEET_DIR/$name.out" &
     PID[$name]=$!
     FLEET_PIDS+=("$!")
