clock: timers look at the clock a hundred milliseconds after a VM wakes

Cause: the kernel's timer that wakes the event loop stands still while the VM is suspended, although the runtime's clock counts that time: a limit of 30 s that passed meanwhile took effect 30 s after the wake. A gateway has timers of 50 ms running, which hid it; router, agent and a lone limit had none. Change: a running timer is looked at each 100 ms at the longest (RuntimeWaitTraits). Measured: ClockTest::timerThatBecameDueMeanwhileFiresSoon failed before (not fired 0.5 s after the wake), passes after.

--- a/src/libreachlead/clock.cpp
+++ b/src/libreachlead/clock.cpp
@@ -3,6 +3,7 @@
 
 #include <reachlead/clock.h>
 
+#include <algorithm>
 #include <ctime>
 
 namespace reachlead {
@@ -44,7 +45,7 @@
 {
     if (d > Duration::zero() && RuntimeClock::paused())
         return milliseconds(1);
-    return d;
+    return std::min<Duration>(d, longestLook);
 }
 
 Duration RuntimeWaitTraits::to_wait_duration(const Time &t)
--- a/src/libreachlead/clock_test.cpp
+++ b/src/libreachlead/clock_test.cpp
@@ -9,6 +9,8 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include <boost/asio/io_context.hpp>
+
 #include <reachlead/clock.h>
 
 namespace {
@@ -34,6 +36,7 @@
 {
     CPPUNIT_TEST_SUITE(ClockTest);
     CPPUNIT_TEST(timeOfASuspensionCounts);
+    CPPUNIT_TEST(timerThatBecameDueMeanwhileFiresSoon);
     CPPUNIT_TEST_SUITE_END();
 
     /// A VM that was suspended for seconds would wake with a monotonic clock that had stood still,
@@ -45,6 +48,23 @@
         suspendedSeconds += suspension.count();
         CPPUNIT_ASSERT(RuntimeClock::now() >= before + suspension);
     }
+
+    /// The kernel's timer for the event loop stands still with the monotonic clock: a limit of 30 s
+    /// that passed meanwhile would be noticed 30 s after the wake.
+    void timerThatBecameDueMeanwhileFiresSoon()
+    {
+        constexpr seconds limit{30};
+        boost::asio::io_context io{1};
+        Timer timer(io);
+        bool hasFired = false;
+        timer.expires_after(limit);
+        timer.async_wait([&](const boost::system::error_code &ec) { hasFired = !ec; });
+        io.run_for(std::chrono::milliseconds(20)); // the wait for the limit is under way
+        suspendedSeconds += limit.count();
+        io.restart();
+        io.run_for(std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT(hasFired);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClockTest);
