clock: the comment on longestLook fits the formatter's line

Change: its lines are broken earlier; no word and no code differ. Measured: make check-format, failed before, clean after.

--- a/src/include/reachlead/clock.h
+++ b/src/include/reachlead/clock.h
@@ -75,9 +75,9 @@
 /// millisecond of real time, a running one each longestLook.
 struct RuntimeWaitTraits
 {
-    /// The kernel's timers stand still while the VM is suspended. Looked at this often, a limit that
-    /// passed meanwhile takes effect a tenth of a second after the wake, before what was under way
-    /// goes on for long.
+    /// The kernel's timers stand still while the VM is suspended. Looked at this often, a limit
+    /// that passed meanwhile takes effect a tenth of a second after the wake, before what was
+    /// under way goes on for long.
     static constexpr Duration longestLook = milliseconds(100);
 
     static Duration to_wait_duration(const Duration &d);
