upstreambook: cold upstreams are fed at the rate that they bear, by all gateways together

An upstream that has just started is empty, so to each chooser it is the least loaded; what it says of being cold was checked and not used. Change: the registry's word of how long an upstream stays cold, and the service's rate, are taken up (ColdPace): the gateway that places for all has 0.8 of the rate, those that choose by themselves share the rest. A scheduler without a choice is asked again, as the next one would not know which calls it had placed. Ruled out: retries (the 14 were first sends of one scheduler).

--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -72,6 +72,7 @@
     std::uint64_t engineMemoryTokens = 0; ///< tokens that an engine's cache holds
     std::uint64_t engineTokenBytes = 0; ///< of one cached token; 0: caches cannot be copied
     double engineLinkMbps = 0; ///< between engines; 0: caches cannot be copied
+    double coldPerSecond = 0; ///< calls that a cold upstream bears, of all callers; 0: any
 
     /// True when an engine can fetch cached parts from another.
     bool canFetch() const { return engineTokenBytes > 0 && engineLinkMbps > 0; }
@@ -79,7 +80,8 @@
     bool operator==(const ServiceInfo &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(name, maxConnections, engineSlots, engineMemoryTokens, engineTokenBytes, engineLinkMbps);
+        ar(name, maxConnections, engineSlots, engineMemoryTokens, engineTokenBytes, engineLinkMbps,
+           coldPerSecond);
     }
 };
 
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include <reachlead/circuit.h>
+#include <reachlead/coldpace.h>
 #include <reachlead/dialect.h>
 #include <reachlead/earlyrefusal.h>
 #include <reachlead/promptcache.h>
@@ -53,6 +55,7 @@
     const std::set<UpstreamId> *group = nullptr;
     Patience patience{};
     bool mayRefuse = false; ///< it was sent nowhere yet, and is no continuation of an answer
+    bool placesForAll = false; ///< the chooser places all gateways' calls to its group
 };
 
 /// Numbers the questions of one life of a gateway, from 1.
@@ -76,6 +79,7 @@
     bool isBrief = false; ///< the prompt is a short one
     std::optional<UpstreamId> fetchFrom; ///< whose cache the shared parts are to be copied from
     TokenCount aheadTokens = 0; ///< that the upstream has to read until the first event
+    Duration coldSpacing{}; ///< until the chooser may take it again while it is cold
     Duration leastWait{}; ///< for what is in front, at the healthy upstream where it is shortest
 };
 
@@ -147,6 +151,13 @@
         : m_zone(std::move(zone)), m_costs(costs), m_quiet(costs.quiet)
     { }
 
+    /// How many gateways there are, and a number of this one's own by which they differ.
+    void setFleet(std::size_t gateways, std::uint64_t own)
+    {
+        m_gateways = std::max<std::size_t>(gateways, 1);
+        m_ownNumber = own;
+    }
+
     /// Follows the directory: forgets upstreams that are gone.
     void keepOnly(const UpstreamDirectory &directory);
 
@@ -242,6 +253,7 @@
         std::uint64_t lastTurn = 0; ///< of all choices, when it was last taken
         bool isReplaced = false; ///< another life answers at its address
         std::map<VmName, Time> reports; ///< of failures there, by other gateways
+        ColdPace cold;
         PromptCache cache;
     };
     struct FreshNote
@@ -315,6 +327,9 @@
                     bool isHealthy) const;
     UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
+    Duration coldSpacing(const ChoiceAsk &ask, const UpstreamId &id) const;
+    bool isTooCold(const ChoiceAsk &ask, const UpstreamEntry &entry, Record *record,
+                   Time now) const;
     const ZoneName &zoneOf(const ChoiceAsk &ask) const;
     static Placement placementOf(const ChoiceAsk &ask);
     void findHome(const ChoiceAsk &ask, const std::vector<Candidate> &among,
@@ -333,6 +348,8 @@
     Costs m_costs;
     std::unordered_map<UpstreamId, Record> m_records;
     std::uint64_t m_turns = 0; ///< choices that were sent
+    std::size_t m_gateways = 1;
+    std::uint64_t m_ownNumber = 0; ///< as in setFleet()
     std::map<ServiceName, ServicePace> m_paces;
     std::map<ServiceName, PaceSample> m_newPace; ///< not told yet
     TokenCount m_untold = 0;
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -65,11 +65,12 @@
     ZoneName zone;
     unsigned slots = 1; ///< requests it works on at once
     bool leaving = false; ///< takes no new work
+    std::uint32_t coldLeftMs = 0; ///< it stayed cold for this long when the entry was written
     std::uint64_t revision = 0; ///< of the entry's last change
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(id, service, address.address, address.port, zone, slots, leaving, revision);
+        ar(id, service, address.address, address.port, zone, slots, leaving, coldLeftMs, revision);
     }
 };
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -15,7 +15,7 @@
     : m_options(options), m_book(options.zone, options.costs), m_groups(options.groupSize),
       m_retries(options.retries), m_duty(options.vm)
 {
-    m_retries.setGateways(options.fewestGateways);
+    noteGateways(m_heardGateways);
     m_duty.begin(now());
 }
 
@@ -64,7 +64,9 @@
 void GatewayState::noteGateways(std::size_t heard)
 {
     m_heardGateways = heard;
-    m_retries.setGateways(std::max({heard, m_gateways.size(), m_options.fewestGateways}));
+    const std::size_t gateways = std::max({heard, m_gateways.size(), m_options.fewestGateways});
+    m_retries.setGateways(gateways);
+    m_book.setFleet(gateways, std::hash<VmName>{}(vm()));
 }
 
 void GatewayState::contactChanged(bool inContact)
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+/// Of the calls that a cold upstream bears, the part of the gateway that places for all: with two
+/// that believe to be it and all others choosing by themselves, any second stays below twice the
+/// rate.
+constexpr double schedulersPart = 0.8;
+
 /// What a finished count gives back, never below zero.
 template <class T> void takeOff(T *value, T n)
 {
@@ -116,6 +121,7 @@
     m_untold += choice.unreadTokens;
     noteParts(&record, ask, choice, now, true);
     record.circuit.sent();
+    record.cold.sent(now, choice.coldSpacing);
 }
 
 /// Takes the parts of a prompt for cached; \p isTold: other gateways are to hear of the new ones.
@@ -147,6 +153,7 @@
     Record &record = m_records[choice.upstream];
     record.lastTurn = ++m_turns;
     noteParts(&record, ask, choice, now, false);
+    record.cold.sent(now, choice.coldSpacing);
     PeerLoad &known = m_peers[peer];
     known.validUntil = std::max(known.validUntil, now + peerLoadAge);
     const UpstreamLoad load{1, choice.unreadTokens, choice.isBrief ? 1U : 0U};
@@ -253,6 +260,39 @@
     return record->reports.size() >= reportsNeeded;
 }
 
+/// Between two calls to a cold upstream. Where one gateway places for all, it has most of the rate
+/// that the upstream bears, and those that choose by themselves share the rest; where none does,
+/// all have equal parts.
+Duration UpstreamBook::coldSpacing(const ChoiceAsk &ask, const UpstreamId &id) const
+{
+    if (ask.info == nullptr || ask.info->coldPerSecond <= 0)
+        return {};
+    const bool isOurs = ask.group == nullptr || ask.group->contains(id);
+    double part = 1.0 / static_cast<double>(m_gateways);
+    if (ask.placesForAll && isOurs)
+        part = schedulersPart;
+    else if (ask.group != nullptr)
+        part *= 1.0 - schedulersPart;
+    return fromSeconds(1.0 / (part * ask.info->coldPerSecond));
+}
+
+/// True for an upstream that is cold and had its share of calls. One that had just started got 15
+/// calls in its first second, of a rate of 5.9.
+bool UpstreamBook::isTooCold(const ChoiceAsk &ask, const UpstreamEntry &entry, Record *record,
+                             Time now) const
+{
+    const Duration spacing = coldSpacing(ask, entry.id);
+    if (spacing == Duration{})
+        return false;
+    constexpr double parts = 256.0; // of a spacing: gateways begin at different ones
+    const std::uint64_t part = (std::hash<UpstreamId>{}(entry.id) ^ m_ownNumber) % 256;
+    Duration phase{};
+    if (!ask.placesForAll)
+        phase = fromSeconds(toSeconds(spacing) * static_cast<double>(part) / parts);
+    record->cold.told(entry.revision, milliseconds(entry.coldLeftMs), phase, now);
+    return !record->cold.allows(now);
+}
+
 void UpstreamBook::replaced(const UpstreamId &id)
 {
     if (const auto it = m_records.find(id); it != m_records.end())
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -187,6 +187,8 @@
         if (ask.tried != nullptr && ask.tried->contains(entry->id))
             continue;
         Record &record = m_records[entry->id];
+        if (isTooCold(ask, *entry, &record, now))
+            continue;
         Candidate candidate;
         candidate.entry = entry;
         candidate.isHealthy = !isFailing(&record, now);
@@ -331,8 +333,10 @@
         if (!best || choice.cost < best->cost)
             best = choice;
     }
-    if (best)
+    if (best) {
         best->leastWait = leastWait.value_or(Duration{});
+        best->coldSpacing = coldSpacing(ask, best->upstream);
+    }
     return best;
 }
 
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -94,7 +94,8 @@
                                          m_state.directory());
     if (group) {
         const VmName scheduler = schedulerFor(*group);
-        if (scheduler != m_state.vm()) {
+        ask.placesForAll = scheduler == m_state.vm();
+        if (!ask.placesForAll) {
             const auto answered = co_await askScheduler(scheduler, *group, ask);
             count(answered ? Count::PlacementsAnswered : Count::PlacementsUnanswered);
             ask.mayRefuse = false; // what this gateway knows by itself is too little to refuse by
@@ -160,7 +161,12 @@
     }
     const bool isPlaced = waiter.answer && waiter.answer->placed;
     if (!isPlaced) {
-        m_asks.missed(number, RuntimeClock::now());
+        // A scheduler that has no upstream to name now is the right one to ask next time: others
+        // do not know which cold upstreams had their share.
+        if (waiter.answer && !waiter.answer->isStopping)
+            m_asks.conclude(number);
+        else
+            m_asks.missed(number, RuntimeClock::now());
         LogLine(LogLevel::Info, "placement-unanswered")
             .with("scheduler", scheduler.text)
             .with("service", group.service.text)
@@ -358,7 +364,9 @@
     wanted.patience = {milliseconds(ask.targetMs), milliseconds(ask.leftMs), ask.isMostUrgent,
                        ask.rank};
     wanted.mayRefuse = ask.mayRefuse;
+    wanted.placesForAll = true;
     PlacedChoice chosen;
+    answer.isStopping = m_stopping;
     if (!m_stopping)
         chosen = choosePatiently(wanted);
     const std::optional<Choice> &choice = chosen.choice;
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(schedulerHearsOfTheEnd);
     CPPUNIT_TEST(goneSchedulerCostsOneWait);
     CPPUNIT_TEST(stoppingSchedulerDeclinesAtOnce);
+    CPPUNIT_TEST(schedulerWithoutAChoiceIsAskedAgain);
     CPPUNIT_TEST(lateAnswerIsNotTaken);
     CPPUNIT_TEST(upstreamThatLeftHereIsNotTaken);
     CPPUNIT_TEST(strangerPlacesNothing);
@@ -257,6 +258,41 @@
                              pair.scheduler->counters.value(Count::PlacementsDeclined));
     }
 
+    /// All upstreams are cold and had their share. Were the scheduler passed over for that, the
+    /// next one would not know of the calls that it placed, and feed them anew.
+    void schedulerWithoutAChoiceIsAskedAgain()
+    {
+        Pair pair;
+        pair.prompt = {{1, 100}, {2, 50}};
+        RoutingConfig config;
+        config.version = 1;
+        config.services.emplace_back();
+        config.services.back().name = ServiceName("llm");
+        config.services.back().coldPerSecond = 1;
+        std::vector<UpstreamEntry> cold = upstreams(upstreamCount);
+        for (UpstreamEntry &entry : cold) {
+            entry.coldLeftMs = 2'000;
+            entry.revision = 2;
+        }
+        for (Node *node : {pair.scheduler.get(), pair.asker.get()}) {
+            node->state.configRead(config);
+            node->state.upstreamsListed(cold, 2);
+        }
+        for (unsigned n = 0; n < 10; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+        }
+        const Counters &counters = pair.scheduler->counters;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{upstreamCount}, counters.value(Count::PlacementsGiven));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10 - upstreamCount},
+                             counters.value(Count::PlacementsDeclined));
+        pair.advance(seconds(2));
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+    }
+
     /// An answer that was held up until its call had gone elsewhere leaves no load behind.
     void lateAnswerIsNotTaken()
     {
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -94,10 +94,11 @@
     AskNumber number = 0;
     std::optional<PlacedCall> placed; ///< none: decide by yourself, unless it is refused
     std::optional<std::uint32_t> comeBackMs; ///< refused until then
+    bool isStopping = false; ///< another gateway is to be asked from now on
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, asker, number, placed, comeBackMs);
+        ar(from, asker, number, placed, comeBackMs, isStopping);
     }
 };
 
