reachlead-load: a request that ends upstreams, at routers with agents (fails)

Cause: what was suspected by reading is so: RouterCore sends a request again after its engine was lost, whatever ended it.

--- a/src/reachlead-load/policyrig.cpp
+++ b/src/reachlead-load/policyrig.cpp
@@ -297,6 +297,21 @@
     }
 }
 
+void Rig::endUpstreamsBy(const std::string &body, Duration downFor)
+{
+    m_endingBody = body;
+    m_endedFor = downFor;
+}
+
+/// The call's content ends the upstream that has begun it.
+void Rig::endBy(AgentBox &agent, const AttemptKey &key)
+{
+    if (!agent.calls.contains(key))
+        return;
+    upstreamEnds.push_back(m_now);
+    crashUpstream(agent.name, m_endedFor);
+}
+
 void Rig::stallUpstream(const std::string &agent, bool stalled)
 {
     m_agents.at(agent)->stalled = stalled;
@@ -465,6 +480,8 @@
     Call call{start.dispatch, standin::planAnswer(start.dispatch->call.body),
               start.dispatch->resumeFrom};
     agent.calls[key] = std::move(call);
+    if (!m_endingBody.empty() && start.dispatch->call.body == m_endingBody)
+        later(agent.speed.prefill / 2, [=, this, &agent] { endBy(agent, key); });
     if (start.dispatch->stream)
         later(agent.speed.prefill, [=, this, &agent] { nextToken(agent, key, incarnation); });
     else
--- a/src/reachlead-load/policyrig.h
+++ b/src/reachlead-load/policyrig.h
@@ -107,6 +107,8 @@
     void crashUpstream(const std::string &agent, Duration downFor);
     void stallUpstream(const std::string &agent, bool stalled);
     void muteHeartbeats(const std::string &agent, bool muted);
+    /// Each upstream that begins a call with this body ends; it is back after \p downFor.
+    void endUpstreamsBy(const std::string &body, Duration downFor);
 
     // ---- the fake platform ----
 
@@ -127,6 +129,7 @@
     std::map<std::pair<AccountName, std::string>, unsigned> runsByKey;
     std::map<VmName, Time> drainedAt;
     std::uint64_t tokensMade = 0;
+    std::vector<Time> upstreamEnds; ///< by a call's content
     Counters counters;
 
     RouterCore &router(const std::string &name);
@@ -160,6 +163,7 @@
     void perform(AgentBox &agent, AgentAction &action);
     void tell(const TellCaller &told);
     void startCall(AgentBox &agent, const StartUpstream &start);
+    void endBy(AgentBox &agent, const AttemptKey &key);
     void nextToken(AgentBox &agent, const AttemptKey &key, std::uint64_t incarnation);
     void serve(AgentBox &agent, const AttemptKey &key, std::uint64_t incarnation);
     void claims(AgentBox &agent);
@@ -186,6 +190,8 @@
     std::map<std::string, PlatformObject> m_store;
     std::map<std::string, PlatformObject> m_storeBefore; ///< before the last write
     std::uint64_t m_storeVersion = 0;
+    std::string m_endingBody; ///< empty: none
+    Duration m_endedFor{};
 };
 
 /// A model request whose prompt decides its answer; `tokens` of them.
