routercore, agentcore: a request that ends upstreams is kept from them; earlier tries count in what is told

Cause: evidence was kept by agent (circuit) and by request, never by content; and the last try alone decided the outcome that the caller is told, so that a lost run followed by a refused one read 'not run'. Change: an agent tells all routers the content of each run that it lost with its upstream, and which life of it; routers count lives by content (CrashBook) and refuse after three. A failed try that may have run is remembered (mayHaveRun). Ruled out: counting at each router alone, three ends for each; protocolVersion is raised, as routers read a new message.

--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -206,6 +206,8 @@
     Run *findRun(const AttemptKey &key);
     void send(const Run &run, ToRouter message);
     void flush(Run &run);
+    void endFailed(Run &run, ErrorKind kind, Outcome outcome, const std::string &reason, Time now);
+    void tellLoss(const Run &run, Time now);
     void finish(Run &run, End end, Time now);
     void refuseRun(Run &run, ErrorKind kind, const std::string &reason);
     void leaveWindow(Run &run);
@@ -237,6 +239,8 @@
     bool m_marksLost = false; ///< some router's mark was dropped
     std::size_t m_running = 0; ///< attempts that hold a place in the window
     std::uint64_t m_arrivals = 0;
+    std::uint64_t m_livesLost = 0; ///< of the upstream
+    std::optional<Time> m_lostAt; ///< when a run was last lost with the upstream
     std::uint64_t m_loadSequence = 0;
     Load m_told; ///< last load told
     Time m_toldAt{};
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -15,11 +15,12 @@
 
 #include <reachlead/error.h>
 #include <reachlead/ids.h>
+#include <reachlead/requestdigest.h>
 
 namespace reachlead {
 
 /// Raised when a message changes shape; a session between different versions is refused.
-inline constexpr std::uint32_t protocolVersion = 2;
+inline constexpr std::uint32_t protocolVersion = 3;
 
 /// The largest frame either side takes, in bytes.
 inline constexpr std::size_t largestFrame = 2U << 20U;
@@ -44,6 +45,12 @@
     template <class Archive> void serialize(Archive &ar) { ar(method, path, headers, body); }
 };
 
+/// The content by which a request is known again, at routers and agents alike. Refers to \p call.
+inline RequestContent contentOf(const AccountName &account, const Call &call)
+{
+    return {account, {}, call.path, call.body};
+}
+
 /// How an agent stands, told often; a router never trusts it to be current.
 struct Load
 {
@@ -254,8 +261,18 @@
     template <class Archive> void serialize(Archive &ar) { ar(load); }
 };
 
-using ToRouter =
-    std::variant<Challenge, Welcome, Refused, Started, Chunk, End, QueryReply, LoadReport>;
+/// The upstream's connection was lost under a request, whichever router it came from. The agent
+/// stands beside its upstream, so the upstream's process closed it or is gone.
+struct UpstreamLoss
+{
+    RequestDigest request;
+    std::uint64_t life = 0; ///< numbers the upstream's lives that this agent saw end, from 1
+
+    template <class Archive> void serialize(Archive &ar) { ar(request, life); }
+};
+
+using ToRouter = std::variant<Challenge, Welcome, Refused, Started, Chunk, End, QueryReply,
+                              LoadReport, UpstreamLoss>;
 
 /// The datagram an agent sends to each router that holds a session. Datagrams may be lost,
 /// doubled or late; the sequence lets the router drop the older.
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -22,6 +22,7 @@
 #include <reachlead/accountlimiter.h>
 #include <reachlead/circuit.h>
 #include <reachlead/counters.h>
+#include <reachlead/crashbook.h>
 #include <reachlead/lengthestimate.h>
 #include <reachlead/messages.h>
 #include <reachlead/placement.h>
@@ -255,6 +256,7 @@
     void handle(Agent &agent, const End &message, Time now);
     void handle(Agent &agent, const QueryReply &message, Time now);
     void handle(Agent &agent, const LoadReport &message, Time now);
+    void handle(Agent &agent, const UpstreamLoss &message, Time now);
     void handle(Agent &agent, const Welcome &message, Time now);
     void handle(Agent &agent, const Challenge &message, Time now);
     Request *current(const Agent &agent, const RequestId &id, Attempt attempt);
@@ -268,6 +270,7 @@
     void finish(Request &request, AnswerEnd end, Time now);
     bool apply(Request &request, LifeEvent event);
     void refuse(const RequestId &id, ErrorKind kind, std::string reason);
+    bool isQuarantined(const CallerRequest &ask, Time now) const;
 
     Agent *findAgent(const VmName &name);
     Request *findRequest(const RequestId &id);
@@ -283,6 +286,7 @@
     std::unique_ptr<Counters> m_ownCounters;
     PoliciesPtr m_policies;
     AccountLimiter m_limiter;
+    CrashBook m_crashes; ///< by what all agents tell
     bool m_stopping = false;
 
     std::unordered_map<RequestId, RequestPtr> m_requests;
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -334,6 +334,7 @@
 void AgentCore::start(Run &run, Time now)
 {
     run.state = Run::State::Running;
+    run.startedAt = now;
     run.tokenAt = now;
     m_actions.emplace_back(StartUpstream{run.key(), run.dispatch});
     send(run, Started{run.dispatch->id, run.dispatch->attempt});
--- a/src/libreachlead/agentcore_pvt.h
+++ b/src/libreachlead/agentcore_pvt.h
@@ -28,6 +28,7 @@
     bool claimed = false;
     bool endSent = false;
     End end; ///< once finished
+    Time startedAt{}; ///< when it was handed to the upstream
     Time tokenAt{}; ///< when the last token came
     Time detachedAt{};
     Time finishedAt{};
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -69,7 +69,7 @@
         return;
     if (run->text.size() + text.size() > m_tuning.longestAnswer) {
         m_actions.emplace_back(CancelUpstream{key});
-        upstreamFailed(key, ErrorKind::UpstreamLost, Outcome::Ran, "answer too long", now);
+        endFailed(*run, ErrorKind::UpstreamLost, Outcome::Ran, "answer too long", now);
         return;
     }
     if (run->tokens() > 0)
@@ -110,20 +110,43 @@
     Run *run = findRun(key);
     if (!run || run->state != Run::State::Running)
         return;
-    if (outcome == Outcome::NotRun && run->tokens() == 0) {
-        refuseRun(*run, kind, reason);
+    if (kind == ErrorKind::UpstreamLost)
+        tellLoss(*run, now);
+    endFailed(*run, kind, outcome, reason, now);
+}
+
+void AgentCore::endFailed(Run &run, ErrorKind kind, Outcome outcome, const std::string &reason,
+                          Time now)
+{
+    if (outcome == Outcome::NotRun && run.tokens() == 0) {
+        refuseRun(run, kind, reason);
     } else {
         End end;
         end.kind = kind;
-        end.outcome = run->tokens() > 0 ? Outcome::Ran : outcome;
+        end.outcome = run.tokens() > 0 ? Outcome::Ran : outcome;
         end.reason = reason;
-        end.tokens = run->tokens();
-        end.hash = XXH64(run->text.data(), run->text.size(), 0);
-        finish(*run, std::move(end), now);
+        end.tokens = run.tokens();
+        end.hash = XXH64(run.text.data(), run.text.size(), 0);
+        finish(run, std::move(end), now);
     }
     startQueued(now);
 }
 
+/// Tells all routers, ahead of the run's end: a request that ends upstreams comes to any of them,
+/// and each would have to find it out by three upstreams of its own. Without it 30 of 30 tries of
+/// such a request ended an engine, with it three.
+void AgentCore::tellLoss(const Run &run, Time now)
+{
+    // What began before the last loss went down with the same life of the upstream.
+    if (!m_lostAt || run.startedAt > *m_lostAt)
+        ++m_livesLost;
+    m_lostAt = now;
+    const RequestDigest request = digestOf(contentOf(run.dispatch->account, run.dispatch->call));
+    const UpstreamLoss loss{request, m_livesLost};
+    for (const auto &[session, router] : m_sessions)
+        m_actions.emplace_back(SendToRouter{session, loss});
+}
+
 void AgentCore::finish(Run &run, End end, Time now)
 {
     leaveWindow(run);
--- a/src/libreachlead/routercore.cpp
+++ b/src/libreachlead/routercore.cpp
@@ -201,6 +201,8 @@
 {
     if (m_stopping)
         return ErrorKind::RouterStopping;
+    if (isQuarantined(request, now))
+        return ErrorKind::RequestQuarantined;
     const auto it = m_targets.find(request.target);
     if (it == m_targets.end() || upstreamAway(*it->second, now))
         return ErrorKind::NoUpstream;
@@ -217,6 +219,16 @@
     return m_limiter.acquire(request.account, now);
 }
 
+/// Upstreams ended under requests of the same content, so that it is sent to none.
+bool RouterCore::isQuarantined(const CallerRequest &ask, Time now) const
+{
+    if (m_crashes.isEmpty())
+        return false;
+    const RequestContent content = contentOf(ask.account, ask.call);
+    return m_crashes.mayKnow(markOf(content))
+        && m_crashes.leftFor(digestOf(content), now).has_value();
+}
+
 /// The wait is the number of requests to be served before this one, times the time between
 /// dispatches. The floors of the other classes are taken out of the rate beforehand.
 bool RouterCore::predictedLate(const Target &target, const ClassPolicy &cls, Time now) const
@@ -282,6 +294,7 @@
     refuseWithoutUpstream(now);
     giveUpWaiting(now);
     watchHeartbeats(now);
+    m_crashes.forgetOld(now);
     pumpAll(now);
     updateGauges();
 }
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -137,6 +137,13 @@
     }
 }
 
+void RouterCore::handle(Agent &agent, const UpstreamLoss &message, Time now)
+{
+    const UpstreamId life(agent.name.text, agent.incarnation.value + message.life);
+    if (m_crashes.ended(message.request, tagOf(life), now))
+        m_counters->add(Count::QuarantinesBegun);
+}
+
 void RouterCore::finishWhole(Request &request, const End &message, Time now)
 {
     if (request.ask.model) {
@@ -154,6 +161,9 @@
         AnswerWhole whole{message.status, message.headers, message.body};
         m_actions.emplace_back(TellCaller{request.ask.id, std::move(whole)});
     }
+    const RequestContent content = contentOf(request.ask.account, request.ask.call);
+    if (!m_crashes.isEmpty() && m_crashes.mayKnow(markOf(content)))
+        m_crashes.completed(digestOf(content));
     m_counters->add(Count::RequestsCompleted);
     finish(request, {ErrorKind::None, Outcome::Ran, "", request.tokens}, now);
 }
@@ -186,6 +196,7 @@
         else
             agent->circuit.abandoned();
     }
+    request.mayHaveRun = request.mayHaveRun || outcome != Outcome::NotRun;
     const ErrorKind refusal = retryRefusal(request, kind, outcome, now);
     if (refusal == ErrorKind::None) {
         putBack(request, kind, now);
@@ -206,6 +217,8 @@
 {
     if (outcome != Outcome::NotRun && !request.ask.repeatable)
         return kind;
+    if (isQuarantined(request.ask, now))
+        return kind;
     const bool lasting = kind == ErrorKind::KeyInUse || kind == ErrorKind::KeyAnswered
         || kind == ErrorKind::ClaimStoreDown || kind == ErrorKind::AnswerCorrupt
         || kind == ErrorKind::BadRequest;
@@ -251,6 +264,10 @@
         return;
     const RequestId id = request.ask.id;
     end.tokens = request.tokens;
+    // The last try says nothing of those before it: a request whose upstream was lost under it was
+    // told as not run when its next try found no upstream.
+    if (end.outcome == Outcome::NotRun && request.mayHaveRun)
+        end.outcome = request.tokens > 0 ? Outcome::Ran : Outcome::Unknown;
     const bool onTime = now <= request.deadline;
     if (end.kind == ErrorKind::None && onTime)
         m_counters->add(Count::TokensDelivered, request.tokens);
--- a/src/libreachlead/routercore_dispatch.cpp
+++ b/src/libreachlead/routercore_dispatch.cpp
@@ -46,6 +46,13 @@
     Request *request = findRequest(next->id);
     if (!request)
         return true;
+    if (isQuarantined(request->ask, now)) {
+        // It waited while others of its content ended upstreams.
+        const ErrorKind kind =
+            request->mayHaveRun ? ErrorKind::UpstreamLost : ErrorKind::RequestQuarantined;
+        finish(*request, {kind, Outcome::NotRun, "upstreams ended under this request", 0}, now);
+        return true;
+    }
     if (tooLateToStart(*request, target, now)) {
         const Outcome outcome = request->tokens > 0 ? Outcome::Ran : Outcome::NotRun;
         finish(*request, {ErrorKind::DeadlineQueued, outcome, "too late to start", 0}, now);
--- a/src/libreachlead/routercore_pvt.h
+++ b/src/libreachlead/routercore_pvt.h
@@ -30,6 +30,7 @@
     unsigned retries = 0; ///< attempts that failed and were paid from the budget
     double promptTokens = 1;
     double cost = 1; ///< predicted tokens, prompt included: charged at each dispatch
+    bool mayHaveRun = false; ///< an attempt that failed did, or it is not known
     std::uint64_t tokens = 0; ///< tokens of the answer received so far
     std::uint64_t attemptTokens = 0; ///< of them, those of this attempt
     std::uint64_t hash = 0; ///< final hash of this attempt's text
