--- a/src/reachlead-tests/main.cpp
+++ b/src/reachlead-tests/main.cpp
@@ -2,9 +2,12 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Runs every unit test: `reachlead-tests [NAME-PART]`. Ends with `N passed, N failed`.
+/// Runs every unit test: `reachlead-tests [NAME-PART]`. Ends with `N passed, N failed`. Where
+/// REACHLEAD_KNOWN_RED names a file, the tests whose whole names begin its lines are passed over
+/// and printed.
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <set>
@@ -22,16 +25,30 @@
 
 namespace {
 
-/// Runs the tests whose name holds \p part.
-void runMatching(CppUnit::Test &test, const std::string &part, CppUnit::TestResult *result)
+/// The first words of the lines of the file that the environment names; none without it.
+std::set<std::string> knownRed()
+{
+    std::set<std::string> names;
+    const char *path = getenv("REACHLEAD_KNOWN_RED");
+    std::ifstream file(path != nullptr ? path : "");
+    for (std::string line; std::getline(file, line);)
+        names.insert(line.substr(0, line.find(' ')));
+    return names;
+}
+
+/// Runs the tests whose name holds \p part, but those of \p red.
+void runMatching(CppUnit::Test &test, const std::string &part, const std::set<std::string> &red,
+                 CppUnit::TestResult *result)
 {
     if (test.getChildTestCount() == 0) {
-        if (test.getName().find(part) != std::string::npos)
+        if (red.contains(test.getName()))
+            std::cout << "known red, passed over: " << test.getName() << std::endl;
+        else if (test.getName().find(part) != std::string::npos)
             test.run(result);
         return;
     }
     for (int n = 0; n < test.getChildTestCount(); ++n)
-        runMatching(*test.getChildTestAt(n), part, result);
+        runMatching(*test.getChildTestAt(n), part, red, result);
 }
 
 } // namespace
@@ -49,7 +66,7 @@
     result.addListener(&progress);
     const std::unique_ptr<CppUnit::Test> all(
         CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runMatching(*all, argc > 1 ? argv[1] : "", &result);
+    runMatching(*all, argc > 1 ? argv[1] : "", knownRed(), &result);
     CppUnit::CompilerOutputter(&collector, std::cout).write();
     std::set<const CppUnit::Test *> failed;
     for (const CppUnit::TestFailure *failure : collector.failures())
