gatewaystate: zones that are evacuated get nothing new; calls stay in their regions

Change: Evacuations holds the set with two revisions, of its last change and of its last reading; peers tell each other by them, in beats and news, so an old set never replaces a newer one, and the first reader after all watchers were lost tells those that still believe in an evacuation. The directory takes the zone's upstreams out of use at once (placements, second tries, resumes, copies of caches, answers of a scheduler); what runs ends there. Taken back, they count as cold for a second, as what their entries say of it is followed apart. A call is told zones-evacuated or no-upstream-in-region, 503, not run. Allowed regions are zones in ChoiceAsk, told to schedulers. Followed where the platform's settings name a bound for evacuations. protocol of gateways changes: replace all together. Ruled out: one revision alone.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -77,6 +77,9 @@
     if (service == nullptr)
         return Error{ErrorKind::NoUpstream, "the route names no service"};
     m_service = *service;
+    static const std::vector<RegionName> anyRegion;
+    m_zones = allowedZones(m_shared.state.regions(), m_route->regions,
+                           m_account != nullptr ? m_account->regions : anyRegion);
     return std::nullopt;
 }
 
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -82,6 +82,7 @@
     std::int64_t stateAgeMs() const;
     void report(std::string_view outcome, ErrorKind kind, unsigned status);
 
+    ErrorKind kindWithoutUpstream() const;
     Duration timeLeft() const { return m_limit - RuntimeClock::now(); }
     ErrorKind kindOfStop() const;
 
@@ -95,6 +96,7 @@
     const Route *m_route = nullptr;
     const AccountKeys *m_account = nullptr;
     ServiceName m_service;
+    std::optional<ZoneSet> m_zones; ///< whose upstreams may work on it; nothing: all
     Time m_arrived;
     Time m_limit; ///< by when the caller must have its answer
     Timer m_timer; ///< ends the call at m_limit
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -8,6 +8,7 @@
 #include "forwardcall.h"
 
 #include <algorithm>
+#include <ranges>
 
 #include <reachlead/log.h>
 
@@ -33,6 +34,7 @@
     ChoiceAsk ask{m_service, m_facts.model, m_facts.prompt, &m_tried, m_table->service(m_service)};
     ask.patience = {milliseconds(m_route->targetLatencyMs), timeLeft(),
                     m_table->isMostUrgent(*m_route, m_service), m_route->priority};
+    ask.zones = m_zones ? &*m_zones : nullptr;
     ask.mayRefuse = m_tried.empty() && !m_facts.resumeAfter;
     return ask;
 }
@@ -53,6 +55,22 @@
     co_return placed;
 }
 
+/// Why no upstream may be sent the call. Entries of the service that take no work for another
+/// reason are of no matter: they are not what the caller waits for.
+ErrorKind ForwardCall::kindWithoutUpstream() const
+{
+    const UpstreamDirectory &directory = m_shared.state.directory();
+    if (!directory.usableOf(m_service).empty()) {
+        const bool isKept = m_zones && !UpstreamBook::hasOther(makeAsk(), directory);
+        return isKept ? ErrorKind::NoUpstreamInRegion : ErrorKind::NoUpstream;
+    }
+    const bool isEvacuated = std::ranges::any_of(
+        directory.entries() | std::views::values, [this](const UpstreamEntry &entry) {
+            return entry.service == m_service && !entry.leaving;
+        });
+    return isEvacuated ? ErrorKind::ZonesEvacuated : ErrorKind::NoUpstream;
+}
+
 /// What ends the call when its request is known to end upstreams. One such request ended 39 engines
 /// in 18 s, as each call that it came with was sent to another engine after the first was lost.
 std::optional<ForwardDecision> ForwardCall::quarantined()
@@ -86,7 +104,7 @@
     }
     if (!choice) {
         m_lastReason = "no upstream of the service takes work";
-        const ErrorKind kind = m_mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::NoUpstream;
+        const ErrorKind kind = m_mayHaveRun ? ErrorKind::OutcomeUnknown : kindWithoutUpstream();
         const ForwardStep step = m_mayHaveRun ? ForwardStep::Fail : ForwardStep::Refuse;
         co_return ForwardDecision{m_headDelivered ? ForwardStep::Cut : step, kind};
     }
--- a/src/include/reachlead/coldpace.h
+++ b/src/include/reachlead/coldpace.h
@@ -27,12 +27,24 @@
     /// rate do not all begin at once.
     void told(std::uint64_t revision, Duration left, Duration phase, Time now)
     {
-        if (revision == m_revision)
+        const bool isTold = revision != m_revision;
+        if (!isTold && !m_isDoubtNew)
             return;
         m_revision = revision;
+        m_isDoubtNew = false;
         if (m_until <= now)
             m_next = now + phase;
-        m_until = now + left;
+        if (isTold)
+            m_until = now + left;
+        m_until = std::max(m_until, m_doubtUntil);
+    }
+
+    /// It is not known whether the upstream is cold: for \p span it counts as cold, from the next
+    /// told() on.
+    void doubted(Duration span, Time now)
+    {
+        m_doubtUntil = now + span;
+        m_isDoubtNew = true;
     }
 
     /// True when a call may be sent there now: it is warm, or the last call was long enough ago.
@@ -44,6 +56,8 @@
 private:
     std::uint64_t m_revision = 0; ///< of the entry that was taken up last
     Time m_until{}; ///< it is cold
+    Time m_doubtUntil{}; ///< it may be cold, whatever is told
+    bool m_isDoubtNew = false;
     Time m_next{}; ///< the next call may be sent
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -44,6 +44,8 @@
     OpenRequests,
     // The state of the fleet stands against it.
     NoUpstream,
+    ZonesEvacuated,
+    NoUpstreamInRegion,
     SettingsAbsent,
     RouterStopping,
     AgentBusy,
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include <reachlead/crashbook.h>
+#include <reachlead/evacuations.h>
 #include <reachlead/routing.h>
 #include <reachlead/routingdelta.h>
 #include <reachlead/upstreamdirectory.h>
@@ -32,12 +33,23 @@
     }
 };
 
+/// How far a gateway's state goes.
+struct StateVersions
+{
+    std::uint64_t config = 0;
+    std::uint64_t registry = 0;
+    std::uint64_t evacuations = 0; ///< as Evacuations::readAt()
+
+    template <class Archive> void serialize(Archive &ar) { ar(config, registry, evacuations); }
+};
+
 /// What one gateway tells another that is behind.
 struct GatewayNews
 {
     std::optional<RoutingConfig> config; ///< whole, where its change could not be told
     std::optional<RoutingDelta> configChange;
     RegistryNews registry;
+    EvacuationNews evacuations;
 };
 
 /// Takes what a source reads. Called on the traffic thread.
@@ -51,6 +63,9 @@
     virtual void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) = 0;
     virtual void gatewaysChanged(std::vector<GatewayEntry> all) = 0;
 
+    /// The evacuated zones, all of them, as of the platform's \p revision.
+    virtual void evacuationsRead(ZoneSet zones, std::uint64_t revision) = 0;
+
     /// The registry began or ceased to answer this gateway.
     virtual void contactChanged(bool inContact) = 0;
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -16,8 +16,10 @@
 #include <vector>
 
 #include <reachlead/crashbook.h>
+#include <reachlead/evacuations.h>
 #include <reachlead/fleetsource.h>
 #include <reachlead/placementgroups.h>
+#include <reachlead/regions.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/routing.h>
 #include <reachlead/upstreambook.h>
@@ -39,6 +41,9 @@
         /// Upstreams that one gateway places for, about.
         std::size_t groupSize = PlacementGroups::defaultSize;
         std::size_t fewestGateways = 1; ///< until others are known: seeds of the settings
+        /// Zones may be evacuated, so no call is served before it is known which are.
+        bool followsEvacuations = false;
+        RegionByZone regions; ///< none: routes and accounts that name regions get no upstream
     };
 
     explicit GatewayState(const Options &options);
@@ -48,6 +53,7 @@
     void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) override;
     void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) override;
     void gatewaysChanged(std::vector<GatewayEntry> all) override;
+    void evacuationsRead(ZoneSet zones, std::uint64_t revision) override;
     void contactChanged(bool inContact) override;
     void current() override;
     void quarantineRead(std::vector<QuarantinedRequest> requests) override;
@@ -59,7 +65,16 @@
     void peerTold(const VmName &peer, const GatewayNews &news);
 
     /// What one that has these versions lacks: changes where they can be told, else all.
-    GatewayNews newsSince(std::uint64_t configVersion, std::uint64_t registryRevision) const;
+    GatewayNews newsSince(const StateVersions &known) const;
+
+    /// A peer's evacuations, as Evacuations::compare().
+    void compareEvacuations(std::uint64_t revision, std::uint32_t mark)
+    {
+        m_evacuations.compare(revision, mark);
+    }
+
+    /// How far this gateway's own state goes.
+    StateVersions versions() const;
 
     /// When this gateway's state was last known to be current.
     std::optional<Time> currentAt() const { return m_currentAt; }
@@ -79,10 +94,12 @@
     /// The configuration in force; null before the first.
     const RouteTablePtr &table() const { return m_table; }
     const UpstreamDirectory &directory() const { return m_directory; }
+    const Evacuations &evacuations() const { return m_evacuations; }
     UpstreamBook &book() { return m_book; }
     PlacementGroups &groups() { return m_groups; }
     const VmName &vm() const { return m_options.vm; }
     const ZoneName &zone() const { return m_options.zone; }
+    const RegionByZone &regions() const { return m_options.regions; }
     RetryShare &retries() { return m_retries; }
     CrashBook &crashes() { return m_crashes; }
     const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
@@ -92,7 +109,8 @@
     /// is further behind is rare.
     static constexpr std::size_t mostFormer = 8;
 
-    /// True when calls can be served: a configuration and an upstream are known.
+    /// True when calls can be served: a configuration and an upstream are known, and which zones
+    /// are evacuated where that may be.
     bool isReady() const;
 
     /// Called when the configuration or the upstreams changed.
@@ -108,11 +126,13 @@
     static Time now() { return RuntimeClock::now(); }
     void noteChange(const UpstreamDirectory::Changed &changed, std::string_view source);
     void adopt(RoutingConfig config, std::string_view source);
+    void applyEvacuations(std::string_view source);
 
     Options m_options;
     RouteTablePtr m_table;
     std::deque<RouteTablePtr> m_formerTables; ///< to tell changes from; oldest first
     UpstreamDirectory m_directory;
+    Evacuations m_evacuations;
     UpstreamBook m_book;
     PlacementGroups m_groups;
     RetryShare m_retries;
--- a/src/include/reachlead/ids.h
+++ b/src/include/reachlead/ids.h
@@ -36,6 +36,7 @@
 using ClassName = Name<struct ClassTag>;
 using VmName = Name<struct VmTag>;
 using ZoneName = Name<struct ZoneTag>;
+using RegionName = Name<struct RegionTag>;
 
 /// What a request is for: a model, or a plain service. The text is `model:NAME` or `service:NAME`.
 using TargetName = Name<struct TargetTag>;
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -54,12 +54,13 @@
     std::int64_t targetLatencyMs = 0; ///< to the answer, or to the first event of a stream
     std::int64_t gapTargetMs = 0; ///< longest pause between events that is still on time
     std::vector<ServiceShare> services;
+    std::vector<RegionName> regions{}; ///< whose upstreams may work on its calls; none: all
 
     bool operator==(const Route &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         ar(name, host, pathPrefix, kind, anonymous, resumable, priority, maxAttempts, timeoutMs,
-           targetLatencyMs, gapTargetMs, services);
+           targetLatencyMs, gapTargetMs, services, regions);
     }
 };
 
@@ -91,13 +92,14 @@
     AccountName name;
     std::vector<std::string> keys;
     std::optional<unsigned> priority; ///< goes before the route's when set
+    std::vector<RegionName> regions{}; ///< as of a route; where both name some, both bind
 
     bool operator==(const AccountKeys &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
         bool has = priority.has_value();
         unsigned value = priority.value_or(0);
-        ar(name, keys, has, value);
+        ar(name, keys, has, value, regions);
         priority = has ? std::optional(value) : std::nullopt;
     }
 };
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -51,6 +51,7 @@
     const std::set<UpstreamId> *tried = nullptr; ///< upstreams that are not to be taken
     const ServiceInfo *info = nullptr; ///< what is known of the service; null: nothing
     const ZoneName *zone = nullptr; ///< of the gateway that the call is at; null: this one's
+    const ZoneSet *zones = nullptr; ///< whose upstreams may work on the call; null: all
     /// Upstreams whose calls the chooser places, and so knows; null: all alike.
     const std::set<UpstreamId> *group = nullptr;
     Patience patience{};
@@ -186,6 +187,12 @@
     void reportedFailing(const UpstreamId &id, const VmName &reporter, Time now);
     static constexpr Duration reportAge = milliseconds(1000);
     static constexpr std::size_t reportsNeeded = 2;
+    /// An upstream came back into use without being followed meanwhile. Until its entry can have
+    /// told whether it became cold, it gets calls as a cold one.
+    void mayBeCold(const UpstreamId &id, Time now);
+    /// The platform tells of entries within some hundred ms, and peers of that at their next beats.
+    static constexpr Duration coldDoubt = milliseconds(1000);
+
     /// Another life answers at its address: this one is gone for good, whatever the registry says.
     void replaced(const UpstreamId &id);
 
@@ -205,6 +212,12 @@
     /// A placed call that its gateway never told of was not sent: the answer was lost.
     static constexpr Duration grantLimit = milliseconds(1500);
 
+    /// False where the regions of a call keep it from an upstream.
+    static bool isInRegion(const ChoiceAsk &ask, const UpstreamEntry &entry)
+    {
+        return ask.zones == nullptr || ask.zones->contains(entry.zone);
+    }
+
     /// True when the service has an upstream that takes work and that was not tried.
     static bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory);
 
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include <reachlead/clock.h>
+#include <reachlead/evacuations.h>
 #include <reachlead/http.h>
 #include <reachlead/routing.h>
 
@@ -134,7 +135,7 @@
     struct Changed
     {
         std::vector<UpstreamId> added;
-        std::vector<UpstreamId> left; ///< gone, or now leaving
+        std::vector<UpstreamId> left; ///< gone, now leaving, or in a zone now evacuated
     };
 
     /// Time for entries that lapsed with the registry to be written again: upstreams write about
@@ -157,6 +158,16 @@
     /// The entries that the registry lacks since an outage and that are still used.
     std::vector<UpstreamId> missing() const;
 
+    /// Takes the upstreams of these zones out of use, and takes back those of all others. It is no
+    /// change of the registry, and no part of what is told under its revision.
+    Changed setEvacuated(const ZoneSet &zones);
+
+    /// Whether new work may be sent to an upstream.
+    bool takesWork(const UpstreamEntry &entry) const
+    {
+        return !entry.leaving && !m_evacuated.contains(entry.zone);
+    }
+
     /// The registry no longer answers.
     void lostContact();
 
@@ -223,6 +234,7 @@
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< held back until
+    ZoneSet m_evacuated;
     std::uint64_t m_changes = 0;
     std::deque<LoggedChange> m_log; ///< oldest first
     std::uint64_t m_logFloor = 0; ///< the log is complete behind this revision
--- /dev/null
+++ b/src/libreachlead/evacuations.cpp
@@ -0,0 +1,18 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/evacuations.h>
+
+#include <xxhash.h>
+
+namespace reachlead {
+
+std::uint32_t Evacuations::mark() const
+{
+    std::uint32_t mark = 0;
+    for (const ZoneName &zone : m_zones)
+        mark = XXH32(zone.text.data(), zone.text.size(), mark);
+    return mark;
+}
+
+} // namespace reachlead
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -61,6 +61,32 @@
     LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_gateways.size());
 }
 
+void GatewayState::evacuationsRead(ZoneSet zones, std::uint64_t revision)
+{
+    if (m_evacuations.read(std::move(zones), revision))
+        applyEvacuations("platform");
+}
+
+/// Takes the evacuated zones' upstreams out of use, and the others' in again. Those that return may
+/// have become cold meanwhile: what their entries say of it may come later than the end of the
+/// evacuation, as the two are followed apart.
+void GatewayState::applyEvacuations(std::string_view source)
+{
+    const ZoneSet &zones = m_evacuations.zones();
+    LogLine(LogLevel::Warn, "evacuations-changed")
+        .with("zones", zones.size())
+        .with("first", zones.empty() ? "-" : zones.begin()->text)
+        .with("revision", m_evacuations.revision())
+        .with("source", source);
+    const UpstreamDirectory::Changed changed = m_directory.setEvacuated(zones);
+    std::ranges::for_each(changed.added,
+                          [this](const UpstreamId &id) { m_book.mayBeCold(id, now()); });
+    const bool isTold = !changed.added.empty() || !changed.left.empty();
+    noteChange(changed, source);
+    if (!isTold && m_onChange)
+        m_onChange(); // no upstream is known there yet: the next gateways must hear of it
+}
+
 void GatewayState::noteGateways(std::size_t heard)
 {
     m_heardGateways = heard;
@@ -127,21 +153,28 @@
         if (auto config = applied(m_table->config(), *news.configChange))
             adopt(std::move(*config), peer.text);
     }
+    if (m_evacuations.take(news.evacuations))
+        applyEvacuations(peer.text);
     noteChange(m_directory.take(news.registry, now()), peer.text);
 }
 
-GatewayNews GatewayState::newsSince(std::uint64_t configVersion,
-                                    std::uint64_t registryRevision) const
+StateVersions GatewayState::versions() const
+{
+    return {configVersion(), m_directory.revision(), m_evacuations.readAt()};
+}
+
+GatewayNews GatewayState::newsSince(const StateVersions &known) const
 {
     GatewayNews news;
-    if (m_table && m_table->version() > configVersion) {
-        const auto it = std::ranges::find(m_formerTables, configVersion, &RouteTable::version);
+    if (m_table && m_table->version() > known.config) {
+        const auto it = std::ranges::find(m_formerTables, known.config, &RouteTable::version);
         if (it != m_formerTables.end())
             news.configChange = differenceOf((*it)->config(), m_table->config());
         if (!news.configChange)
             news.config = m_table->config();
     }
-    news.registry = m_directory.newsSince(registryRevision, now());
+    news.registry = m_directory.newsSince(known.registry, now());
+    news.evacuations = m_evacuations.newsSince(known.evacuations);
     return news;
 }
 
@@ -153,6 +186,8 @@
 
 bool GatewayState::isReady() const
 {
+    if (m_options.followsEvacuations && !m_evacuations.isKnown())
+        return false;
     return m_table != nullptr && !m_directory.entries().empty();
 }
 
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -123,7 +123,7 @@
         gone.entry = entry("a");
         gone.removed = true;
         teller.upstreamsChanged({gone}, 21);
-        const GatewayNews news = teller.newsSince(3, 20);
+        const GatewayNews news = teller.newsSince({3, 20});
         CPPUNIT_ASSERT(!news.config && !news.registry.all);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.configChange->routes.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, news.registry.changes.size());
@@ -140,7 +140,7 @@
         for (std::uint64_t version = 1; version <= GatewayState::mostFormer + 2; ++version)
             teller.configRead(withRoutes(version, 2));
         teller.upstreamsListed({entry("a")}, 20);
-        const GatewayNews news = teller.newsSince(1, 7);
+        const GatewayNews news = teller.newsSince({1, 7});
         CPPUNIT_ASSERT(news.config && news.registry.all);
         GatewayState fresh({});
         fresh.peerTold(VmName("peer"), news);
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -293,6 +293,11 @@
     return !record->cold.allows(now);
 }
 
+void UpstreamBook::mayBeCold(const UpstreamId &id, Time now)
+{
+    m_records[id].cold.doubted(coldDoubt, now);
+}
+
 void UpstreamBook::replaced(const UpstreamId &id)
 {
     if (const auto it = m_records.find(id); it != m_records.end())
@@ -329,6 +334,8 @@
 bool UpstreamBook::hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory)
 {
     return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
+        if (!isInRegion(ask, *entry))
+            return false;
         return ask.tried == nullptr || !ask.tried->contains(entry->id);
     });
 }
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -186,6 +186,8 @@
     for (const UpstreamEntry *entry : directory.usableOf(ask.service)) {
         if (ask.tried != nullptr && ask.tried->contains(entry->id))
             continue;
+        if (!isInRegion(ask, *entry))
+            continue;
         Record &record = m_records[entry->id];
         if (isTooCold(ask, *entry, &record, now))
             continue;
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <ranges>
 #include <set>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -125,6 +126,20 @@
     return ids;
 }
 
+UpstreamDirectory::Changed UpstreamDirectory::setEvacuated(const ZoneSet &zones)
+{
+    Changed changed;
+    const ZoneSet before = std::exchange(m_evacuated, zones);
+    ++m_changes;
+    for (const auto &[id, entry] : m_entries) {
+        const bool was = before.contains(entry.zone);
+        const bool is = zones.contains(entry.zone);
+        if (was != is && !entry.leaving)
+            (is ? changed.left : changed.added).push_back(id);
+    }
+    return changed;
+}
+
 void UpstreamDirectory::lostContact()
 {
     m_inContact = false;
@@ -170,7 +185,7 @@
     m_byTag.clear();
     for (const UpstreamEntry &entry : m_entries | std::views::values) {
         m_byTag[tagOf(entry.id)] = &entry;
-        if (!entry.leaving)
+        if (takesWork(entry))
             m_usable[entry.service].push_back(&entry);
     }
     m_indexedAt = m_changes;
--- a/src/peer/archive.h
+++ b/src/peer/archive.h
@@ -13,6 +13,7 @@
 
 #include <cereal/cereal.hpp>
 #include <cereal/types/array.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -82,13 +82,14 @@
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return pvt::encodePayload(news.config, news.configChange, news.registry);
+    return pvt::encodePayload(news.config, news.configChange, news.registry, news.evacuations);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
-    if (!pvt::decodeParts(payload, reason, news.config, news.configChange, news.registry))
+    if (!pvt::decodeParts(payload, reason, news.config, news.configChange, news.registry,
+                          news.evacuations))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -58,6 +58,8 @@
     std::uint64_t sequence = 0; ///< rises with each beat of an incarnation
     std::uint64_t configVersion = 0;
     std::uint64_t registryRevision = 0;
+    std::uint64_t evacuationRevision = 0; ///< as Evacuations::revision()
+    std::uint32_t evacuationMark = 0; ///< as Evacuations::mark()
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
     UnixMillis clock = 0; ///< the sender's time of day
     std::uint64_t quarantineMark = 0; ///< as CrashBook::mark()
@@ -70,22 +72,18 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, configVersion, registryRevision, ageMs, clock,
-           quarantineMark, load, openFrom, prompts, sample);
+        ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
+           evacuationMark, ageMs, clock, quarantineMark, load, openFrom, prompts, sample);
     }
 };
 
 /// Asks for what is newer than the asker's state.
 struct NewsAsk
 {
-    std::uint64_t configVersion = 0;
-    std::uint64_t registryRevision = 0;
+    StateVersions known;
     std::uint64_t nonce = 0; ///< the proof of the answer is bound to it
 
-    template <class Archive> void serialize(Archive &ar)
-    {
-        ar(configVersion, registryRevision, nonce);
-    }
+    template <class Archive> void serialize(Archive &ar) { ar(known, nonce); }
 };
 
 /// Payloads without a length ahead. Decoding gives nothing with \p reason set for other bytes.
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -143,6 +143,8 @@
     beat.sequence = nextSequence();
     beat.configVersion = m_state.configVersion();
     beat.registryRevision = m_state.directory().revision();
+    beat.evacuationRevision = m_state.evacuations().revision();
+    beat.evacuationMark = m_state.evacuations().mark();
     beat.clock = vmTimeOfDay();
     m_time.note(m_options.self.vm, beat.clock, RuntimeClock::now());
     m_time.dropOld(RuntimeClock::now());
@@ -341,8 +343,9 @@
 
 bool GatewayPeers::isBehind(const GatewayBeat &beat) const
 {
-    return beat.configVersion > m_state.configVersion()
-        || beat.registryRevision > m_state.directory().revision();
+    const StateVersions own = m_state.versions();
+    return beat.configVersion > own.config || beat.registryRevision > own.registry
+        || beat.evacuationRevision > own.evacuations;
 }
 
 void GatewayPeers::take(const GatewayBeat &beat)
@@ -361,6 +364,7 @@
     if (fresh)
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
+    m_state.compareEvacuations(beat.evacuationRevision, beat.evacuationMark);
     if (m_onMark)
         m_onMark(beat.quarantineMark, beat.from.address);
     m_time.note(beat.from.vm, beat.clock, now);
@@ -405,7 +409,7 @@
         co_await socket->async_connect(tcp::endpoint(number, peer.address.port), keepError(&ec));
     std::optional<std::string> text;
     std::string reason = ec.message();
-    const NewsAsk ask{m_state.configVersion(), m_state.directory().revision(), m_random()};
+    const NewsAsk ask{m_state.versions(), m_random()};
     const std::string nonce = std::to_string(ask.nonce);
     if (!ec) {
         const std::string payload = seal(m_options.keys, SealedKind::NewsAsk, {}, encodeAsk(ask));
@@ -461,9 +465,8 @@
     const auto ask = message ? decodeAsk(*message, &reason) : std::nullopt;
     if (ask) {
         const std::string nonce = std::to_string(ask->nonce);
-        const std::string payload =
-            seal(m_options.keys, SealedKind::News, nonce,
-                 encodeNews(m_state.newsSince(ask->configVersion, ask->registryRevision)));
+        const std::string payload = seal(m_options.keys, SealedKind::News, nonce,
+                                         encodeNews(m_state.newsSince(ask->known)));
         co_await writeText(*held, payload);
     } else if (text) {
         error_code ec;
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -193,10 +193,12 @@
 {
     const UpstreamDirectory &directory = m_state.directory();
     const UpstreamEntry *entry = directory.findTag(placed.upstream);
-    if (entry == nullptr || entry->leaving || entry->service != ask.service)
+    if (entry == nullptr || !directory.takesWork(*entry) || entry->service != ask.service)
         return std::nullopt;
     if (ask.tried != nullptr && ask.tried->contains(entry->id))
         return std::nullopt;
+    if (!UpstreamBook::isInRegion(ask, *entry))
+        return std::nullopt;
     Choice choice;
     choice.upstream = entry->id;
     choice.unreadTokens = placed.unreadTokens;
@@ -205,7 +207,7 @@
     choice.isHome = placed.isHome;
     choice.isBrief = placed.isBrief;
     const UpstreamEntry *source = placed.fetchFrom ? directory.findTag(*placed.fetchFrom) : nullptr;
-    if (source != nullptr)
+    if (source != nullptr && directory.takesWork(*source) && UpstreamBook::isInRegion(ask, *source))
         choice.fetchFrom = source->id;
     return choice;
 }
@@ -233,6 +235,8 @@
     made.isMostUrgent = ask.patience.isMostUrgent;
     made.rank = static_cast<std::uint8_t>(std::min(ask.patience.rank, 255U));
     made.mayRefuse = ask.mayRefuse;
+    if (ask.zones != nullptr)
+        made.zones = *ask.zones;
     return made;
 }
 
@@ -364,6 +368,7 @@
     wanted.patience = {milliseconds(ask.targetMs), milliseconds(ask.leftMs), ask.isMostUrgent,
                        ask.rank};
     wanted.mayRefuse = ask.mayRefuse;
+    wanted.zones = ask.zones ? &*ask.zones : nullptr;
     wanted.placesForAll = true;
     PlacedChoice chosen;
     answer.isStopping = m_stopping;
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -58,11 +58,12 @@
     bool isMostUrgent = false; ///< as in Patience
     std::uint8_t rank = 0; ///< as in Patience
     bool mayRefuse = false; ///< as in ChoiceAsk
+    std::optional<ZoneSet> zones; ///< as in ChoiceAsk
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(report, number, zone, model, prompt, tried, failing, targetMs, leftMs, isMostUrgent,
-           rank, mayRefuse);
+           rank, mayRefuse, zones);
     }
 };
 
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 
 #include <fmt/format.h>
 
@@ -47,14 +48,15 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 8> readers{
+    constexpr std::array<Reader, 9> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
         &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
-        &GatewaySettings::readStop,      &GatewaySettings::readLogSection};
+        &GatewaySettings::readStop,      &GatewaySettings::readLogSection,
+        &GatewaySettings::readRegions};
     if (auto fault = unknownSection(file,
                                     {"gateway", "peers", "operators", "store", "placement",
-                                     "retries", "usage", "stop", "log"}))
+                                     "retries", "usage", "stop", "log", "regions"}))
         return fault;
     for (const Reader reader : readers) {
         if (auto fault = (this->*reader)(file))
@@ -72,7 +74,8 @@
         .takeText("zone", &state.zone.text)
         .takeInteger("memory_mb", 16, 1'000'000, &memoryMb)
         .takeInteger("descriptors", 256, 1'000'000, &descriptors)
-        .takeNumber("cores", 0.0, 1024.0, &cores);
+        .takeNumber("cores", 0.0, 1024.0, &cores)
+        .takeFlag("follow_evacuations", &state.followsEvacuations);
     const std::int64_t byMemory = memoryMb / 2 * connectionsPerMb;
     const std::int64_t most =
         std::max(fewestConnections, std::min(byMemory, descriptors - descriptorsKept));
@@ -83,6 +86,18 @@
                          {{"listen", &forwarder.listen}, {"ready", &ready}});
 }
 
+/// Each key is an availability zone, its value the region that the zone is in.
+std::optional<std::string> GatewaySettings::readRegions(const IniFile &file)
+{
+    const auto section = file.sections().find("regions");
+    if (section == file.sections().end())
+        return std::nullopt;
+    IniReader reader(file, "regions");
+    for (const std::string &zone : section->second | std::views::keys)
+        reader.takeText(zone, &state.regions[ZoneName(zone)].text);
+    return reader.finish();
+}
+
 /// Seeds may carry the port of another interface: their peers listen on `port`.
 std::optional<std::string> GatewaySettings::readPeers(const IniFile &file)
 {
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -42,6 +42,7 @@
 
 private:
     std::optional<std::string> readGateway(const IniFile &file);
+    std::optional<std::string> readRegions(const IniFile &file);
     std::optional<std::string> readPeers(const IniFile &file);
     std::optional<std::string> readAddresses(const IniFile &file);
     std::optional<std::string> readPlacement(const IniFile &file);
