peers, watchduty, platform: a fleet starts, restarts and loses its watchers without a herd at the store

(1) All gateways know the others in the same order and begin their rotation at the first, so gateways that start together all tell the same five, and each is left without a word for a whole round (28 s at 357): its state counts as stale after 1.5 s and it reads the store itself. (2) A round is longer than the 10 s after which a gateway counts as lost, so each knows a third of the fleet and a third too many take themselves for one of the three that watch. (3) Where all are stale they all go ahead at once. (4) Each entry that a starting gateway writes ends each watch of entries. (5) Lists count toward the store's rate, a list that is refused a page begins again, and each gateway that the store turns away goes on asking, though its peers serve it. Change: the rotation begins at random; beats carry short words of who lives where a round is long; the limit on a state's age is three quarters of the bound on changes by the settings, the last of the order wait a fifth longer, and a state that is current again is told at once; until the limit has passed after a start the seeds watch. The test of beats gives its nodes 20 ms of real time for a step, as 80 of them send 50 beats in it.

--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -38,9 +38,13 @@
 {
     std::uint64_t config = 0;
     std::uint64_t registry = 0;
+    std::uint64_t registryDigest = 0; ///< as UpstreamDirectory::digest()
     std::uint64_t evacuations = 0; ///< as Evacuations::readAt()
 
-    template <class Archive> void serialize(Archive &ar) { ar(config, registry, evacuations); }
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(config, registry, registryDigest, evacuations);
+    }
 };
 
 /// What one gateway tells another that is behind.
@@ -88,6 +92,9 @@
     /// Whether to go on following, or to rest after the first reading until told otherwise.
     virtual void setDuty(bool watches) = 0;
 
+    /// Whether peers tell all that is needed. A first reading that failed is then not repeated.
+    virtual void setServed(bool isServed) = 0;
+
     /// Keeps a quarantine where gateways that start later read it.
     virtual void publish(const QuarantinedRequest &request) = 0;
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -40,6 +40,7 @@
         UpstreamBook::Costs costs;
         /// Upstreams that one gateway places for, about.
         std::size_t groupSize = PlacementGroups::defaultSize;
+        WatchDuty::Options duty;
         std::size_t fewestGateways = 1; ///< until others are known: seeds of the settings
         /// Zones may be evacuated, so no call is served before it is known which are.
         bool followsEvacuations = false;
@@ -85,6 +86,9 @@
     /// Whether this gateway should follow the platform itself, given the peers that live.
     bool shouldWatch(const std::set<VmName> &peers) const;
 
+    /// True while peers vouch that the state is no older than the duty's limit.
+    bool isVouched() const;
+
     /// How many gateways there are by their beats, this one included.
     void noteGateways(std::size_t heard);
 
@@ -103,6 +107,8 @@
     RetryShare &retries() { return m_retries; }
     CrashBook &crashes() { return m_crashes; }
     const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
+    /// Rises with each change of gateways().
+    std::uint64_t gatewayChanges() const { return m_gatewayChanges; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
     /// Configurations that a change can be told from: a storm writes some each second, and one that
@@ -113,7 +119,8 @@
     /// are evacuated where that may be.
     bool isReady() const;
 
-    /// Called when the configuration or the upstreams changed.
+    /// Called when others are to hear of the state at once: it changed, or is current again after
+    /// it was not for long.
     void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
 
     /// Called with the ids of upstreams that take no more work.
@@ -126,6 +133,7 @@
     static Time now() { return RuntimeClock::now(); }
     void noteChange(const UpstreamDirectory::Changed &changed, std::string_view source);
     void adopt(RoutingConfig config, std::string_view source);
+    void noteCurrent(Time at);
     void applyEvacuations(std::string_view source);
 
     Options m_options;
@@ -138,6 +146,7 @@
     RetryShare m_retries;
     CrashBook m_crashes;
     std::vector<GatewayEntry> m_gateways;
+    std::uint64_t m_gatewayChanges = 0;
     std::size_t m_heardGateways = 1;
     std::optional<Time> m_currentAt;
     WatchDuty m_duty;
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -148,8 +148,14 @@
     /// Takes the registry's changes up to \p revision; older ones change nothing.
     Changed apply(const std::vector<UpstreamChange> &changes, std::uint64_t revision, Time now);
 
-    /// What a directory at \p revision lacks: changes where they can be told, else all.
-    RegistryNews newsSince(std::uint64_t revision, Time now) const;
+    /// What a directory at \p revision lacks: changes where they can be told, else all. Nothing is
+    /// lacked by one whose digest() is the same: gateways that list a registry at the same time do
+    /// so at different revisions, and would else send each other all of it.
+    RegistryNews newsSince(std::uint64_t revision, Time now, std::uint64_t digest = 0) const;
+
+    /// A number by which the registry's entries are told apart from others, with the revisions of
+    /// their last changes; 0: none.
+    std::uint64_t digest() const;
 
     /// Takes what another directory tells; older news, and changes from a later revision than this
     /// one's, change nothing.
--- a/src/include/reachlead/watchduty.h
+++ b/src/include/reachlead/watchduty.h
@@ -31,15 +31,36 @@
 /// No one is relied on: a gateway whose peers do not vouch for a state younger than staleLimit
 /// watches by itself, whatever its rank. Two lists that differ make a few watch too many or too
 /// few for a moment, which the limit mends.
+///
+/// Where no gateway is vouched for, the first by that order go ahead, so that the others can be
+/// vouched for by them: a fleet that loses its watchers at once has few calls more than it had. A
+/// gateway that has just started knows few of the others, and so not its place in the order; where
+/// there are seeds, they watch until the limit has passed.
 class WatchDuty
 {
 public:
-    explicit WatchDuty(VmName self) : m_self(std::move(self)) { }
+    struct Options
+    {
+        /// Age at which a state that peers vouch for counts as stale: three quarters of the bound
+        /// in which a configuration must be in force, so that a look at the store can still follow.
+        Duration staleLimit = milliseconds(1500);
+        bool hasSeeds = false; ///< all gateways tell some of themselves first
+        bool isSeed = false; ///< this one is among those
+    };
+
+    /// The part of a bound on changes that Options::staleLimit takes.
+    static constexpr double stalePart = 0.75;
+
+    explicit WatchDuty(VmName self) : WatchDuty(std::move(self), Options()) { }
+    WatchDuty(VmName self, const Options &options) : m_self(std::move(self)), m_options(options) { }
 
     /// A peer vouches that this gateway's state was current at \p at.
     void vouched(Time at);
 
-    /// The process began to run at \p now; peers get staleLimit to be heard before it watches.
+    /// True when nobody vouched for the state within the limit.
+    bool isStale(Time now) const { return m_vouchedAt + m_options.staleLimit < now; }
+
+    /// The process began to run at \p now; peers get the limit to be heard before it watches.
     void begin(Time now)
     {
         m_vouchedAt = now;
@@ -53,13 +74,12 @@
     /// favour for one, does not delay a change.
     static constexpr std::size_t watchers = 3;
 
-    /// Age at which a state that peers vouch for counts as stale: a look of a watcher at the store
-    /// and two rounds of beats, and below the two seconds in which a configuration must be in
-    /// force.
-    static constexpr Duration staleLimit = milliseconds(1500);
+    /// Part of the limit by which the last gateway of the order watches later than the first.
+    static constexpr double lastAfter = 0.2;
 
 private:
     VmName m_self;
+    Options m_options;
     Time m_vouchedAt{};
     Time m_begin{};
 };
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(partCountsOnlyBehindItsHead);
     CPPUNIT_TEST(cacheForgetsTheLeastUsed);
     CPPUNIT_TEST(threeGatewaysWatch);
+    CPPUNIT_TEST(fewGoAheadWhereAllAreStale);
+    CPPUNIT_TEST(seedsWatchWhileTheFleetStarts);
     CPPUNIT_TEST(staleGatewayWatchesWhateverItsRank);
     CPPUNIT_TEST(quantilesFollowTheSamples);
     CPPUNIT_TEST(logBudgetFillsUpWithTime);
@@ -179,6 +181,50 @@
         CPPUNIT_ASSERT_EQUAL(WatchDuty::watchers, watching);
     }
 
+    /// All that watched are lost at once. The others' states grow old together; few read the store
+    /// before those can vouch for the rest, in a fleet of any size.
+    void fewGoAheadWhereAllAreStale()
+    {
+        for (const std::size_t size : {std::size_t{30}, std::size_t{300}, std::size_t{1000}}) {
+            const std::set<VmName> all = fleet(size);
+            const Duration limit = WatchDuty::Options().staleLimit;
+            std::size_t atOnce = 0;
+            std::size_t atTheEnd = 0;
+            for (const VmName &vm : all) {
+                std::set<VmName> others = all;
+                others.erase(vm);
+                WatchDuty duty(vm);
+                duty.begin(start);
+                duty.vouched(start + seconds(10));
+                const Time stale = start + seconds(10) + limit;
+                atOnce += duty.isOn(others, stale + milliseconds(10)) ? 1 : 0;
+                atTheEnd += duty.isOn(others, stale + limit / 5) ? 1 : 0;
+            }
+            CPPUNIT_ASSERT(atOnce >= WatchDuty::watchers && atOnce <= 3 + size / 20);
+            CPPUNIT_ASSERT(atTheEnd >= size - 2); // nobody relies on the first
+        }
+    }
+
+    /// Gateways that have just started know few of the others, so most would take themselves for
+    /// one of the first.
+    void seedsWatchWhileTheFleetStarts()
+    {
+        std::size_t watching = 0;
+        std::size_t later = 0;
+        for (int n = 0; n < 300; ++n) {
+            WatchDuty::Options options;
+            options.hasSeeds = true;
+            options.isSeed = n < 3;
+            WatchDuty duty(VmName(fmt::format("vm-{}", n)), options);
+            duty.begin(start);
+            duty.vouched(start + seconds(1));
+            watching += duty.isOn({VmName("seed")}, start + milliseconds(200)) ? 1 : 0;
+            later += duty.isOn(fleet(480), start + options.staleLimit) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(WatchDuty::watchers, watching);
+        CPPUNIT_ASSERT(later < 10); // by the order among all
+    }
+
     void staleGatewayWatchesWhateverItsRank()
     {
         const std::set<VmName> others = fleet(480);
@@ -187,8 +233,8 @@
         CPPUNIT_ASSERT(!duty.isOn({}, start)); // peers get time to be heard
         CPPUNIT_ASSERT(!duty.isOn(others, start));
         duty.vouched(start + seconds(5));
-        CPPUNIT_ASSERT(!duty.isOn(others, start + seconds(5) + WatchDuty::staleLimit));
-        CPPUNIT_ASSERT(duty.isOn(others, start + seconds(6) + WatchDuty::staleLimit));
+        CPPUNIT_ASSERT(!duty.isOn(others, start + seconds(5) + WatchDuty::Options().staleLimit));
+        CPPUNIT_ASSERT(duty.isOn(others, start + seconds(6) + WatchDuty::Options().staleLimit));
         CPPUNIT_ASSERT(duty.isOn({}, start + seconds(5)));
     }
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -13,7 +13,7 @@
 
 GatewayState::GatewayState(const Options &options)
     : m_options(options), m_book(options.zone, options.costs), m_groups(options.groupSize),
-      m_retries(options.retries), m_duty(options.vm)
+      m_retries(options.retries), m_duty(options.vm, options.duty)
 {
     noteGateways(m_heardGateways);
     m_duty.begin(now());
@@ -57,6 +57,7 @@
 void GatewayState::gatewaysChanged(std::vector<GatewayEntry> all)
 {
     m_gateways = std::move(all);
+    ++m_gatewayChanges;
     noteGateways(m_heardGateways);
     LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_gateways.size());
 }
@@ -112,7 +113,21 @@
 
 void GatewayState::current()
 {
-    m_currentAt = now();
+    noteCurrent(now());
+}
+
+/// The state was current at \p at. Where it had become old before, the others' may have as well, so
+/// they hear of it at once: without that the end of all that watched would make each of the others
+/// read the store.
+void GatewayState::noteCurrent(Time at)
+{
+    if (m_currentAt && at <= *m_currentAt)
+        return;
+    const Duration half = m_options.duty.staleLimit / 2;
+    const bool wasOld = m_currentAt && *m_currentAt + half < now();
+    m_currentAt = at;
+    if (wasOld && at + half > now() && m_onChange)
+        m_onChange();
 }
 
 void GatewayState::quarantineRead(std::vector<QuarantinedRequest> requests)
@@ -136,8 +151,12 @@
 void GatewayState::vouched(Time at)
 {
     m_duty.vouched(at);
-    if (!m_currentAt || *m_currentAt < at)
-        m_currentAt = at;
+    noteCurrent(at);
+}
+
+bool GatewayState::isVouched() const
+{
+    return !m_duty.isStale(now());
 }
 
 bool GatewayState::shouldWatch(const std::set<VmName> &peers) const
@@ -160,7 +179,7 @@
 
 StateVersions GatewayState::versions() const
 {
-    return {configVersion(), m_directory.revision(), m_evacuations.readAt()};
+    return {configVersion(), m_directory.revision(), m_directory.digest(), m_evacuations.readAt()};
 }
 
 GatewayNews GatewayState::newsSince(const StateVersions &known) const
@@ -173,7 +192,7 @@
         if (!news.configChange)
             news.config = m_table->config();
     }
-    news.registry = m_directory.newsSince(known.registry, now());
+    news.registry = m_directory.newsSince(known.registry, now(), known.registryDigest);
     news.evacuations = m_evacuations.newsSince(known.evacuations);
     return news;
 }
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -77,7 +77,8 @@
     return changed;
 }
 
-RegistryNews UpstreamDirectory::newsSince(std::uint64_t revision, Time now) const
+RegistryNews UpstreamDirectory::newsSince(std::uint64_t revision, Time now,
+                                          std::uint64_t digest) const
 {
     RegistryNews news;
     news.revision = m_revision;
@@ -92,10 +93,26 @@
         news.changes = std::move(*changes);
         return news;
     }
+    if (revision > 0 && digest == this->digest()) {
+        news.changesFrom = revision;
+        return news;
+    }
     news.all = registered();
     return news;
 }
 
+std::uint64_t UpstreamDirectory::digest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[id, entry] : m_entries) {
+        if (m_missing.contains(id))
+            continue;
+        const std::uint64_t life = XXH64(&id.born, sizeof id.born, entry.revision);
+        digest ^= XXH64(id.text.data(), id.text.size(), life);
+    }
+    return digest;
+}
+
 UpstreamDirectory::Changed UpstreamDirectory::take(const RegistryNews &news, Time now)
 {
     Changed changed;
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(entriesStillMissingAfterTheGraceAreGone);
     CPPUNIT_TEST(leavingEntriesAreNotHeldBack);
     CPPUNIT_TEST(firstContactHoldsNothingBack);
+    CPPUNIT_TEST(sameRegistryAtAnotherRevisionIsNotSent);
     CPPUNIT_TEST(heldEntriesAreToldApart);
     CPPUNIT_TEST(heldEntryOfAnotherIsNotTakenWithChanges);
     CPPUNIT_TEST(departureSeenAfterTheFirstAnswerIsNotHeld);
@@ -193,6 +194,31 @@
         return made;
     }
 
+    /// Gateways that list an unchanged registry at different revisions have nothing to tell.
+    void sameRegistryAtAnotherRevisionIsNotSent()
+    {
+        UpstreamDirectory teller;
+        teller.regainedContact(start);
+        teller.replaceAll({entry("a", 5), entry("b", 6)}, 30, start);
+        UpstreamDirectory hearer;
+        hearer.replaceAll({entry("a", 5), entry("b", 6)}, 20, start);
+        const RegistryNews same = teller.newsSince(20, start, hearer.digest());
+        CPPUNIT_ASSERT(!same.all && same.changes.empty());
+        hearer.take(same, start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{30}, hearer.revision());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hearer.entries().size());
+        UpstreamDirectory other;
+        other.replaceAll({entry("a", 5), entry("b", 7)}, 20, start);
+        CPPUNIT_ASSERT(teller.newsSince(20, start, other.digest()).all.has_value());
+        UpstreamDirectory fewer;
+        fewer.replaceAll({entry("a", 5)}, 20, start);
+        CPPUNIT_ASSERT(teller.newsSince(20, start, fewer.digest()).all.has_value());
+        // One that knows nothing lacks the registry, also where that has no entries.
+        UpstreamDirectory empty;
+        empty.replaceAll({}, 30, start);
+        CPPUNIT_ASSERT(empty.newsSince(0, start, UpstreamDirectory().digest()).all.has_value());
+    }
+
     void heldEntriesAreToldApart()
     {
         const Time regained = start + seconds(9);
--- a/src/libreachlead/watchduty.cpp
+++ b/src/libreachlead/watchduty.cpp
@@ -48,11 +48,17 @@
 
 bool WatchDuty::isOn(const std::set<VmName> &others, Time now) const
 {
-    if (m_vouchedAt + staleLimit < now)
+    const std::size_t rank = rankAmong(m_self, others);
+    const bool isFirst = rank < watchers;
+    const double part =
+        isFirst ? 0.0 : static_cast<double>(rank) / static_cast<double>(others.size());
+    const Duration wait = fromSeconds(toSeconds(m_options.staleLimit) * lastAfter * part);
+    if (isStale(now - wait))
         return true;
-    if (others.empty() && now < m_begin + staleLimit)
-        return false;
-    return rankAmong(m_self, others) < watchers;
+    const bool isStarting = now < m_begin + m_options.staleLimit;
+    if (isStarting && m_options.hasSeeds)
+        return m_options.isSeed;
+    return isFirst && !(isStarting && others.empty());
 }
 
 } // namespace reachlead
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -7,6 +7,8 @@
 #include <iterator>
 #include <limits>
 
+#include <xxhash.h>
+
 #include "peer/payload.h"
 
 namespace reachlead {
@@ -30,6 +32,11 @@
     return tagged;
 }
 
+std::uint32_t vmTagOf(const VmName &vm)
+{
+    return XXH32(vm.text.data(), vm.text.size(), 0);
+}
+
 std::vector<TaggedNote> tagNotes(const std::vector<PromptNote> &notes)
 {
     std::vector<TaggedNote> tagged;
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -50,6 +50,21 @@
 /// Upstreams in one beat: 0.6 KB.
 inline constexpr std::size_t mostLoads = 64;
 
+/// A gateway that the sender knows to live, short.
+struct TaggedLife
+{
+    std::uint32_t vm = 0; ///< as vmTagOf()
+    std::uint8_t ageTenths = 0; ///< of a second since it was heard, by whomever; rounded up
+
+    template <class Archive> void serialize(Archive &ar) { ar(vm, ageTenths); }
+};
+
+/// Stands for a gateway's name where a mix-up does no harm.
+std::uint32_t vmTagOf(const VmName &vm);
+
+/// Lives in one beat: 0.1 KB. Some twelve beats a second then tell of 300 gateways.
+inline constexpr std::size_t mostLives = 24;
+
 /// A datagram: who lives, what it knows, and the load that it causes.
 struct GatewayBeat
 {
@@ -67,13 +82,14 @@
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
+    std::vector<TaggedLife> lives; ///< the same of more of them, where beats do not reach all
 
     static constexpr std::int32_t unknownAge = -1;
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
-           evacuationMark, ageMs, clock, quarantineMark, load, openFrom, prompts, sample);
+           evacuationMark, ageMs, clock, quarantineMark, load, openFrom, prompts, sample, lives);
     }
 };
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -4,6 +4,7 @@
 #include "peer/gatewaypeers.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <ranges>
 #include <set>
@@ -93,6 +94,7 @@
           udp::endpoint(m_acceptor.local_endpoint().address(), m_acceptor.local_endpoint().port()))
 {
     m_options.self.address.port = m_acceptor.local_endpoint().port();
+    m_turn = m_random() % mostPeers;
     asio::co_spawn(io, beatLoop(), asio::detached);
     asio::co_spawn(io, hearLoop(), asio::detached);
     asio::co_spawn(io, acceptLoop(), asio::detached);
@@ -157,6 +159,7 @@
     const Time now = RuntimeClock::now();
     const Duration span = m_options.beats.noteSpan(m_lastTargets, others().size());
     beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
+    beat.lives = livesToTell(now);
     if (++m_beats % sampleEvery != 1)
         return beat;
     std::vector<GatewayEntry> lately;
@@ -168,12 +171,60 @@
     return beat;
 }
 
+/// Some gateways that live, where beats alone would not tell each of the others in time.
+std::vector<TaggedLife> GatewayPeers::livesToTell(Time now)
+{
+    std::vector<TaggedLife> lives;
+    if (m_peers.size() <= longRound * m_lastTargets)
+        return lives;
+    std::vector<TaggedLife> all;
+    for (const auto &[vm, peer] : m_peers) {
+        const double tenths = std::ceil(toSeconds(now - peer.heard) * 10.0);
+        if (peer.heard + peerLimit > now + m_options.beats.interval)
+            all.push_back({vmTagOf(vm), static_cast<std::uint8_t>(std::max(0.0, tenths))});
+    }
+    std::ranges::sample(all, std::back_inserter(lives), mostLives, m_random);
+    return lives;
+}
+
+/// Follows which gateways have entries of their own.
+void GatewayPeers::tagRegistered()
+{
+    const bool isSame = m_taggedAt == m_state.gatewayChanges();
+    if (isSame && m_byTag.size() < 2 * mostPeers)
+        return;
+    m_taggedAt = m_state.gatewayChanges();
+    m_byTag.clear();
+    for (const GatewayEntry &entry : m_state.gateways())
+        m_byTag.emplace(vmTagOf(entry.vm), entry);
+    for (const auto &[vm, peer] : m_peers)
+        m_byTag.insert_or_assign(vmTagOf(vm), peer.entry);
+}
+
+/// Notes when others were heard last, by what a peer knows of it. Ages are rounded up, so that a
+/// word that goes round makes nobody younger.
+void GatewayPeers::takeLives(const std::vector<TaggedLife> &lives, Time now)
+{
+    tagRegistered();
+    for (const TaggedLife &life : lives) {
+        const auto known = m_byTag.find(life.vm);
+        if (known == m_byTag.end() || known->second.vm == m_options.self.vm)
+            continue;
+        const Time heard = now - milliseconds(life.ageTenths * 100);
+        const auto [it, fresh] = m_peers.try_emplace(
+            known->second.vm, Peer{known->second, heard, Time{}, Incarnation{}, 0});
+        it->second.heard = std::max(it->second.heard, heard);
+    }
+}
+
 /// Takes up gateways that a peer heard; they count as silent unless they are heard in time.
 void GatewayPeers::takeSample(const std::vector<GatewayEntry> &sample, Time now)
 {
     for (const GatewayEntry &entry : sample) {
-        if (entry.vm != m_options.self.vm && m_peers.size() < mostPeers)
-            m_peers.try_emplace(entry.vm, Peer{entry, now - peerLimit / 2, {}, 0});
+        if (entry.vm == m_options.self.vm || m_peers.size() >= mostPeers)
+            continue;
+        m_peers.try_emplace(entry.vm, Peer{entry, now - peerLimit / 2, {}, {}, 0});
+        m_byTag.emplace(vmTagOf(entry.vm), entry);
     }
 }
 
@@ -280,7 +331,7 @@
     const Time now = RuntimeClock::now();
     std::set<GatewayLife> lives;
     for (const auto &[vm, peer] : m_peers) {
-        if (peer.heard + span > now && peer.incarnation.value != 0)
+        if (peer.heardDirectly + span > now && peer.incarnation.value != 0)
             lives.insert({vm, peer.incarnation});
     }
     return lives;
@@ -336,6 +387,7 @@
     if (it == m_peers.end())
         return true; // known from its first beat on
     it->second.heard = RuntimeClock::now();
+    it->second.heardDirectly = it->second.heard;
     it->second.incarnation = incarnation;
     it->second.sequence = sequence;
     return true;
@@ -354,7 +406,8 @@
         return;
     const Time now = RuntimeClock::now();
     const bool fresh = !m_peers.contains(beat.from.vm);
-    m_peers[beat.from.vm] = Peer{beat.from, now, beat.incarnation, beat.sequence};
+    m_peers[beat.from.vm] = Peer{beat.from, now, now, beat.incarnation, beat.sequence};
+    m_byTag.insert_or_assign(vmTagOf(beat.from.vm), beat.from);
     std::erase_if(m_peers, [&](const auto &peer) {
         const bool gone = peer.second.heard + peerLimit < now;
         if (gone)
@@ -364,6 +417,7 @@
     if (fresh)
         LogLine(LogLevel::Info, "peer-heard").with("peer", beat.from.vm.text);
     takeSample(beat.sample, now);
+    takeLives(beat.lives, now);
     m_state.compareEvacuations(beat.evacuationRevision, beat.evacuationMark);
     if (m_onMark)
         m_onMark(beat.quarantineMark, beat.from.address);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -112,6 +113,10 @@
     /// One beat in so many names other gateways: they are half of a beat's bytes.
     static constexpr std::uint64_t sampleEvery = 4;
 
+    /// Beats until each of the others got one, beyond which a beat tells who lives: in a fleet of
+    /// 357 each gateway hears one other each 28 s, longer than peerLimit.
+    static constexpr std::size_t longRound = 4;
+
     /// A gateway that is in contact with the registry hears of a change by itself; it asks a peer
     /// only when it is still behind after this long.
     static constexpr Duration patienceInContact = milliseconds(300);
@@ -122,7 +127,8 @@
     struct Peer
     {
         GatewayEntry entry;
-        Time heard;
+        Time heard; ///< by this gateway or by one that told of it
+        Time heardDirectly;
         Incarnation incarnation;
         std::uint64_t sequence = 0; ///< of the last beat that was taken
     };
@@ -138,6 +144,9 @@
     std::vector<boost::asio::ip::udp::endpoint> nextTargets(std::size_t bytes);
     GatewayBeat makeBeat();
     void takeSample(const std::vector<GatewayEntry> &sample, Time now);
+    std::vector<TaggedLife> livesToTell(Time now);
+    void tagRegistered();
+    void takeLives(const std::vector<TaggedLife> &lives, Time now);
     void take(const GatewayBeat &beat);
     bool isBehind(const GatewayBeat &beat) const;
     bool isOld(const VmName &from, Incarnation incarnation, std::uint64_t sequence) const;
@@ -151,8 +160,12 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::udp::socket m_udp; ///< at the acceptor's port, also when the kernel chose it
     std::map<VmName, Peer> m_peers;
+    std::unordered_map<std::uint32_t, GatewayEntry> m_byTag; ///< peers, and those in the registry
+    std::uint64_t m_taggedAt = 0; ///< GatewayState::gatewayChanges() that m_byTag holds
     std::mt19937_64 m_random{std::random_device{}()};
-    std::size_t m_turn = 0; ///< of the rotation over targets
+    /// Of the rotation over targets. All gateways know the others in the same order, so those that
+    /// start together would all tell the same few, and leave the rest without a word for a round.
+    std::size_t m_turn = 0;
     std::size_t m_lastTargets = BeatBudget::fewestTargets; ///< gateways that the last beat went to
     std::size_t m_lastBytes = 0; ///< of the last beat, to one of them
     std::uint64_t m_sequence = 0; ///< of the last word of its load that was sent
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -3,6 +3,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <ranges>
+
 #include <boost/asio/ip/udp.hpp>
 
 #include "peer/gatewaypeers.h"
@@ -19,6 +22,7 @@
     CPPUNIT_TEST(answerToAnotherQuestionIsRefused);
     CPPUNIT_TEST(beatThatIsPlayedAgainChangesNothing);
     CPPUNIT_TEST(peerThatKnowsLessVouchesToo);
+    CPPUNIT_TEST(gatewaysThatBeatsSeldomReachAreKnownToLive);
     CPPUNIT_TEST(shortBeatsGoToMoreGateways);
     CPPUNIT_TEST(newsIsToldUntilEachHeardIt);
     CPPUNIT_TEST(weightyLoadIsToldBeforeTheNextBeat);
@@ -37,20 +41,26 @@
     {
         Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
              std::vector<Endpoint> seeds)
-            : peers(io, options(vm, key, std::move(seeds), &counters), state)
+            : Node(io, vm, key, std::move(seeds), BeatBudget())
+        { }
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
+             std::vector<Endpoint> seeds, const BeatBudget &beats)
+            : peers(io, options(vm, key, std::move(seeds), &counters, beats), state)
         { }
         ~Node() { peers.stop(); }
         Node(const Node &) = delete;
         Node &operator=(const Node &) = delete;
 
         static GatewayPeers::Options options(const std::string &vm, const std::string &key,
-                                             std::vector<Endpoint> seeds, Counters *counters)
+                                             std::vector<Endpoint> seeds, Counters *counters,
+                                             const BeatBudget &beats = {})
         {
             GatewayPeers::Options made;
             made.self = {VmName(vm), {"127.0.0.1", 0}};
             made.seeds = std::move(seeds);
             made.keys = keys(key);
             made.counters = counters;
+            made.beats = beats;
             return made;
         }
         Endpoint address() const { return {"127.0.0.1", peers.port()}; }
@@ -70,13 +80,13 @@
             RuntimeClock::resume();
         }
 
-        void advance(Duration d)
+        void advance(Duration d, Duration step = milliseconds(10),
+                     std::chrono::milliseconds span = std::chrono::milliseconds(3))
         {
-            constexpr Duration step = milliseconds(10);
             for (Duration moved{}; moved < d; moved += step) {
                 RuntimeClock::advance(step);
                 io.restart();
-                io.run_for(std::chrono::milliseconds(3));
+                io.run_for(span);
             }
         }
 
@@ -177,6 +187,42 @@
         CPPUNIT_ASSERT(hearer.state.currentAt().has_value());
     }
 
+    /// Beats go to five of 79 others every 0.8 s, so that one hears each of them each 13 s: by then
+    /// it would count as lost. One that ends is lost to all all the same.
+    void gatewaysThatBeatsSeldomReachAreKnownToLive()
+    {
+        constexpr std::size_t size = 80;
+        Clocked clocked;
+        BeatBudget beats;
+        beats.interval = milliseconds(800);
+        beats.bytesPerSecond = 1;
+        std::vector<std::unique_ptr<Node>> nodes;
+        std::vector<Endpoint> seeds;
+        for (std::size_t n = 0; n < size; ++n) {
+            nodes.push_back(std::make_unique<Node>(clocked.io, "vm-" + std::to_string(n),
+                                                   "the key of this fleet", seeds, beats));
+            if (n < 3)
+                seeds.push_back(nodes.back()->address());
+        }
+        std::vector<GatewayEntry> all;
+        for (const auto &node : nodes)
+            all.push_back(node->peers.self());
+        for (const auto &node : nodes)
+            node->state.gatewaysChanged(all);
+        constexpr Duration step = milliseconds(100);
+        constexpr std::chrono::milliseconds span(20); // 25 beats in a step
+        clocked.advance(seconds(30), step, span);
+        for (int n = 0; n < 5; ++n) {
+            clocked.advance(seconds(3), step, span);
+            for (const auto &node : nodes)
+                CPPUNIT_ASSERT(node->peers.heard().size() >= size - 3);
+        }
+        nodes.back()->peers.stop();
+        clocked.advance(GatewayPeers::peerLimit + seconds(5), step, span);
+        for (const auto &node : nodes | std::views::take(size - 1))
+            CPPUNIT_ASSERT(!node->peers.heard().contains(VmName("vm-79")));
+    }
+
     void shortBeatsGoToMoreGateways()
     {
         const BeatBudget budget;
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -172,6 +172,7 @@
         m_state.tick();
         m_shared.pool.closeExpired();
         m_source->setDuty(m_state.shouldWatch(m_peers.heard()));
+        m_source->setServed(m_state.isReady() && m_state.isVouched());
         const bool ready = m_state.isReady() && !m_shared.stopping;
         if (std::exchange(m_lastReady, ready) != ready)
             LogLine(LogLevel::Info, ready ? "ready" : "not-ready")
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -105,10 +105,14 @@
     std::vector<std::string> keys;
     std::int64_t port = 0;
     double beatMs = toMillis(peers.beats.interval);
+    double configMs = 2000.0;
+    double leaveMs = configMs;
     IniReader reader(file, "peers");
     reader.require("port")
         .takeInteger("port", 0, 65535, &port)
         .takeNumber("beat_ms", 50.0, 10'000.0, &beatMs)
+        .takeNumber("config_bound_ms", 100.0, 600'000.0, &configMs)
+        .takeNumber("leave_bound_ms", 100.0, 600'000.0, &leaveMs)
         .takeNumber("bytes_per_s", 1.0, 1e9, &peers.beats.bytesPerSecond);
     peers.beats.interval = fromSeconds(beatMs / 1000.0);
     if (reader.has("seeds"))
@@ -134,6 +138,12 @@
         peers.seeds.push_back({endpoint->address, static_cast<std::uint16_t>(port)});
     }
     state.fewestGateways = std::max<std::size_t>(1, peers.seeds.size());
+    state.duty.staleLimit =
+        fromSeconds(std::min(configMs, leaveMs) / 1000.0 * WatchDuty::stalePart);
+    state.duty.hasSeeds = !peers.seeds.empty();
+    state.duty.isSeed =
+        std::ranges::find(peers.seeds, peers.self.address.address, &Endpoint::address)
+        != peers.seeds.end();
     return std::nullopt;
 }
 
