--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -141,9 +141,9 @@
     state.duty.staleLimit =
         fromSeconds(std::min(configMs, leaveMs) / 1000.0 * WatchDuty::stalePart);
     state.duty.hasSeeds = !peers.seeds.empty();
-    state.duty.isSeed =
-        std::ranges::find(peers.seeds, peers.self.address.address, &Endpoint::address)
-        != peers.seeds.end();
+    state.duty.isSeed = std::ranges::any_of(peers.seeds, [this](const Endpoint &seed) {
+        return seed.text() == peers.self.address.text();
+    });
     return std::nullopt;
 }
 
