--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -27,12 +27,27 @@
     Endpoint address; ///< of its peer port, TCP and UDP
     MilliCores cores = 0; ///< what its process may use
 
+    bool operator==(const GatewayEntry &other) const
+    {
+        return vm == other.vm && address.address == other.address.address
+            && address.port == other.address.port && cores == other.cores;
+    }
+
     template <class Archive> void serialize(Archive &ar)
     {
         ar(vm, address.address, address.port, cores);
     }
 };
 
+/// The list of gateways that the platform keeps, and the platform's revision of its last change.
+struct GatewayRoster
+{
+    std::uint64_t revision = 0; ///< 0: none is known
+    std::vector<GatewayEntry> gateways;
+
+    template <class Archive> void serialize(Archive &ar) { ar(revision, gateways); }
+};
+
 /// How far a gateway's state goes.
 struct StateVersions
 {
@@ -40,10 +55,11 @@
     std::uint64_t registry = 0;
     std::uint64_t registryDigest = 0; ///< as UpstreamDirectory::digest()
     std::uint64_t evacuations = 0; ///< as Evacuations::readAt()
+    std::uint64_t roster = 0; ///< as GatewayRoster::revision
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(config, registry, registryDigest, evacuations);
+        ar(config, registry, registryDigest, evacuations, roster);
     }
 };
 
@@ -54,6 +70,7 @@
     std::optional<RoutingDelta> configChange;
     RegistryNews registry;
     EvacuationNews evacuations;
+    GatewayRoster roster; ///< of revision 0: nothing newer
 };
 
 /// Takes what a source reads. Called on the traffic thread.
@@ -65,7 +82,7 @@
     virtual void configRead(RoutingConfig config) = 0;
     virtual void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) = 0;
     virtual void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) = 0;
-    virtual void gatewaysChanged(std::vector<GatewayEntry> all) = 0;
+    virtual void gatewaysChanged(GatewayRoster roster) = 0;
 
     /// The evacuated zones, all of them, as of the platform's \p revision.
     virtual void evacuationsRead(ZoneSet zones, std::uint64_t revision) = 0;
@@ -95,6 +112,9 @@
     /// Whether peers tell all that is needed. A first reading that failed is then not repeated.
     virtual void setServed(bool isServed) = 0;
 
+    /// Keeps the list of gateways where those that start read it.
+    virtual void publish(std::vector<GatewayEntry> roster) = 0;
+
     /// Keeps a quarantine where gateways that start later read it.
     virtual void publish(const QuarantinedRequest &request) = 0;
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -53,7 +53,7 @@
     void configRead(RoutingConfig config) override;
     void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) override;
     void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) override;
-    void gatewaysChanged(std::vector<GatewayEntry> all) override;
+    void gatewaysChanged(GatewayRoster roster) override;
     void evacuationsRead(ZoneSet zones, std::uint64_t revision) override;
     void contactChanged(bool inContact) override;
     void current() override;
@@ -106,9 +106,7 @@
     const RegionByZone &regions() const { return m_options.regions; }
     RetryShare &retries() { return m_retries; }
     CrashBook &crashes() { return m_crashes; }
-    const std::vector<GatewayEntry> &gateways() const { return m_gateways; }
-    /// Rises with each change of gateways().
-    std::uint64_t gatewayChanges() const { return m_gatewayChanges; }
+    const GatewayRoster &roster() const { return m_roster; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
     /// Configurations that a change can be told from: a storm writes some each second, and one that
@@ -145,8 +143,7 @@
     PlacementGroups m_groups;
     RetryShare m_retries;
     CrashBook m_crashes;
-    std::vector<GatewayEntry> m_gateways;
-    std::uint64_t m_gatewayChanges = 0;
+    GatewayRoster m_roster;
     std::size_t m_heardGateways = 1;
     std::optional<Time> m_currentAt;
     WatchDuty m_duty;
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -146,7 +146,7 @@
     /// targets reach thirty gateways.
     static constexpr Duration noteSpan = milliseconds(2500);
     /// Notes in one beat: 0.5 KB, so that a beat stays below 1.2 KB.
-    static constexpr std::size_t mostNotes = 38;
+    static constexpr std::size_t mostNotes = 35;
 
     UpstreamBook(ZoneName zone, const Costs &costs)
         : m_zone(std::move(zone)), m_costs(costs), m_quiet(costs.quiet)
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -54,12 +54,13 @@
     noteChange(m_directory.apply(changes, revision, now()), "platform");
 }
 
-void GatewayState::gatewaysChanged(std::vector<GatewayEntry> all)
+void GatewayState::gatewaysChanged(GatewayRoster roster)
 {
-    m_gateways = std::move(all);
-    ++m_gatewayChanges;
+    if (roster.revision <= m_roster.revision)
+        return;
+    m_roster = std::move(roster);
     noteGateways(m_heardGateways);
-    LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_gateways.size());
+    LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_roster.gateways.size());
 }
 
 void GatewayState::evacuationsRead(ZoneSet zones, std::uint64_t revision)
@@ -91,7 +92,8 @@
 void GatewayState::noteGateways(std::size_t heard)
 {
     m_heardGateways = heard;
-    const std::size_t gateways = std::max({heard, m_gateways.size(), m_options.fewestGateways});
+    const std::size_t gateways =
+        std::max({heard, m_roster.gateways.size(), m_options.fewestGateways});
     m_retries.setGateways(gateways);
     m_book.setFleet(gateways, std::hash<VmName>{}(vm()));
 }
@@ -172,6 +174,7 @@
         if (auto config = applied(m_table->config(), *news.configChange))
             adopt(std::move(*config), peer.text);
     }
+    gatewaysChanged(news.roster);
     if (m_evacuations.take(news.evacuations))
         applyEvacuations(peer.text);
     noteChange(m_directory.take(news.registry, now()), peer.text);
@@ -179,7 +182,8 @@
 
 StateVersions GatewayState::versions() const
 {
-    return {configVersion(), m_directory.revision(), m_directory.digest(), m_evacuations.readAt()};
+    return {configVersion(), m_directory.revision(), m_directory.digest(), m_evacuations.readAt(),
+            m_roster.revision};
 }
 
 GatewayNews GatewayState::newsSince(const StateVersions &known) const
@@ -194,6 +198,8 @@
     }
     news.registry = m_directory.newsSince(known.registry, now(), known.registryDigest);
     news.evacuations = m_evacuations.newsSince(known.evacuations);
+    if (m_roster.revision > known.roster)
+        news.roster = m_roster;
     return news;
 }
 
--- /dev/null
+++ b/src/libreachlead/rosterduty_test.cpp
@@ -0,0 +1,125 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+#include <fmt/format.h>
+
+#include <reachlead/rosterduty.h>
+
+namespace reachlead {
+
+/// The list of gateways, as those on watch keep it through starts, losses and cuts.
+class RosterDutyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RosterDutyTest);
+    CPPUNIT_TEST(fleetThatStartsIsWrittenInFewCalls);
+    CPPUNIT_TEST(restartChangesNothing);
+    CPPUNIT_TEST(goneGatewayIsTakenOff);
+    CPPUNIT_TEST(movedGatewayIsWrittenAnew);
+    CPPUNIT_TEST(nextWritesWhereTheFirstDoesNot);
+    CPPUNIT_TEST(halvesThatOnlyTheStoreJoinsAreBothListed);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(100)};
+
+    static Roster fleet(std::size_t n, std::size_t from = 0)
+    {
+        Roster made;
+        for (std::size_t it = from; it < from + n; ++it) {
+            const VmName vm(fmt::format("vm-{}", it));
+            made[vm] = {vm, {fmt::format("10.0.{}.{}", it / 200, it % 200), 7340}, 90};
+        }
+        return made;
+    }
+
+    /// Three watchers hear of a fleet that starts within two seconds. The calls do not grow with
+    /// the fleet.
+    void fleetThatStartsIsWrittenInFewCalls()
+    {
+        for (const std::size_t size : {std::size_t{30}, std::size_t{300}, std::size_t{1000}}) {
+            std::array<RosterDuty, 3> watchers;
+            Roster known;
+            int writes = 0;
+            for (int n = 0; n < 60; ++n) {
+                const Roster live = fleet(std::min(size, size * (n + 1) / 3));
+                for (std::size_t rank = 0; rank < watchers.size(); ++rank) {
+                    const auto roster =
+                        watchers[rank].due(known, live, rank, start + n * seconds(1));
+                    if (!roster)
+                        continue;
+                    known = *roster;
+                    ++writes;
+                }
+            }
+            CPPUNIT_ASSERT(known == fleet(size));
+            CPPUNIT_ASSERT(writes <= 4);
+        }
+    }
+
+    void restartChangesNothing()
+    {
+        RosterDuty duty;
+        const Roster known = fleet(20);
+        for (int n = 0; n < 25; ++n)
+            CPPUNIT_ASSERT(!duty.due(known, fleet(12), 0, start + n * seconds(1)));
+        CPPUNIT_ASSERT(!duty.due(known, known, 0, start + seconds(25)));
+        // Silence counts from its begin.
+        for (int n = 26; n < 50; ++n)
+            CPPUNIT_ASSERT(!duty.due(known, fleet(12), 0, start + n * seconds(1)));
+    }
+
+    void goneGatewayIsTakenOff()
+    {
+        RosterDuty duty;
+        const Roster known = fleet(20);
+        std::optional<Roster> written;
+        for (int n = 0; n < 40 && !written; ++n)
+            written = duty.due(known, fleet(19), 0, start + n * seconds(1));
+        CPPUNIT_ASSERT(written && *written == fleet(19));
+    }
+
+    void movedGatewayIsWrittenAnew()
+    {
+        RosterDuty duty;
+        Roster live = fleet(5);
+        live[VmName("vm-3")].address.address = "10.9.9.9";
+        duty.due(fleet(5), live, 0, start);
+        const auto written = duty.due(fleet(5), live, 0, start + RosterDuty::perRank);
+        CPPUNIT_ASSERT(written.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.9.9.9"), written->at(VmName("vm-3")).address.address);
+    }
+
+    void nextWritesWhereTheFirstDoesNot()
+    {
+        RosterDuty duty;
+        duty.due({}, fleet(3), 1, start);
+        CPPUNIT_ASSERT(!duty.due({}, fleet(3), 1, start + RosterDuty::perRank));
+        CPPUNIT_ASSERT(duty.due({}, fleet(3), 1, start + 2 * RosterDuty::perRank));
+    }
+
+    /// Gateways that cannot reach those of the other half; each half's first watcher writes.
+    void halvesThatOnlyTheStoreJoinsAreBothListed()
+    {
+        const Roster here = fleet(10);
+        const Roster there = fleet(10, 10);
+        std::array<RosterDuty, 2> writers;
+        Roster known;
+        std::size_t complete = 0;
+        for (int n = 0; n < 300; ++n) {
+            const Time now = start + n * seconds(1);
+            if (const auto roster = writers[0].due(known, here, 0, now))
+                known = *roster;
+            if (const auto roster = writers[1].due(known, there, 0, now))
+                known = *roster;
+            complete += known.size() == 20 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(complete >= 250); // a gateway that starts finds both
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RosterDutyTest);
+
+} // namespace reachlead
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -89,14 +89,15 @@
 
 std::string encodeNews(const GatewayNews &news)
 {
-    return pvt::encodePayload(news.config, news.configChange, news.registry, news.evacuations);
+    return pvt::encodePayload(news.config, news.configChange, news.registry, news.evacuations,
+                              news.roster);
 }
 
 std::optional<GatewayNews> decodeNews(std::string_view payload, std::string *reason)
 {
     GatewayNews news;
     if (!pvt::decodeParts(payload, reason, news.config, news.configChange, news.registry,
-                          news.evacuations))
+                          news.evacuations, news.roster))
         return std::nullopt;
     return news;
 }
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -75,6 +75,7 @@
     std::uint64_t registryRevision = 0;
     std::uint64_t evacuationRevision = 0; ///< as Evacuations::revision()
     std::uint32_t evacuationMark = 0; ///< as Evacuations::mark()
+    std::uint64_t rosterRevision = 0; ///< as GatewayRoster::revision
     std::int32_t ageMs = unknownAge; ///< of the state: since it was known to be current
     UnixMillis clock = 0; ///< the sender's time of day
     std::uint64_t quarantineMark = 0; ///< as CrashBook::mark()
@@ -89,7 +90,8 @@
     template <class Archive> void serialize(Archive &ar)
     {
         ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
-           evacuationMark, ageMs, clock, quarantineMark, load, openFrom, prompts, sample, lives);
+           evacuationMark, rosterRevision, ageMs, clock, quarantineMark, load, openFrom, prompts,
+           sample, lives);
     }
 };
 
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -109,7 +109,7 @@
             decodeBeat(bytes, &reason);
             decodeNews(bytes, &reason);
             const auto ask = decodeAsk(bytes, &reason);
-            RC_ASSERT(!ask || bytes.size() == 32);
+            RC_ASSERT(!ask || bytes.size() == 48);
         }));
     }
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -119,6 +119,17 @@
     return live;
 }
 
+std::map<VmName, GatewayEntry> GatewayPeers::live() const
+{
+    const Time now = RuntimeClock::now();
+    std::map<VmName, GatewayEntry> live{{m_options.self.vm, m_options.self}};
+    for (const auto &[vm, peer] : m_peers) {
+        if (peer.heard + peerLimit > now)
+            live.emplace(vm, peer.entry);
+    }
+    return live;
+}
+
 asio::awaitable<void> GatewayPeers::beatLoop()
 {
     Timer timer(m_io);
@@ -147,6 +158,7 @@
     beat.registryRevision = m_state.directory().revision();
     beat.evacuationRevision = m_state.evacuations().revision();
     beat.evacuationMark = m_state.evacuations().mark();
+    beat.rosterRevision = m_state.roster().revision;
     beat.clock = vmTimeOfDay();
     m_time.note(m_options.self.vm, beat.clock, RuntimeClock::now());
     m_time.dropOld(RuntimeClock::now());
@@ -159,7 +171,8 @@
     const Time now = RuntimeClock::now();
     const Duration span = m_options.beats.noteSpan(m_lastTargets, others().size());
     beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
-    beat.lives = livesToTell(now);
+    if (beat.load.size() <= mostLoads / 2) // a beat of the largest load has no room
+        beat.lives = livesToTell(now);
     if (++m_beats % sampleEvery != 1)
         return beat;
     std::vector<GatewayEntry> lately;
@@ -190,12 +203,12 @@
 /// Follows which gateways have entries of their own.
 void GatewayPeers::tagRegistered()
 {
-    const bool isSame = m_taggedAt == m_state.gatewayChanges();
+    const bool isSame = m_taggedAt == m_state.roster().revision;
     if (isSame && m_byTag.size() < 2 * mostPeers)
         return;
-    m_taggedAt = m_state.gatewayChanges();
+    m_taggedAt = m_state.roster().revision;
     m_byTag.clear();
-    for (const GatewayEntry &entry : m_state.gateways())
+    for (const GatewayEntry &entry : m_state.roster().gateways)
         m_byTag.emplace(vmTagOf(entry.vm), entry);
     for (const auto &[vm, peer] : m_peers)
         m_byTag.insert_or_assign(vmTagOf(vm), peer.entry);
@@ -234,7 +247,7 @@
     std::set<std::pair<std::string, std::uint16_t>> known;
     const auto add = [&](const Endpoint &at) { known.emplace(at.address, at.port); };
     std::ranges::for_each(m_options.seeds, add);
-    for (const GatewayEntry &entry : m_state.gateways())
+    for (const GatewayEntry &entry : m_state.roster().gateways)
         add(entry.address);
     for (const Peer &peer : m_peers | std::views::values)
         add(peer.entry.address);
@@ -340,7 +353,7 @@
 std::map<VmName, GatewayEntry> GatewayPeers::fleet() const
 {
     std::map<VmName, GatewayEntry> all{{m_options.self.vm, m_options.self}};
-    for (const GatewayEntry &entry : m_state.gateways())
+    for (const GatewayEntry &entry : m_state.roster().gateways)
         all.emplace(entry.vm, entry);
     for (const auto &[vm, peer] : m_peers)
         all.insert_or_assign(vm, peer.entry);
@@ -427,9 +440,12 @@
     m_state.book().setPeerLoad(
         beat.from.vm, {untagLoad(beat.load, m_state.directory()), beat.openFrom}, now, valid);
     m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
-    if (!isBehind(beat)) {
-        m_behindSince.reset();
+    const bool isBehindNow = isBehind(beat);
+    if (!isBehindNow)
         takeVouch(beat, now);
+    // The list of gateways is no part of what a peer vouches for: calls do not depend on it.
+    if (!isBehindNow && beat.rosterRevision <= m_state.roster().revision) {
+        m_behindSince.reset();
         return;
     }
     if (!m_behindSince)
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -66,6 +66,9 @@
     /// Gateways that were heard within peerLimit, without this one.
     std::set<VmName> heard() const;
 
+    /// The same with their entries, and this one.
+    std::map<VmName, GatewayEntry> live() const;
+
     /// Sends a beat at once: the state changed.
     void announce();
 
@@ -161,7 +164,7 @@
     boost::asio::ip::udp::socket m_udp; ///< at the acceptor's port, also when the kernel chose it
     std::map<VmName, Peer> m_peers;
     std::unordered_map<std::uint32_t, GatewayEntry> m_byTag; ///< peers, and those in the registry
-    std::uint64_t m_taggedAt = 0; ///< GatewayState::gatewayChanges() that m_byTag holds
+    std::uint64_t m_taggedAt = 0; ///< of the roster that m_byTag holds
     std::mt19937_64 m_random{std::random_device{}()};
     /// Of the rotation over targets. All gateways know the others in the same order, so those that
     /// start together would all tell the same few, and leave the rest without a word for a round.
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -208,7 +208,7 @@
         for (const auto &node : nodes)
             all.push_back(node->peers.self());
         for (const auto &node : nodes)
-            node->state.gatewaysChanged(all);
+            node->state.gatewaysChanged({1, all});
         constexpr Duration step = milliseconds(100);
         constexpr std::chrono::milliseconds span(20); // 25 beats in a step
         clocked.advance(seconds(30), step, span);
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -115,8 +115,8 @@
             scheduler = std::make_unique<Node>(io, first.text, otherKey);
             asker = std::make_unique<Node>(io, second.text, "the key of this fleet");
             const std::vector<GatewayEntry> both{scheduler->entry(), asker->entry()};
-            scheduler->state.gatewaysChanged(both);
-            asker->state.gatewaysChanged(both);
+            scheduler->state.gatewaysChanged({1, both});
+            asker->state.gatewaysChanged({1, both});
         }
         ~Pair()
         {
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -3,7 +3,10 @@
 
 #include "gatewaydaemon.h"
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
+#include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -171,8 +174,7 @@
     while (true) {
         m_state.tick();
         m_shared.pool.closeExpired();
-        m_source->setDuty(m_state.shouldWatch(m_peers.heard()));
-        m_source->setServed(m_state.isReady() && m_state.isVouched());
+        followPlatform();
         const bool ready = m_state.isReady() && !m_shared.stopping;
         if (std::exchange(m_lastReady, ready) != ready)
             LogLine(LogLevel::Info, ready ? "ready" : "not-ready")
@@ -184,6 +186,27 @@
     }
 }
 
+/// Takes or gives up the duty to watch the store, and what comes with it.
+void GatewayDaemon::followPlatform()
+{
+    const std::set<VmName> heard = m_peers.heard();
+    const bool watches = m_state.shouldWatch(heard);
+    m_source->setDuty(watches);
+    m_source->setServed(m_state.isReady() && m_state.isVouched());
+    const Time now = RuntimeClock::now();
+    if (!watches || !m_roster.isLookDue(now))
+        return;
+    Roster known;
+    for (const GatewayEntry &entry : m_state.roster().gateways)
+        known.emplace(entry.vm, entry);
+    const auto roster = m_roster.due(known, m_peers.live(), rankAmong(m_state.vm(), heard), now);
+    if (!roster)
+        return;
+    std::vector<GatewayEntry> all;
+    std::ranges::copy(*roster | std::views::values, std::back_inserter(all));
+    m_source->publish(std::move(all));
+}
+
 asio::awaitable<HttpReply> GatewayDaemon::answerReady(HttpAsk ask)
 {
     HttpReply reply;
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -14,6 +14,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <reachlead/http.h>
+#include <reachlead/rosterduty.h>
 
 #include "forward/crashwatch.h"
 #include "forward/forwarder.h"
@@ -46,6 +47,7 @@
     boost::asio::awaitable<void> signalLoop();
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> stopOrderly();
+    void followPlatform();
     boost::asio::awaitable<HttpReply> answerReady(HttpAsk ask);
     boost::asio::awaitable<HttpReply> answerOperator(HttpAsk ask);
     void applyReload();
@@ -68,6 +70,7 @@
     HttpServer m_operators;
     std::unique_ptr<FleetSource> m_source;
     Reload m_reload;
+    RosterDuty m_roster;
     bool m_lastReady = false;
 };
 
