--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -205,6 +205,7 @@
                 seeds.push_back(nodes.back()->address());
         }
         std::vector<GatewayEntry> all;
+        all.reserve(size);
         for (const auto &node : nodes)
             all.push_back(node->peers.self());
         for (const auto &node : nodes)
