--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -37,6 +37,8 @@
     2; ///< gateways told in a beat: each learns of all in a few rounds
 constexpr std::size_t mostPeers = 2000; ///< about 200 bytes each
 constexpr Duration announcePause = milliseconds(50); ///< between beats out of turn
+/// Between two makings of the list of all others, which costs a look-up of each.
+constexpr Duration othersAge = seconds(2);
 constexpr Duration transit = milliseconds(20); ///< most that a beat is under way, as a rule
 
 auto keepError(error_code *ec)
@@ -241,9 +243,15 @@
     }
 }
 
-/// All known gateways but this one.
-std::vector<Endpoint> GatewayPeers::others() const
+/// All known gateways but this one, as of a short while ago.
+const std::vector<Endpoint> &GatewayPeers::others()
 {
+    const Time now = RuntimeClock::now();
+    const auto madeOf = std::pair(m_peers.size(), m_state.roster().revision);
+    if (m_othersAt && now < *m_othersAt + othersAge && m_othersOf == madeOf)
+        return m_others;
+    m_othersAt = now;
+    m_othersOf = madeOf;
     std::set<std::pair<std::string, std::uint16_t>> known;
     const auto add = [&](const Endpoint &at) { known.emplace(at.address, at.port); };
     std::ranges::for_each(m_options.seeds, add);
@@ -252,17 +260,17 @@
     for (const Peer &peer : m_peers | std::views::values)
         add(peer.entry.address);
     known.erase({m_options.self.address.address, m_options.self.address.port});
-    std::vector<Endpoint> all;
-    all.reserve(known.size());
+    m_others.clear();
+    m_others.reserve(known.size());
     for (const auto &[address, port] : known)
-        all.push_back({address, port});
-    return all;
+        m_others.push_back({address, port});
+    return m_others;
 }
 
 /// The gateways that the next beat goes to: as many as its size allows, in turn.
 std::vector<udp::endpoint> GatewayPeers::nextTargets(std::size_t bytes)
 {
-    const std::vector<Endpoint> all = others();
+    const std::vector<Endpoint> &all = others();
     m_lastTargets = m_options.beats.targets(bytes, all.size());
     std::vector<udp::endpoint> targets;
     for (std::size_t n = 0; n < m_lastTargets; ++n) {
@@ -408,9 +416,9 @@
 
 bool GatewayPeers::isBehind(const GatewayBeat &beat) const
 {
-    const StateVersions own = m_state.versions();
-    return beat.configVersion > own.config || beat.registryRevision > own.registry
-        || beat.evacuationRevision > own.evacuations;
+    return beat.configVersion > m_state.configVersion()
+        || beat.registryRevision > m_state.directory().revision()
+        || beat.evacuationRevision > m_state.evacuations().readAt();
 }
 
 void GatewayPeers::take(const GatewayBeat &beat)
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -58,7 +59,11 @@
     std::uint16_t port() const { return m_options.self.address.port; }
 
     /// Replaces the seeds, as after a change of the settings.
-    void setSeeds(std::vector<Endpoint> seeds) { m_options.seeds = std::move(seeds); }
+    void setSeeds(std::vector<Endpoint> seeds)
+    {
+        m_options.seeds = std::move(seeds);
+        m_othersAt.reset();
+    }
 
     /// Replaces the keys, as after a change of the settings.
     void setKeys(FleetKeys keys) { m_options.keys = std::move(keys); }
@@ -143,7 +148,7 @@
     boost::asio::awaitable<void> fetchNews(GatewayBeat beat);
     void takeVouch(const GatewayBeat &beat, Time heardAt);
     void sendBeats();
-    std::vector<Endpoint> others() const;
+    const std::vector<Endpoint> &others();
     std::vector<boost::asio::ip::udp::endpoint> nextTargets(std::size_t bytes);
     GatewayBeat makeBeat();
     void takeSample(const std::vector<GatewayEntry> &sample, Time now);
@@ -163,6 +168,9 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::udp::socket m_udp; ///< at the acceptor's port, also when the kernel chose it
     std::map<VmName, Peer> m_peers;
+    std::vector<Endpoint> m_others; ///< as others() made it last
+    std::optional<Time> m_othersAt;
+    std::pair<std::size_t, std::uint64_t> m_othersOf; ///< sizes and revisions it was made of
     std::unordered_map<std::uint32_t, GatewayEntry> m_byTag; ///< peers, and those in the registry
     std::uint64_t m_taggedAt = 0; ///< of the roster that m_byTag holds
     std::mt19937_64 m_random{std::random_device{}()};
