--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -202,7 +202,7 @@
     return lives;
 }
 
-/// Follows which gateways have entries of their own.
+/// Follows the roster.
 void GatewayPeers::tagRegistered()
 {
     const bool isSame = m_taggedAt == m_state.roster().revision;
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -170,9 +170,10 @@
     std::map<VmName, Peer> m_peers;
     std::vector<Endpoint> m_others; ///< as others() made it last
     std::optional<Time> m_othersAt;
-    std::pair<std::size_t, std::uint64_t> m_othersOf; ///< sizes and revisions it was made of
-    std::unordered_map<std::uint32_t, GatewayEntry> m_byTag; ///< peers, and those in the registry
-    std::uint64_t m_taggedAt = 0; ///< of the roster that m_byTag holds
+    std::pair<std::size_t, std::uint64_t>
+        m_othersOf; ///< peers and revision of the roster that it was made of
+    std::unordered_map<std::uint32_t, GatewayEntry> m_byTag; ///< peers, and those in the roster
+    std::uint64_t m_taggedAt = 0; ///< revision of the roster that m_byTag holds
     std::mt19937_64 m_random{std::random_device{}()};
     /// Of the rotation over targets. All gateways know the others in the same order, so those that
     /// start together would all tell the same few, and leave the rest without a word for a round.
