--- a/src/peer/beatbudget.h
+++ b/src/peer/beatbudget.h
@@ -26,8 +26,7 @@
 
     /// What a gateway's beats may take where they reach all others within two of them, and twice
     /// what they may take in a larger fleet: control has 15 KB/s of a VM at 480 gateways, and as
-    /// much is heard as is sent. Of 4,670 long prompts under bursts 1,024 had their first event
-    /// later than 0.6 s with 15 others told at a time, 1,242 with five. A setting.
+    /// much is heard as is sent. A setting.
     double bytesPerSecond = 13'000.0;
 
     /// Gateways that one beat goes to at least. What is new passes from one to the next: a change
@@ -35,8 +34,7 @@
     static constexpr std::size_t fewestTargets = 5;
 
     /// Prompt tokens to be read that are told before the next beat is due: two chunks of an engine,
-    /// beside which a stream's pause may be too long. Five gateways can afford it every 0.1 s;
-    /// under bursts 880 instead of 1,072 of 7,104 short calls were late.
+    /// beside which a stream's pause may be too long. Five gateways can afford it every 0.1 s.
     static constexpr TokenCount weightyTokens = 4096;
 
     /// Between looks whether a beat is due.
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -121,8 +121,8 @@
     /// One beat in so many names other gateways: they are half of a beat's bytes.
     static constexpr std::uint64_t sampleEvery = 4;
 
-    /// Beats until each of the others got one, beyond which a beat tells who lives: in a fleet of
-    /// 357 each gateway hears one other each 28 s, longer than peerLimit.
+    /// Beats until each of the others got one, beyond which a beat tells who lives: a longer one
+    /// lasts longer than peerLimit, so that gateways that live would count as lost.
     static constexpr std::size_t longRound = 4;
 
     /// A gateway that is in contact with the registry hears of a change by itself; it asks a peer
