source, rosterduty: the list of gateways is written under the condition that it is the one it was made from

Hypothesis: a write under the revision that it was made from never takes off what another has added. In a conflict nothing is written; the watch tells the newer list, and RosterDuty decides anew. Ruled out: merging in the store, which has no such call.

--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -112,8 +112,9 @@
     /// Whether peers tell all that is needed. A first reading that failed is then not repeated.
     virtual void setServed(bool isServed) = 0;
 
-    /// Keeps the list of gateways where those that start read it.
-    virtual void publish(std::vector<GatewayEntry> roster) = 0;
+    /// Keeps the list of gateways where those that start read it, unless it changed since the
+    /// revision that \p roster was made from: whoever knows less would else take others off.
+    virtual void publish(GatewayRoster roster) = 0;
 
     /// Keeps a quarantine where gateways that start later read it.
     virtual void publish(const QuarantinedRequest &request) = 0;
--- a/src/libreachlead/rosterduty_test.cpp
+++ b/src/libreachlead/rosterduty_test.cpp
@@ -3,7 +3,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
+#include <random>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -16,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(RosterDutyTest);
     CPPUNIT_TEST(fleetThatStartsIsWrittenInFewCalls);
+    CPPUNIT_TEST(listGrowsWhateverEachKnows);
     CPPUNIT_TEST(restartChangesNothing);
     CPPUNIT_TEST(goneGatewayIsTakenOff);
     CPPUNIT_TEST(movedGatewayIsWrittenAnew);
@@ -59,6 +64,40 @@
         }
     }
 
+    /// Forty gateways that take themselves for watchers as they know few of the others, each of
+    /// which reads the list up to four seconds late. A write that was made from an older list is
+    /// refused, as the store does; the list never shrinks, and holds all
+    /// before one that some of them never hear would count as gone.
+    void listGrowsWhateverEachKnows()
+    {
+        constexpr std::size_t size = 200;
+        constexpr std::size_t writers = 40;
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            std::mt19937 random(seed);
+            std::vector<Roster> history{{}};
+            std::vector<RosterDuty> duties(writers);
+            std::vector<std::size_t> seen(writers, 0); ///< index into the history
+            std::vector<Roster> live(writers);
+            const Roster all = fleet(size);
+            for (int n = 0; n < 29; ++n) {
+                const Time now = start + n * seconds(1);
+                for (std::size_t it = 0; it < writers; ++it) {
+                    std::ranges::sample(all, std::inserter(live[it], live[it].end()), 6, random);
+                    seen[it] =
+                        std::max(seen[it],
+                                 history.size() - 1
+                                     - std::min<std::size_t>(history.size() - 1, random() % 4));
+                    const auto roster = duties[it].due(history[seen[it]], live[it], it % 3, now);
+                    if (!roster || seen[it] + 1 != history.size())
+                        continue;
+                    CPPUNIT_ASSERT(roster->size() >= history.back().size());
+                    history.push_back(*roster);
+                }
+            }
+            CPPUNIT_ASSERT(history.back() == all);
+        }
+    }
+
     void restartChangesNothing()
     {
         RosterDuty duty;
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -202,9 +202,9 @@
     const auto roster = m_roster.due(known, m_peers.live(), rankAmong(m_state.vm(), heard), now);
     if (!roster)
         return;
-    std::vector<GatewayEntry> all;
-    std::ranges::copy(*roster | std::views::values, std::back_inserter(all));
-    m_source->publish(std::move(all));
+    GatewayRoster made{m_state.roster().revision, {}};
+    std::ranges::copy(*roster | std::views::values, std::back_inserter(made.gateways));
+    m_source->publish(std::move(made));
 }
 
 asio::awaitable<HttpReply> GatewayDaemon::answerReady(HttpAsk ask)
