dialect, forward: what upstreams say of their limits is read, counted and logged

An upstream may name in its answers how many calls a second it takes from all gateways together. Gateways passed the field on and forgot it, so neither logs nor counters could tell whether a limit was named, to whom, and when it ended. Sight only, no decision rests on it yet: AnswerFacts holds what an answer says of the upstream's own state (none where the answer is unsigned, of another life, or unreadable), UpstreamLimits keeps it by life, the log line upstream-limit and the counter limits_heard tell of each change.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -66,6 +66,7 @@
     ForwardState stateNow(SendEnd end);
     void noteEnd(const UpstreamEntry &entry, SendEnd end);
     void noteLost(const UpstreamEntry &entry);
+    void noteStatement();
     void noteFirst();
     void noteBegan();
     void notePause(Time now);
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <reachlead/log.h>
+
 namespace reachlead {
 
 namespace {
@@ -55,6 +57,8 @@
 asio::awaitable<SendEnd> ForwardCall::takeAnswer()
 {
     const SendEnd judged = judgeHead();
+    if (judged != SendEnd::Corrupt)
+        noteStatement();
     if (judged == SendEnd::Corrupt)
         m_lastReason = "the answer lacks the upstream's signature or its word for a refusal";
     if (judged == SendEnd::RefusedNotRun)
@@ -67,6 +71,23 @@
     co_return end == SendEnd::Complete ? judged : end;
 }
 
+/// Takes up what the upstream says of its own state, whatever becomes of the call.
+void ForwardCall::noteStatement()
+{
+    const std::optional<UpstreamStatement> &statement = m_exchange->facts().statement;
+    if (!statement)
+        return;
+    UpstreamLimits &limits = m_shared.state.book().limits();
+    if (!limits.heard(m_lastUpstream, statement->limit, RuntimeClock::now()))
+        return;
+    m_shared.counters.add(Count::LimitsHeard);
+    LogLine(LogLevel::Info, "upstream-limit")
+        .with("upstream", m_lastUpstream.text)
+        .with("born", m_lastUpstream.born)
+        .with("per_second", statement->limit ? statement->limit->perSecond() : -1.0)
+        .with("source", "answer");
+}
+
 /// Holds the answer until it is whole, or passes it on once it is too long for that.
 asio::awaitable<SendEnd> ForwardCall::takeWhole()
 {
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -54,6 +54,7 @@
     UsageTakeovers,
     UpstreamsEnded,
     QuarantinesBegun,
+    LimitsHeard,
     Size
 };
 
--- a/src/include/reachlead/dialect.h
+++ b/src/include/reachlead/dialect.h
@@ -13,6 +13,7 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <reachlead/callrate.h>
 #include <reachlead/clock.h>
 #include <reachlead/ids.h>
 #include <reachlead/upstreamdirectory.h>
@@ -54,6 +55,12 @@
     std::optional<Endpoint> fetchFrom; ///< an upstream that holds cached parts of the prompt
 };
 
+/// What an upstream says in an answer of its own state, beside the answer itself.
+struct UpstreamStatement
+{
+    std::optional<CallRate> limit; ///< of calls from all gateways together; none: no limit
+};
+
 /// What an upstream's answer says of itself.
 struct AnswerFacts
 {
@@ -61,6 +68,9 @@
     bool isSigned = false; ///< bears the upstream's signature
     bool notRun = false; ///< the upstream vouches that it did not run the call
     bool isOtherLife = false; ///< another upstream, or another life of it, has the address
+    /// Nothing where the answer cannot be told to be of the upstream that was called, and where
+    /// what it says cannot be read.
+    std::optional<UpstreamStatement> statement;
 };
 
 /// Translates between facts and headers. Stateless; thread-safe.
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -26,6 +26,7 @@
 #include <reachlead/quietengines.h>
 #include <reachlead/servicepace.h>
 #include <reachlead/upstreamdirectory.h>
+#include <reachlead/upstreamlimits.h>
 
 namespace reachlead {
 
@@ -196,6 +197,10 @@
     /// Another life answers at its address: this one is gone for good, whatever the registry says.
     void replaced(const UpstreamId &id);
 
+    /// The limits that upstreams named.
+    UpstreamLimits &limits() { return m_limits; }
+    const UpstreamLimits &limits() const { return m_limits; }
+
     /// What another gateway said of its own load, which counts for \p valid. Loads that are too old
     /// are forgotten, so that the memory follows the gateways that live.
     void setPeerLoad(const VmName &peer, ToldLoad told, Time now, Duration valid = peerLoadAge);
@@ -370,6 +375,7 @@
     std::unordered_map<UpstreamId, UpstreamLoad> m_peerTotals; ///< the sum over m_peers
     std::deque<FreshNote> m_fresh; ///< oldest first
     QuietEngines m_quiet;
+    UpstreamLimits m_limits;
 };
 
 /// The upstream that all gateways prefer for a prompt whose last shared part has this key: the
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -207,6 +207,7 @@
 {
     noteChange(m_directory.expire(now()), "missing-after-outage");
     m_crashes.forgetOld(now());
+    m_book.limits().forgetOld(now());
 }
 
 bool GatewayState::isReady() const
