upstreambook, placementlink: upstreams get no more calls than the limit they name

Seen: an engine that named 2.2 calls a second, for all gateways together, got 29 in four seconds (18 are half more and five on top). All calls were answered; the engine, which is the one kept for short prompts and got five times the calls of any other, was not spared.

Change: an upstream with a limit is a candidate only while the chooser has a part of it left. The gateway that places for its group hands out 0.8 of the rate at even distances. All others share the rest by slots whose use is lost with them, so that a thousand gateways keep the limit as three do, also when their owner is lost after hours. Only the first gateway in rank has the large part, not one that took a silent one's place for a second. Plain calls are placed by that gateway too while an upstream of their service names a limit. A call that only limits keep is refused as not run under a reason of its own, upstream-limit.

--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -61,8 +61,12 @@
 {
     const UpstreamDirectory &directory = m_shared.state.directory();
     if (!directory.usableOf(m_service).empty()) {
-        const bool isKept = m_zones && !UpstreamBook::hasOther(makeAsk(), directory);
-        return isKept ? ErrorKind::NoUpstreamInRegion : ErrorKind::NoUpstream;
+        const ChoiceAsk ask = makeAsk();
+        if (m_zones && !UpstreamBook::hasOther(ask, directory))
+            return ErrorKind::NoUpstreamInRegion;
+        const UpstreamBook &book = m_shared.state.book();
+        const bool isLimited = book.isKeptByLimits(ask, directory, RuntimeClock::now());
+        return isLimited ? ErrorKind::UpstreamLimit : ErrorKind::NoUpstream;
     }
     const bool isEvacuated = std::ranges::any_of(
         directory.entries() | std::views::values, [this](const UpstreamEntry &entry) {
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -46,6 +46,7 @@
     NoUpstream,
     ZonesEvacuated,
     NoUpstreamInRegion,
+    UpstreamLimit,
     SettingsAbsent,
     RouterStopping,
     AgentBusy,
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -20,7 +20,7 @@
 namespace reachlead {
 
 /// Raised when a message changes shape; a session between different versions is refused.
-inline constexpr std::uint32_t protocolVersion = 3;
+inline constexpr std::uint32_t protocolVersion = 4;
 
 /// The largest frame either side takes, in bytes.
 inline constexpr std::size_t largestFrame = 2U << 20U;
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -22,6 +22,7 @@
 #include <reachlead/coldpace.h>
 #include <reachlead/dialect.h>
 #include <reachlead/earlyrefusal.h>
+#include <reachlead/limitpace.h>
 #include <reachlead/promptcache.h>
 #include <reachlead/quietengines.h>
 #include <reachlead/servicepace.h>
@@ -58,6 +59,9 @@
     Patience patience{};
     bool mayRefuse = false; ///< it was sent nowhere yet, and is no continuation of an answer
     bool placesForAll = false; ///< the chooser places all gateways' calls to its group
+    /// The chooser gives out most of what the limited upstreams of its group take. Unlike
+    /// placesForAll, it holds for one gateway alone among those that know the same fleet.
+    bool ownsLimits = false;
 };
 
 /// Numbers the questions of one life of a gateway, from 1.
@@ -201,6 +205,15 @@
     UpstreamLimits &limits() { return m_limits; }
     const UpstreamLimits &limits() const { return m_limits; }
 
+    /// False for an upstream whose calls another gateway places.
+    static bool isOfGroup(const ChoiceAsk &ask, const UpstreamId &id)
+    {
+        return ask.group == nullptr || ask.group->contains(id);
+    }
+
+    /// True when an upstream that would take the call is kept from it by its limit.
+    bool isKeptByLimits(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
+
     /// What another gateway said of its own load, which counts for \p valid. Loads that are too old
     /// are forgotten, so that the memory follows the gateways that live.
     void setPeerLoad(const VmName &peer, ToldLoad told, Time now, Duration valid = peerLoadAge);
@@ -223,6 +236,13 @@
         return ask.zones == nullptr || ask.zones->contains(entry.zone);
     }
 
+    /// False for an upstream that was tried, or that the regions of a call keep it from.
+    static bool isEligible(const ChoiceAsk &ask, const UpstreamEntry &entry)
+    {
+        const bool wasTried = ask.tried != nullptr && ask.tried->contains(entry.id);
+        return !wasTried && isInRegion(ask, entry);
+    }
+
     /// True when the service has an upstream that takes work and that was not tried.
     static bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory);
 
@@ -272,6 +292,7 @@
         bool isReplaced = false; ///< another life answers at its address
         std::map<VmName, Time> reports; ///< of failures there, by other gateways
         ColdPace cold;
+        LimitPace limit;
         PromptCache cache;
     };
     struct FreshNote
@@ -345,6 +366,10 @@
                     bool isHealthy) const;
     UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
+    double partOf(const ChoiceAsk &ask, const UpstreamId &id, bool hasMost) const;
+    Duration phaseOf(const UpstreamId &id, Duration spacing) const;
+    bool isOverLimit(const ChoiceAsk &ask, const UpstreamId &id, const Record &record,
+                     Time now) const;
     Duration coldSpacing(const ChoiceAsk &ask, const UpstreamId &id) const;
     bool isTooCold(const ChoiceAsk &ask, const UpstreamEntry &entry, Record *record,
                    Time now) const;
--- a/src/include/reachlead/upstreamlimits.h
+++ b/src/include/reachlead/upstreamlimits.h
@@ -32,6 +32,9 @@
     /// The limit in force.
     std::optional<CallRate> of(const UpstreamId &id, Time now) const;
 
+    /// No limit was heard lately.
+    bool isEmpty() const { return m_heard.empty(); }
+
     /// Drops what was not heard for forgetAfter.
     void forgetOld(Time now);
 
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -55,6 +55,8 @@
      "All zones with upstreams of this service are evacuated."},
     {NoUpstreamInRegion, "no-upstream-in-region", 503, notRun, later,
      "No upstream serves this in a region that the route and the account allow."},
+    {UpstreamLimit, "upstream-limit", 503, notRun, soon,
+     "The upstreams of this service take no more requests a second now."},
     {SettingsAbsent, "settings-absent", 503, notRun, soon, "The router has no settings yet."},
     {RouterStopping, "router-stopping", 503, notRun, soon, "The router is shutting down."},
     {AgentBusy, "agent-busy", 503, notRun, soon, "The upstream had no room."},
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -18,6 +18,10 @@
 /// rate.
 constexpr double schedulersPart = 0.8;
 
+/// An upstream that names less is still sent a call in ten seconds: only an answer tells that its
+/// limit is over.
+constexpr CallRate leastLimit{100};
+
 /// What a finished count gives back, never below zero.
 template <class T> void takeOff(T *value, T n)
 {
@@ -122,6 +126,7 @@
     noteParts(&record, ask, choice, now, true);
     record.circuit.sent();
     record.cold.sent(now, choice.coldSpacing);
+    record.limit.sent(now);
 }
 
 /// Takes the parts of a prompt for cached; \p isTold: other gateways are to hear of the new ones.
@@ -154,6 +159,7 @@
     record.lastTurn = ++m_turns;
     noteParts(&record, ask, choice, now, false);
     record.cold.sent(now, choice.coldSpacing);
+    record.limit.sent(now);
     PeerLoad &known = m_peers[peer];
     known.validUntil = std::max(known.validUntil, now + peerLoadAge);
     const UpstreamLoad load{1, choice.unreadTokens, choice.isBrief ? 1U : 0U};
@@ -260,20 +266,30 @@
     return record->reports.size() >= reportsNeeded;
 }
 
-/// Between two calls to a cold upstream. Where one gateway places for all, it has most of the rate
-/// that the upstream bears, and those that choose by themselves share the rest; where none does,
-/// all have equal parts.
+/// The chooser's part of a rate that all gateways share. Where one gateway \p hasMost of it, those
+/// that choose by themselves share the rest; where none does, all have equal parts.
+double UpstreamBook::partOf(const ChoiceAsk &ask, const UpstreamId &id, bool hasMost) const
+{
+    if (hasMost && isOfGroup(ask, id))
+        return schedulersPart;
+    const double equal = 1.0 / static_cast<double>(m_gateways);
+    return ask.group == nullptr ? equal : equal * (1.0 - schedulersPart);
+}
+
+/// Spreads over a spacing the moments at which gateways begin.
+Duration UpstreamBook::phaseOf(const UpstreamId &id, Duration spacing) const
+{
+    constexpr std::uint64_t parts = 256;
+    const std::uint64_t part = (std::hash<UpstreamId>{}(id) ^ m_ownNumber) % parts;
+    return fromSeconds(toSeconds(spacing) * static_cast<double>(part) / static_cast<double>(parts));
+}
+
+/// Between two calls of the chooser to a cold upstream.
 Duration UpstreamBook::coldSpacing(const ChoiceAsk &ask, const UpstreamId &id) const
 {
     if (ask.info == nullptr || ask.info->coldPerSecond <= 0)
         return {};
-    const bool isOurs = ask.group == nullptr || ask.group->contains(id);
-    double part = 1.0 / static_cast<double>(m_gateways);
-    if (ask.placesForAll && isOurs)
-        part = schedulersPart;
-    else if (ask.group != nullptr)
-        part *= 1.0 - schedulersPart;
-    return fromSeconds(1.0 / (part * ask.info->coldPerSecond));
+    return fromSeconds(1.0 / (partOf(ask, id, ask.placesForAll) * ask.info->coldPerSecond));
 }
 
 /// True for an upstream that is cold and had its share of calls. One that had just started got 15
@@ -284,15 +300,35 @@
     const Duration spacing = coldSpacing(ask, entry.id);
     if (spacing == Duration{})
         return false;
-    constexpr double parts = 256.0; // of a spacing: gateways begin at different ones
-    const std::uint64_t part = (std::hash<UpstreamId>{}(entry.id) ^ m_ownNumber) % 256;
-    Duration phase{};
-    if (!ask.placesForAll)
-        phase = fromSeconds(toSeconds(spacing) * static_cast<double>(part) / parts);
+    const Duration phase = ask.placesForAll ? Duration{} : phaseOf(entry.id, spacing);
     record->cold.told(entry.revision, milliseconds(entry.coldLeftMs), phase, now);
     return !record->cold.allows(now);
 }
 
+/// True for an upstream that named a limit and got the chooser's part of it.
+bool UpstreamBook::isOverLimit(const ChoiceAsk &ask, const UpstreamId &id, const Record &record,
+                               Time now) const
+{
+    const std::optional<CallRate> limit = m_limits.of(id, now);
+    if (!limit)
+        return false;
+    const double rate = std::max(*limit, leastLimit).perSecond();
+    const Duration spacing = fromSeconds(1.0 / (partOf(ask, id, ask.ownsLimits) * rate));
+    if (m_gateways == 1 || (ask.ownsLimits && isOfGroup(ask, id)))
+        return !record.limit.allowsNext(spacing, now);
+    return !record.limit.allowsInSlot(spacing, phaseOf(id, spacing), now);
+}
+
+bool UpstreamBook::isKeptByLimits(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                  Time now) const
+{
+    if (m_limits.isEmpty())
+        return false;
+    return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
+        return isEligible(ask, *entry) && m_limits.of(entry->id, now);
+    });
+}
+
 void UpstreamBook::mayBeCold(const UpstreamId &id, Time now)
 {
     m_records[id].cold.doubted(coldDoubt, now);
@@ -333,11 +369,8 @@
 
 bool UpstreamBook::hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory)
 {
-    return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
-        if (!isInRegion(ask, *entry))
-            return false;
-        return ask.tried == nullptr || !ask.tried->contains(entry->id);
-    });
+    return std::ranges::any_of(directory.usableOf(ask.service),
+                               [&](const UpstreamEntry *entry) { return isEligible(ask, *entry); });
 }
 
 std::vector<UpstreamId> UpstreamBook::unhealthyOf(const ServiceName &service,
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -184,12 +184,10 @@
         ask.prompt.empty() ? none : m_quiet.of(ask.service, directory, now);
     std::vector<Candidate> all;
     for (const UpstreamEntry *entry : directory.usableOf(ask.service)) {
-        if (ask.tried != nullptr && ask.tried->contains(entry->id))
-            continue;
-        if (!isInRegion(ask, *entry))
+        if (!isEligible(ask, *entry))
             continue;
         Record &record = m_records[entry->id];
-        if (isTooCold(ask, *entry, &record, now))
+        if (isTooCold(ask, *entry, &record, now) || isOverLimit(ask, entry->id, record, now))
             continue;
         Candidate candidate;
         candidate.entry = entry;
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -82,19 +82,43 @@
         m_peers.sendTo(it->second.address, kind, payload);
 }
 
+/// True at the first gateway in rank, whether or not it answers now: where two gateways took a
+/// silent one's place, each with most of a limit, an upstream would get nearly twice of it.
+bool PlacementLink::ownsLimitsOf(const GroupName &group)
+{
+    refreshFleet();
+    return schedulerOf(group, m_strong) == m_state.vm();
+}
+
+/// The group that places a call; nothing where this gateway chooses by itself. Plain calls are
+/// placed only while an upstream of their service names a limit, which one gateway gives out.
+std::optional<GroupName> PlacementLink::groupOf(const ChoiceAsk &ask)
+{
+    const UpstreamDirectory &directory = m_state.directory();
+    if (!m_options.isOn)
+        return std::nullopt;
+    if (!ask.prompt.empty())
+        return m_state.groups().groupOf(ask.service, keyParts(ask.model, ask.prompt), directory);
+    const Time now = RuntimeClock::now();
+    if (!m_options.plainCalls && !m_state.book().isKeptByLimits(ask, directory, now))
+        return std::nullopt;
+    const KeyedPart any{m_random(), 0}; // so that the calls spread over the groups
+    return m_state.groups().groupOf(ask.service, std::span(&any, 1), directory);
+}
+
 // Asking
 
 asio::awaitable<PlacedChoice> PlacementLink::choose(ChoiceAsk ask)
 {
     const Time began = RuntimeClock::now();
     PlacedChoice placed;
-    std::optional<GroupName> group;
-    if (m_options.isOn && (m_options.plainCalls || !ask.prompt.empty()))
-        group = m_state.groups().groupOf(ask.service, keyParts(ask.model, ask.prompt),
-                                         m_state.directory());
+    const std::optional<GroupName> group = groupOf(ask);
     if (group) {
         const VmName scheduler = schedulerFor(*group);
         ask.placesForAll = scheduler == m_state.vm();
+        ask.ownsLimits = ownsLimitsOf(*group);
+        if (ask.prompt.empty() && !m_options.plainCalls)
+            ask.mayRefuse = false;
         if (!ask.placesForAll) {
             const auto answered = co_await askScheduler(scheduler, *group, ask);
             count(answered ? Count::PlacementsAnswered : Count::PlacementsUnanswered);
@@ -370,6 +394,7 @@
     wanted.mayRefuse = ask.mayRefuse;
     wanted.zones = ask.zones ? &*ask.zones : nullptr;
     wanted.placesForAll = true;
+    wanted.ownsLimits = ownsLimitsOf(group);
     PlacedChoice chosen;
     answer.isStopping = m_stopping;
     if (!m_stopping)
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
@@ -98,6 +99,8 @@
     void refreshFleet();
     void sendTo(const VmName &vm, SealedKind kind, const std::string &payload);
     VmName schedulerFor(const GroupName &group);
+    bool ownsLimitsOf(const GroupName &group);
+    std::optional<GroupName> groupOf(const ChoiceAsk &ask);
     void count(Count c);
 
     boost::asio::io_context &m_io;
@@ -112,6 +115,7 @@
     std::set<VmName> m_strong; ///< of these, those that place for the others
     RefusalOrder m_refusals{m_options.lessUrgentHold};
     std::optional<Time> m_fleetAt;
+    std::mt19937_64 m_random{std::random_device{}()};
     bool m_stopping = false;
 };
 
