peers, placementlink: gateways tell each other the limits that upstreams name

Seen in a test: three engines named a limit of one call a second in answers to one gateway; the gateway that places for it gave out 20 calls in 0.2 s (3 are allowed). In a fleet, most gateways get no answer of a given engine for minutes, and none of them is the one that places.

Cause: what one gateway hears of a limit stayed there.

Change: each question and each report to a scheduler names the limits of its group, and beats name some of all limits, so that the rest and those that start learn of them (eight at most, 16 bytes each; they take the place of prompt notes, so that a beat stays below 1.2 KB). Ends are passed on as well. A note keeps the stamp of the gateway that heard the answer, by the fleet's time of day.

Ruled out: telling ages instead of stamps.

The bound on the size of a question is checked for one without limits, as before.

Gateways of this version do not understand beats and questions of earlier ones; replace a fleet's gateways together.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -8,8 +8,6 @@
 
 #include <fmt/format.h>
 
-#include <reachlead/log.h>
-
 namespace reachlead {
 
 namespace {
@@ -75,17 +73,8 @@
 void ForwardCall::noteStatement()
 {
     const std::optional<UpstreamStatement> &statement = m_exchange->facts().statement;
-    if (!statement)
-        return;
-    UpstreamLimits &limits = m_shared.state.book().limits();
-    if (!limits.heard(m_lastUpstream, statement->limit, RuntimeClock::now()))
-        return;
-    m_shared.counters.add(Count::LimitsHeard);
-    LogLine(LogLevel::Info, "upstream-limit")
-        .with("upstream", m_lastUpstream.text)
-        .with("born", m_lastUpstream.born)
-        .with("per_second", statement->limit ? statement->limit->perSecond() : -1.0)
-        .with("source", "answer");
+    if (statement && m_shared.state.upstreamSaid(m_lastUpstream, *statement))
+        m_shared.counters.add(Count::LimitsHeard);
 }
 
 /// Holds the answer until it is whole, or passes it on once it is too long for that.
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -62,6 +62,12 @@
     /// Takes up requests that others know to be in quarantine.
     void learnQuarantine(const std::vector<QuarantinedRequest> &requests, std::string_view source);
 
+    /// What an upstream's answer said of its own state. True when that is a change.
+    bool upstreamSaid(const UpstreamId &id, const UpstreamStatement &statement);
+
+    /// The limits that another gateway heard.
+    void learnLimits(const std::vector<LimitNote> &notes, const VmName &peer);
+
     /// What another gateway told: the same, where it is newer.
     void peerTold(const VmName &peer, const GatewayNews &news);
 
@@ -113,6 +119,9 @@
     /// is further behind is rare.
     static constexpr std::size_t mostFormer = 8;
 
+    /// Asked for the fleet's time of day; that of this VM until it is set.
+    void setTimeOfDay(std::function<UnixMillis()> callback) { m_timeOfDay = std::move(callback); }
+
     /// True when calls can be served: a configuration and an upstream are known, and which zones
     /// are evacuated where that may be.
     bool isReady() const;
@@ -149,6 +158,7 @@
     WatchDuty m_duty;
     std::function<void(const std::vector<UpstreamId> &)> m_onLeft;
     std::function<void()> m_onChange;
+    std::function<UnixMillis()> m_timeOfDay = vmTimeOfDay;
 };
 
 } // namespace reachlead
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -11,6 +11,20 @@
 
 namespace reachlead {
 
+namespace {
+
+void logLimit(const LimitNote &note, std::string_view source)
+{
+    constexpr double none = -1.0;
+    LogLine(LogLevel::Info, "upstream-limit")
+        .with("upstream", note.upstream.text)
+        .with("born", note.upstream.born)
+        .with("per_second", note.limit ? note.limit->perSecond() : none)
+        .with("source", source);
+}
+
+} // namespace
+
 GatewayState::GatewayState(const Options &options)
     : m_options(options), m_book(options.zone, options.costs), m_groups(options.groupSize),
       m_retries(options.retries), m_duty(options.vm, options.duty)
@@ -150,6 +164,23 @@
     }
 }
 
+bool GatewayState::upstreamSaid(const UpstreamId &id, const UpstreamStatement &statement)
+{
+    const UnixMillis stamp = m_timeOfDay();
+    if (!m_book.limits().heard(id, statement.limit, now(), stamp))
+        return false;
+    logLimit({id, statement.limit, stamp}, "answer");
+    return true;
+}
+
+void GatewayState::learnLimits(const std::vector<LimitNote> &notes, const VmName &peer)
+{
+    for (const LimitNote &note : notes) {
+        if (m_book.limits().told(note, now()))
+            logLimit(note, peer.text);
+    }
+}
+
 void GatewayState::vouched(Time at)
 {
     m_duty.vouched(at);
--- a/src/libreachlead/upstreambook_limit_test.cpp
+++ b/src/libreachlead/upstreambook_limit_test.cpp
@@ -62,7 +62,7 @@
         /// Places a call; true when it went to the limited upstream.
         bool place(Time now, const std::set<UpstreamId> *group, CallRate rate = limit)
         {
-            book.limits().heard(UpstreamId("limited"), rate, now);
+            book.limits().heard(UpstreamId("limited"), rate, now, 0);
             ChoiceAsk ask{ServiceName("llm"), "m", {}, nullptr, nullptr};
             ask.group = group;
             ask.placesForAll = ownsLimits;
--- a/src/libreachlead/upstreamlimits.cpp
+++ b/src/libreachlead/upstreamlimits.cpp
@@ -3,19 +3,46 @@
 
 #include <reachlead/upstreamlimits.h>
 
+#include <algorithm>
+
 namespace reachlead {
 
-bool UpstreamLimits::heard(const UpstreamId &id, std::optional<CallRate> limit, Time now)
+void UpstreamLimits::take(Heard *known, std::optional<CallRate> limit, Time now, UnixMillis stamp)
+{
+    if (limit != known->limit)
+        known->changedAt = now;
+    known->limit = limit;
+    known->stamp = stamp;
+    known->at = now;
+}
+
+bool UpstreamLimits::heard(const UpstreamId &id, std::optional<CallRate> limit, Time now,
+                           UnixMillis stamp)
 {
     const std::optional<CallRate> before = of(id, now);
     const auto it = m_heard.find(id);
-    if (limit)
-        m_heard.insert_or_assign(id, Heard{limit, now});
-    else if (it != m_heard.end() && it->second.limit)
-        it->second = {std::nullopt, now};
+    if (it == m_heard.end()) {
+        if (limit)
+            m_heard.emplace(id, Heard{limit, stamp, now, now});
+        return limit.has_value();
+    }
+    Heard &known = it->second;
+    const bool isOldEnd = !limit && !known.limit && known.changedAt + endSpan <= now;
+    if (!isOldEnd)
+        take(&known, limit, now, std::max(stamp, known.stamp + 1));
     return limit != before;
 }
 
+bool UpstreamLimits::told(const LimitNote &note, Time now)
+{
+    const std::optional<CallRate> before = of(note.upstream, now);
+    const auto [it, isNew] =
+        m_heard.try_emplace(note.upstream, Heard{note.limit, note.stamp, now, now});
+    if (!isNew && note.stamp > it->second.stamp)
+        take(&it->second, note.limit, now, note.stamp);
+    return of(note.upstream, now) != before;
+}
+
 std::optional<CallRate> UpstreamLimits::of(const UpstreamId &id, Time now) const
 {
     const auto it = m_heard.find(id);
@@ -24,6 +51,16 @@
     return it->second.limit;
 }
 
+std::vector<LimitNote> UpstreamLimits::recent(Time now) const
+{
+    std::vector<LimitNote> notes;
+    for (const auto &[id, known] : m_heard) {
+        if (known.at + tellSpan > now)
+            notes.push_back({id, known.limit, known.stamp});
+    }
+    return notes;
+}
+
 void UpstreamLimits::forgetOld(Time now)
 {
     std::erase_if(m_heard, [&](const auto &it) { return it.second.at + forgetAfter <= now; });
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -67,6 +67,30 @@
     return known;
 }
 
+std::vector<TaggedLimit> tagLimits(const std::vector<LimitNote> &notes)
+{
+    std::vector<TaggedLimit> tagged;
+    std::ranges::transform(notes, std::back_inserter(tagged), [](const LimitNote &note) {
+        return TaggedLimit{tagOf(note.upstream), note.limit.value_or(TaggedLimit::noLimit),
+                           note.stamp};
+    });
+    return tagged;
+}
+
+std::vector<LimitNote> untagLimits(const std::vector<TaggedLimit> &limits,
+                                   const UpstreamDirectory &directory)
+{
+    std::vector<LimitNote> notes;
+    for (const TaggedLimit &it : limits) {
+        const UpstreamEntry *entry = directory.findTag(it.upstream);
+        if (entry == nullptr)
+            continue;
+        const bool isOver = it.limit == TaggedLimit::noLimit;
+        notes.push_back({entry->id, isOver ? std::nullopt : std::optional(it.limit), it.stamp});
+    }
+    return notes;
+}
+
 std::string encodeBeat(const GatewayBeat &beat)
 {
     return pvt::encodePayload(beat);
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +48,26 @@
 std::vector<PromptNote> untagNotes(const std::vector<TaggedNote> &notes,
                                    const UpstreamDirectory &directory);
 
+/// What was heard of an upstream's limit, short.
+struct TaggedLimit
+{
+    UpstreamTagNumber upstream = 0;
+    CallRate limit; ///< noLimit: it is over
+    UnixMillis stamp = 0; ///< as in LimitNote
+
+    static constexpr CallRate noLimit{std::numeric_limits<std::uint32_t>::max()};
+
+    template <class Archive> void serialize(Archive &ar) { ar(upstream, limit, stamp); }
+};
+
+/// The short forms, and back without those of upstreams that the directory does not know.
+std::vector<TaggedLimit> tagLimits(const std::vector<LimitNote> &notes);
+std::vector<LimitNote> untagLimits(const std::vector<TaggedLimit> &limits,
+                                   const UpstreamDirectory &directory);
+
+/// Limits in one message: 0.13 KB.
+inline constexpr std::size_t mostLimits = 8;
+
 /// Upstreams in one beat: 0.6 KB.
 inline constexpr std::size_t mostLoads = 64;
 
@@ -82,6 +103,7 @@
     std::vector<TaggedLoad> load;
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
+    std::vector<TaggedLimit> limits; ///< some of those heard lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
     std::vector<TaggedLife> lives; ///< the same of more of them, where beats do not reach all
 
@@ -91,7 +113,7 @@
     {
         ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
            evacuationMark, rosterRevision, ageMs, clock, quarantineMark, load, openFrom, prompts,
-           sample, lives);
+           limits, sample, lives);
     }
 };
 
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(GatewayMessagesTest);
     CPPUNIT_TEST(newsArriveAsTheyWere);
     CPPUNIT_TEST(beatsArriveAsTheyWere);
+    CPPUNIT_TEST(limitsArriveAsTheyWere);
     CPPUNIT_TEST(beatOfTheLargestLoadIsBounded);
     CPPUNIT_TEST(foreignBytesAreRefused);
     CPPUNIT_TEST(cutMessagesAreRefused);
@@ -88,6 +89,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string("other"), read->sample.at(0).vm.text);
     }
 
+    void limitsArriveAsTheyWere()
+    {
+        UpstreamEntry known;
+        known.id = UpstreamId("u", 3);
+        GatewayBeat beat;
+        beat.limits = tagLimits({{known.id, CallRate{2200}, 41},
+                                 {known.id, std::nullopt, 42},
+                                 {UpstreamId("u", 4), CallRate{1}, 43}});
+        std::string reason;
+        const auto read = decodeBeat(encodeBeat(beat), &reason);
+        CPPUNIT_ASSERT_MESSAGE(reason, read.has_value());
+        UpstreamDirectory directory;
+        directory.replaceAll({known}, 1, Time{});
+        const std::vector<LimitNote> notes = untagLimits(read->limits, directory);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, notes.size()); // the other life is not known
+        CPPUNIT_ASSERT(notes.at(0).limit == CallRate{2200} && !notes.at(1).limit);
+        CPPUNIT_ASSERT_EQUAL(UnixMillis{41}, notes.at(0).stamp);
+    }
+
     void beatOfTheLargestLoadIsBounded()
     {
         LoadByUpstream load;
@@ -95,7 +115,8 @@
             load[UpstreamId(std::to_string(n))] = {n, std::uint64_t{n} * 10'000, n};
         GatewayBeat beat;
         beat.load = tagLoad(load);
-        beat.prompts.resize(UpstreamBook::mostNotes);
+        beat.limits.resize(mostLimits);
+        beat.prompts.resize(UpstreamBook::mostNotes - 2 * mostLimits);
         CPPUNIT_ASSERT_EQUAL(mostLoads, beat.load.size());
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{65'535}, beat.load.front().unread);
         CPPUNIT_ASSERT(encodeBeat(beat).size() < 1200);
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -53,6 +53,8 @@
 {
     m_options.self.address.port = m_acceptor.local_endpoint().port();
     m_turn = m_random() % mostPeers;
+    m_time.note(m_options.self.vm, vmTimeOfDay(), RuntimeClock::now());
+    m_state.setTimeOfDay([this] { return timeOfDay(); });
     asio::co_spawn(io, beatLoop(), asio::detached);
     asio::co_spawn(io, hearLoop(), asio::detached);
     asio::co_spawn(io, acceptLoop(), asio::detached);
@@ -129,6 +131,10 @@
     const Time now = RuntimeClock::now();
     const Duration span = m_options.beats.noteSpan(m_lastTargets, others().size());
     beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
+    beat.limits = limitsToTell(now);
+    // A limit takes no more bytes than two prompts, which give way to it.
+    beat.prompts.resize(
+        std::min(beat.prompts.size(), UpstreamBook::mostNotes - 2 * beat.limits.size()));
     if (beat.load.size() <= mostLoads / 2) // a beat of the largest load has no room
         beat.lives = livesToTell(now);
     if (++m_beats % sampleEvery != 1)
@@ -142,6 +148,18 @@
     return beat;
 }
 
+std::vector<TaggedLimit> GatewayPeers::limitsToTell(Time now, const std::set<UpstreamId> *of)
+{
+    const std::vector<LimitNote> recent = m_state.book().limits().recent(now);
+    std::vector<LimitNote> wanted;
+    std::ranges::copy_if(recent, std::back_inserter(wanted), [of](const LimitNote &note) {
+        return of == nullptr || of->contains(note.upstream);
+    });
+    std::vector<LimitNote> some;
+    std::ranges::sample(wanted, std::back_inserter(some), mostLimits, m_random);
+    return tagLimits(some);
+}
+
 /// Some gateways that live, where beats alone would not tell each of the others in time.
 std::vector<TaggedLife> GatewayPeers::livesToTell(Time now)
 {
@@ -404,6 +422,7 @@
     m_state.book().setPeerLoad(
         beat.from.vm, {untagLoad(beat.load, m_state.directory()), beat.openFrom}, now, valid);
     m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
+    m_state.learnLimits(untagLimits(beat.limits, m_state.directory()), beat.from.vm);
     const bool isBehindNow = isBehind(beat);
     if (!isBehindNow)
         takeVouch(beat, now);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -96,6 +96,9 @@
     /// The lives of other gateways that were heard in the last \p span.
     std::set<GatewayLife> livesHeard(Duration span) const;
 
+    /// Limits that were heard lately, some where there are many; \p of: of these upstreams alone.
+    std::vector<TaggedLimit> limitsToTell(Time now, const std::set<UpstreamId> *of = nullptr);
+
     /// The time of day by the clocks of all gateways that were heard.
     UnixMillis timeOfDay() const { return m_time.at(RuntimeClock::now()); }
 
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(shortBeatsGoToMoreGateways);
     CPPUNIT_TEST(newsIsToldUntilEachHeardIt);
     CPPUNIT_TEST(weightyLoadIsToldBeforeTheNextBeat);
+    CPPUNIT_TEST(limitsAndTheirEndsReachAllGateways);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -284,6 +285,30 @@
         const auto heard = hearer.state.book().loadOf(engine.id, RuntimeClock::now());
         CPPUNIT_ASSERT(heard.unreadTokens >= 9'000);
     }
+
+    /// The second gateway knows the other two; these do not know each other.
+    void limitsAndTheirEndsReachAllGateways()
+    {
+        Clocked clocked;
+        Node last(clocked.io, "last", "the key of this fleet", {});
+        Node second(clocked.io, "second", "the key of this fleet", {last.address()});
+        Node first(clocked.io, "first", "the key of this fleet", {second.address()});
+        UpstreamEntry limited;
+        limited.id = UpstreamId("u", 7);
+        for (Node *node : {&first, &second, &last})
+            node->state.upstreamsListed({limited}, 1);
+        const auto limitAt = [&](Node &node) {
+            return node.state.book().limits().of(limited.id, RuntimeClock::now());
+        };
+        first.state.book().limits().heard(limited.id, CallRate{2200}, RuntimeClock::now(),
+                                          vmTimeOfDay());
+        clocked.advance(seconds(4));
+        CPPUNIT_ASSERT(limitAt(second) == CallRate{2200} && limitAt(last) == CallRate{2200});
+        first.state.book().limits().heard(limited.id, std::nullopt, RuntimeClock::now(),
+                                          vmTimeOfDay());
+        clocked.advance(seconds(4));
+        CPPUNIT_ASSERT(!limitAt(first) && !limitAt(second) && !limitAt(last));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPeersTest);
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -276,6 +276,8 @@
     report.openFrom = m_asks.openFrom();
     report.load = tagLoad(load);
     report.pace = m_state.book().takePace(group.service);
+    report.limits = m_peers.limitsToTell(RuntimeClock::now(),
+                                         &m_state.groups().membersOf(group, m_state.directory()));
     m_reported[group] = {load, RuntimeClock::now()};
     return report;
 }
@@ -358,6 +360,7 @@
                                group, RuntimeClock::now());
     if (!report.pace.empty())
         m_state.book().learnPace(report.group.service, report.pace);
+    m_state.learnLimits(untagLimits(report.limits, m_state.directory()), report.from);
 }
 
 void PlacementLink::takeAsk(const PlacementAsk &ask, const UdpEndpoint &from)
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(callThatCannotBeginInTimeIsRefused);
     CPPUNIT_TEST(withoutItsSchedulerNothingIsRefused);
     CPPUNIT_TEST(schedulerLearnsThePace);
+    CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
+    CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -173,8 +175,14 @@
     void messagesComeBackAsTheyWere()
     {
         PlacementAsk ask;
-        ask.report = {VmName("vm"),   Incarnation{7},      9, {ServiceName("s"), 3}, 11,
-                      {{1, 2, 3, 4}}, {8'000, 300, 2, 900}};
+        ask.report = {VmName("vm"),
+                      Incarnation{7},
+                      9,
+                      {ServiceName("s"), 3},
+                      11,
+                      {{1, 2, 3, 4}},
+                      {8'000, 300, 2, 900},
+                      {{5, CallRate{2200}, 7}}};
         ask.number = 5;
         ask.zone = ZoneName("z");
         ask.model = "m";
@@ -187,6 +195,8 @@
         CPPUNIT_ASSERT_EQUAL(encodePlacementAsk(ask), encodePlacementAsk(*back));
         CPPUNIT_ASSERT(back->report.group == ask.report.group);
         CPPUNIT_ASSERT_EQUAL(AskNumber{11}, back->report.openFrom);
+        CPPUNIT_ASSERT_EQUAL(UnixMillis{7}, back->report.limits.at(0).stamp);
+        ask.report.limits.clear(); // most of the time none is in force
         PlacementAnswer answer{VmName("vm"), Incarnation{7}, 5,
                                PlacedCall{1, 2, 3, 9, true, false, 4}, 5};
         const auto told = decodePlacementAnswer(encodePlacementAnswer(answer), &reason);
@@ -380,6 +390,40 @@
         const double after = pair.scheduler->state.book().paceOf(service).tokensPerMs();
         CPPUNIT_ASSERT(before > 30 && after < 20);
     }
+
+    /// Each engine named a limit in an answer to the asker alone.
+    static void limitAll(const Pair &pair, CallRate rate)
+    {
+        for (const UpstreamEntry &entry : upstreams(upstreamCount))
+            pair.asker->state.book().limits().heard(entry.id, rate, RuntimeClock::now(),
+                                                    vmTimeOfDay());
+    }
+
+    void schedulerKeepsALimitThatItsAskerHeard()
+    {
+        Pair pair;
+        limitAll(pair, CallRate{1000});
+        for (unsigned n = 0; n < 20; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+        }
+        const std::uint64_t given = pair.scheduler->counters.value(Count::PlacementsGiven);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{upstreamCount}, given);
+    }
+
+    void plainCallsArePlacedWhileAnUpstreamIsLimited()
+    {
+        Pair pair;
+        pair.prompt.clear();
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
+        limitAll(pair, CallRate{1000});
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -27,10 +27,11 @@
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedLoad> load;
     PaceSample pace; ///< of the group's service, seen since the last report
+    std::vector<TaggedLimit> limits; ///< of the group's upstreams, heard lately
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, group, openFrom, load, pace);
+        ar(from, incarnation, sequence, group, openFrom, load, pace, limits);
     }
 };
 
