directory, peers: upstreams that say in answers that they leave get no more calls

Seen: an engine said in an answer that it leaves, and the gateway that had passed this answer on sent it another call 8.5 s later; a plain upstream got one 2.6 s later (two seconds are the bound).

Cause: only the registry's entry made an upstream leave, and the registry was away for 13 s. What the answer said was not read. Class: as the limit, evidence in an answer that outlives its call was dropped. Evidence: calls went on at the usual rate at each gateway until upstream-left source= platform; five tests of one gateway without any outage failed.

Change: the upstream is taken out of use at once, by its life: neither a later entry of the registry nor one that lapses and comes back brings it back, its next life takes work. The gateway tells its scheduler with the next question or report, and all others by beats (four ids at most, by name, as a tag that is mistaken would take another upstream out of use for good), so that those that start learn it too. The word is told for 30 s by whoever heard it. upstream-left source=answer or a peer's name, counter leaving_heard. Found on the way: a service whose upstreams all leave was told as evacuated.

--- a/src/build-scripts/check-names.bash
+++ b/src/build-scripts/check-names.bash
@@ -6,6 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 names='Attempt-Id|Replica-Stamp|Not-Executed|Expect-Replica|Prompt-Prefix|Deadline-Ms|Token-Count'
+names+='|Server-Leaving|Server-Limit'
 names+='|Request-Urgency|Replica-Id|/-/objects|/-/ready|Kv-From|Kv-Fetch|Kv-Backup|Expect-Version'
 if git grep -nE "$names" -- 'src/*.cpp' 'src/*.h'; then
     echo "the lines above spell a name of the platform outside platform/"
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -73,8 +73,13 @@
 void ForwardCall::noteStatement()
 {
     const std::optional<UpstreamStatement> &statement = m_exchange->facts().statement;
-    if (statement && m_shared.state.upstreamSaid(m_lastUpstream, *statement))
+    if (!statement)
+        return;
+    const auto news = m_shared.state.upstreamSaid(m_lastUpstream, *statement);
+    if (news.ofLimit)
         m_shared.counters.add(Count::LimitsHeard);
+    if (news.ofLeaving)
+        m_shared.counters.add(Count::LeavingHeard);
 }
 
 /// Holds the answer until it is whole, or passes it on once it is too long for that.
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -69,8 +69,9 @@
         return isLimited ? ErrorKind::UpstreamLimit : ErrorKind::NoUpstream;
     }
     const bool isEvacuated = std::ranges::any_of(
-        directory.entries() | std::views::values, [this](const UpstreamEntry &entry) {
-            return entry.service == m_service && !entry.leaving;
+        directory.entries() | std::views::values, [&](const UpstreamEntry &entry) {
+            return entry.service == m_service && directory.isEvacuated(entry)
+                && !directory.isLeaving(entry);
         });
     return isEvacuated ? ErrorKind::ZonesEvacuated : ErrorKind::NoUpstream;
 }
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -55,6 +55,7 @@
     UpstreamsEnded,
     QuarantinesBegun,
     LimitsHeard,
+    LeavingHeard,
     Size
 };
 
--- a/src/include/reachlead/dialect.h
+++ b/src/include/reachlead/dialect.h
@@ -59,6 +59,8 @@
 struct UpstreamStatement
 {
     std::optional<CallRate> limit; ///< of calls from all gateways together; none: no limit
+    bool isLimitReadable = true; ///< false: it names one that says nothing
+    bool isLeaving = false; ///< it takes no new work in this life
 };
 
 /// What an upstream's answer says of itself.
@@ -68,8 +70,7 @@
     bool isSigned = false; ///< bears the upstream's signature
     bool notRun = false; ///< the upstream vouches that it did not run the call
     bool isOtherLife = false; ///< another upstream, or another life of it, has the address
-    /// Nothing where the answer cannot be told to be of the upstream that was called, and where
-    /// what it says cannot be read.
+    /// Nothing where the answer cannot be told to be of the upstream that was called.
     std::optional<UpstreamStatement> statement;
 };
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -62,11 +62,19 @@
     /// Takes up requests that others know to be in quarantine.
     void learnQuarantine(const std::vector<QuarantinedRequest> &requests, std::string_view source);
 
-    /// What an upstream's answer said of its own state. True when that is a change.
-    bool upstreamSaid(const UpstreamId &id, const UpstreamStatement &statement);
+    /// What an answer said that was not known before.
+    struct StatementNews
+    {
+        bool ofLimit = false;
+        bool ofLeaving = false;
+    };
+
+    /// What an upstream's answer said of its own state.
+    StatementNews upstreamSaid(const UpstreamId &id, const UpstreamStatement &statement);
 
-    /// The limits that another gateway heard.
+    /// The limits, and the upstreams that leave, that another gateway heard of.
     void learnLimits(const std::vector<LimitNote> &notes, const VmName &peer);
+    void learnLeaving(const std::vector<UpstreamId> &ids, const VmName &peer);
 
     /// What another gateway told: the same, where it is newer.
     void peerTold(const VmName &peer, const GatewayNews &news);
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -18,37 +18,9 @@
 #include <reachlead/clock.h>
 #include <reachlead/evacuations.h>
 #include <reachlead/http.h>
+#include <reachlead/leavingupstreams.h>
 #include <reachlead/routing.h>
-
-namespace reachlead {
-
-/// One life of one upstream process. A process may start again under its name; what was known of
-/// its earlier life says nothing of the new one.
-struct UpstreamId
-{
-    std::string text; ///< its name in the registry
-    std::uint64_t born = 0; ///< start of this life, Unix ms; 0: not told
-
-    UpstreamId() = default;
-    explicit UpstreamId(std::string name, std::uint64_t start = 0)
-        : text(std::move(name)), born(start)
-    { }
-
-    bool empty() const { return text.empty(); }
-    auto operator<=>(const UpstreamId &) const = default;
-
-    template <class Archive> void serialize(Archive &ar) { ar(text, born); }
-};
-
-} // namespace reachlead
-
-template <> struct std::hash<reachlead::UpstreamId>
-{
-    std::size_t operator()(const reachlead::UpstreamId &id) const noexcept
-    {
-        return std::hash<std::string>{}(id.text) ^ std::hash<std::uint64_t>{}(id.born);
-    }
-};
+#include <reachlead/upstreamid.h>
 
 namespace reachlead {
 
@@ -168,11 +140,22 @@
     /// change of the registry, and no part of what is told under its revision.
     Changed setEvacuated(const ZoneSet &zones);
 
+    /// Takes an upstream out of use that said in an answer, here or at another gateway, that it
+    /// leaves. Like an evacuation, it is no change of the registry.
+    Changed setLeaving(const UpstreamId &id, Time now);
+    const LeavingUpstreams &leaving() const { return m_leaving; }
+
     /// Whether new work may be sent to an upstream.
     bool takesWork(const UpstreamEntry &entry) const
     {
-        return !entry.leaving && !m_evacuated.contains(entry.zone);
+        return !isLeaving(entry) && !isEvacuated(entry);
+    }
+    /// By its registry entry or by its own answers.
+    bool isLeaving(const UpstreamEntry &entry) const
+    {
+        return entry.leaving || m_leaving.contains(entry.id);
     }
+    bool isEvacuated(const UpstreamEntry &entry) const { return m_evacuated.contains(entry.zone); }
 
     /// The registry no longer answers.
     void lostContact();
@@ -180,7 +163,7 @@
     /// The registry answers again.
     void regainedContact(Time now);
 
-    /// Carries out the removals that were held back and are due.
+    /// Carries out the removals that were held back and are due, and forgets upstreams that left.
     Changed expire(Time now);
 
     const UpstreamEntry *find(const UpstreamId &id) const;
@@ -241,6 +224,7 @@
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< held back until
     ZoneSet m_evacuated;
+    LeavingUpstreams m_leaving;
     std::uint64_t m_changes = 0;
     std::deque<LoggedChange> m_log; ///< oldest first
     std::uint64_t m_logFloor = 0; ///< the log is complete behind this revision
--- /dev/null
+++ b/src/include/reachlead/upstreamid.h
@@ -0,0 +1,43 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The identity of an upstream's life.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace reachlead {
+
+/// One life of one upstream process. A process may start again under its name; what was known of
+/// its earlier life says nothing of the new one.
+struct UpstreamId
+{
+    std::string text; ///< its name in the registry
+    std::uint64_t born = 0; ///< start of this life, Unix ms; 0: not told
+
+    UpstreamId() = default;
+    explicit UpstreamId(std::string name, std::uint64_t start = 0)
+        : text(std::move(name)), born(start)
+    { }
+
+    bool empty() const { return text.empty(); }
+    auto operator<=>(const UpstreamId &) const = default;
+
+    template <class Archive> void serialize(Archive &ar) { ar(text, born); }
+};
+
+} // namespace reachlead
+
+template <> struct std::hash<reachlead::UpstreamId>
+{
+    std::size_t operator()(const reachlead::UpstreamId &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.text) ^ std::hash<std::uint64_t>{}(id.born);
+    }
+};
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -164,13 +164,25 @@
     }
 }
 
-bool GatewayState::upstreamSaid(const UpstreamId &id, const UpstreamStatement &statement)
+GatewayState::StatementNews GatewayState::upstreamSaid(const UpstreamId &id,
+                                                       const UpstreamStatement &statement)
 {
+    StatementNews news;
     const UnixMillis stamp = m_timeOfDay();
-    if (!m_book.limits().heard(id, statement.limit, now(), stamp))
-        return false;
-    logLimit({id, statement.limit, stamp}, "answer");
-    return true;
+    news.ofLimit =
+        statement.isLimitReadable && m_book.limits().heard(id, statement.limit, now(), stamp);
+    if (news.ofLimit)
+        logLimit({id, statement.limit, stamp}, "answer");
+    news.ofLeaving = statement.isLeaving && !m_directory.leaving().contains(id);
+    if (news.ofLeaving)
+        noteChange(m_directory.setLeaving(id, now()), "answer");
+    return news;
+}
+
+void GatewayState::learnLeaving(const std::vector<UpstreamId> &ids, const VmName &peer)
+{
+    for (const UpstreamId &id : ids)
+        noteChange(m_directory.setLeaving(id, now()), peer.text);
 }
 
 void GatewayState::learnLimits(const std::vector<LimitNote> &notes, const VmName &peer)
--- /dev/null
+++ b/src/libreachlead/leavingupstreams_test.cpp
@@ -0,0 +1,76 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <reachlead/upstreamdirectory.h>
+
+namespace reachlead {
+
+/// Upstreams that said in an answer that they leave, as a directory uses them.
+class LeavingUpstreamsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LeavingUpstreamsTest);
+    CPPUNIT_TEST(entryThatComesLaterTakesNoWork);
+    CPPUNIT_TEST(endOfAnEvacuationDoesNotBringItBack);
+    CPPUNIT_TEST(itIsRememberedWhileItIsRegistered);
+    CPPUNIT_TEST(newsIsToldForAWhile);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+
+    static UpstreamEntry entry(std::uint64_t revision = 1)
+    {
+        UpstreamEntry made;
+        made.id = UpstreamId("u", 5);
+        made.service = ServiceName("s");
+        made.zone = ZoneName("z");
+        made.revision = revision;
+        return made;
+    }
+
+    void entryThatComesLaterTakesNoWork()
+    {
+        UpstreamDirectory directory;
+        CPPUNIT_ASSERT(directory.setLeaving(entry().id, start).left.empty());
+        directory.replaceAll({entry()}, 1, start);
+        CPPUNIT_ASSERT(directory.usableOf(ServiceName("s")).empty());
+    }
+
+    void endOfAnEvacuationDoesNotBringItBack()
+    {
+        UpstreamDirectory directory;
+        directory.replaceAll({entry()}, 1, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, directory.setLeaving(entry().id, start).left.size());
+        CPPUNIT_ASSERT(directory.setLeaving(entry().id, start).left.empty());
+        directory.setEvacuated({ZoneName("z")});
+        CPPUNIT_ASSERT(directory.setEvacuated({}).added.empty());
+        CPPUNIT_ASSERT(directory.usableOf(ServiceName("s")).empty());
+    }
+
+    void itIsRememberedWhileItIsRegistered()
+    {
+        UpstreamDirectory directory;
+        directory.replaceAll({entry()}, 1, start);
+        directory.setLeaving(entry().id, start);
+        const Time later = start + 2 * LeavingUpstreams::rememberFor;
+        directory.expire(later);
+        CPPUNIT_ASSERT(directory.usableOf(ServiceName("s")).empty());
+        directory.replaceAll({}, 2, later);
+        directory.expire(later);
+        CPPUNIT_ASSERT(!directory.leaving().contains(entry().id));
+    }
+
+    void newsIsToldForAWhile()
+    {
+        LeavingUpstreams leaving;
+        CPPUNIT_ASSERT(leaving.add(entry().id, start));
+        CPPUNIT_ASSERT(!leaving.add(entry().id, start + seconds(20)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaving.recent(start + seconds(20)).size());
+        CPPUNIT_ASSERT(leaving.recent(start + LeavingUpstreams::tellSpan).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeavingUpstreamsTest);
+
+} // namespace reachlead
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -151,12 +151,24 @@
     for (const auto &[id, entry] : m_entries) {
         const bool was = before.contains(entry.zone);
         const bool is = zones.contains(entry.zone);
-        if (was != is && !entry.leaving)
+        if (was != is && !isLeaving(entry))
             (is ? changed.left : changed.added).push_back(id);
     }
     return changed;
 }
 
+UpstreamDirectory::Changed UpstreamDirectory::setLeaving(const UpstreamId &id, Time now)
+{
+    Changed changed;
+    const UpstreamEntry *entry = find(id);
+    const bool tookWork = entry != nullptr && takesWork(*entry);
+    if (!m_leaving.add(id, now) || !tookWork)
+        return changed;
+    ++m_changes;
+    changed.left.push_back(id);
+    return changed;
+}
+
 void UpstreamDirectory::lostContact()
 {
     m_inContact = false;
@@ -185,6 +197,7 @@
         changed.left.push_back(it->first);
         it = m_missing.erase(it);
     }
+    m_leaving.forgetOld(now, [this](const UpstreamId &id) { return m_entries.contains(id); });
     return changed;
 }
 
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -68,6 +68,10 @@
 /// Limits in one message: 0.13 KB.
 inline constexpr std::size_t mostLimits = 8;
 
+/// Upstreams that leave, in one message: 0.1 KB. By their ids, as the mistake of a tag would take
+/// another upstream out of use for good.
+inline constexpr std::size_t mostLeaving = 4;
+
 /// Upstreams in one beat: 0.6 KB.
 inline constexpr std::size_t mostLoads = 64;
 
@@ -104,6 +108,7 @@
     AskNumber openFrom = 0; ///< as in ToldLoad
     std::vector<TaggedNote> prompts; ///< placed lately
     std::vector<TaggedLimit> limits; ///< some of those heard lately
+    std::vector<UpstreamId> leaving; ///< some that said so lately
     std::vector<GatewayEntry> sample; ///< some gateways that the sender heard lately
     std::vector<TaggedLife> lives; ///< the same of more of them, where beats do not reach all
 
@@ -113,7 +118,7 @@
     {
         ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
            evacuationMark, rosterRevision, ageMs, clock, quarantineMark, load, openFrom, prompts,
-           limits, sample, lives);
+           limits, leaving, sample, lives);
     }
 };
 
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -116,7 +116,8 @@
         GatewayBeat beat;
         beat.load = tagLoad(load);
         beat.limits.resize(mostLimits);
-        beat.prompts.resize(UpstreamBook::mostNotes - 2 * mostLimits);
+        beat.leaving.resize(mostLeaving, UpstreamId("i-0123456789"));
+        beat.prompts.resize(UpstreamBook::mostNotes - 2 * mostLimits - 3 * mostLeaving);
         CPPUNIT_ASSERT_EQUAL(mostLoads, beat.load.size());
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{65'535}, beat.load.front().unread);
         CPPUNIT_ASSERT(encodeBeat(beat).size() < 1200);
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -132,9 +132,10 @@
     const Duration span = m_options.beats.noteSpan(m_lastTargets, others().size());
     beat.prompts = tagNotes(m_state.book().freshNotes(now, span));
     beat.limits = limitsToTell(now);
-    // A limit takes no more bytes than two prompts, which give way to it.
-    beat.prompts.resize(
-        std::min(beat.prompts.size(), UpstreamBook::mostNotes - 2 * beat.limits.size()));
+    beat.leaving = leavingToTell(now);
+    // A limit takes no more bytes than two prompts, and an id than three; these give way to them.
+    const std::size_t taken = 2 * beat.limits.size() + 3 * beat.leaving.size();
+    beat.prompts.resize(std::min(beat.prompts.size(), UpstreamBook::mostNotes - taken));
     if (beat.load.size() <= mostLoads / 2) // a beat of the largest load has no room
         beat.lives = livesToTell(now);
     if (++m_beats % sampleEvery != 1)
@@ -160,6 +161,20 @@
     return tagLimits(some);
 }
 
+std::vector<UpstreamId> GatewayPeers::leavingToTell(Time now, const ServiceName *of)
+{
+    const UpstreamDirectory &directory = m_state.directory();
+    std::vector<UpstreamId> wanted;
+    std::ranges::copy_if(directory.leaving().recent(now), std::back_inserter(wanted),
+                         [&](const UpstreamId &id) {
+                             const UpstreamEntry *entry = directory.find(id);
+                             return entry != nullptr && (of == nullptr || entry->service == *of);
+                         });
+    std::vector<UpstreamId> some;
+    std::ranges::sample(wanted, std::back_inserter(some), mostLeaving, m_random);
+    return some;
+}
+
 /// Some gateways that live, where beats alone would not tell each of the others in time.
 std::vector<TaggedLife> GatewayPeers::livesToTell(Time now)
 {
@@ -423,6 +438,7 @@
         beat.from.vm, {untagLoad(beat.load, m_state.directory()), beat.openFrom}, now, valid);
     m_state.book().learn(untagNotes(beat.prompts, m_state.directory()), now);
     m_state.learnLimits(untagLimits(beat.limits, m_state.directory()), beat.from.vm);
+    m_state.learnLeaving(beat.leaving, beat.from.vm);
     const bool isBehindNow = isBehind(beat);
     if (!isBehindNow)
         takeVouch(beat, now);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -99,6 +99,10 @@
     /// Limits that were heard lately, some where there are many; \p of: of these upstreams alone.
     std::vector<TaggedLimit> limitsToTell(Time now, const std::set<UpstreamId> *of = nullptr);
 
+    /// Upstreams that said lately that they leave, some where there are many; \p of: of this
+    /// service alone.
+    std::vector<UpstreamId> leavingToTell(Time now, const ServiceName *of = nullptr);
+
     /// The time of day by the clocks of all gateways that were heard.
     UnixMillis timeOfDay() const { return m_time.at(RuntimeClock::now()); }
 
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(newsIsToldUntilEachHeardIt);
     CPPUNIT_TEST(weightyLoadIsToldBeforeTheNextBeat);
     CPPUNIT_TEST(limitsAndTheirEndsReachAllGateways);
+    CPPUNIT_TEST(upstreamThatLeavesIsKnownToAllGateways);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -309,6 +310,35 @@
         clocked.advance(seconds(4));
         CPPUNIT_ASSERT(!limitAt(first) && !limitAt(second) && !limitAt(last));
     }
+
+    /// As above; the registry is away. One more gateway starts later.
+    void upstreamThatLeavesIsKnownToAllGateways()
+    {
+        Clocked clocked;
+        Node last(clocked.io, "last", "the key of this fleet", {});
+        Node second(clocked.io, "second", "the key of this fleet", {last.address()});
+        Node first(clocked.io, "first", "the key of this fleet", {second.address()});
+        UpstreamEntry leaver;
+        leaver.id = UpstreamId("u", 7);
+        UpstreamEntry nextLife = leaver;
+        nextLife.id.born = 8;
+        nextLife.revision = 2;
+        for (Node *node : {&first, &second, &last})
+            node->state.upstreamsListed({leaver}, 1);
+        UpstreamStatement leaving;
+        leaving.isLeaving = true;
+        first.state.upstreamSaid(leaver.id, leaving);
+        clocked.advance(seconds(4));
+        Node started(clocked.io, "started", "the key of this fleet", {last.address()});
+        started.state.upstreamsListed({leaver}, 1);
+        clocked.advance(seconds(4));
+        for (Node *node : {&first, &second, &last, &started}) {
+            const UpstreamDirectory &directory = node->state.directory();
+            CPPUNIT_ASSERT(!directory.takesWork(*directory.find(leaver.id)));
+            node->state.upstreamsListed({nextLife}, 2);
+            CPPUNIT_ASSERT(directory.takesWork(*directory.find(nextLife.id)));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPeersTest);
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -276,8 +276,10 @@
     report.openFrom = m_asks.openFrom();
     report.load = tagLoad(load);
     report.pace = m_state.book().takePace(group.service);
-    report.limits = m_peers.limitsToTell(RuntimeClock::now(),
-                                         &m_state.groups().membersOf(group, m_state.directory()));
+    const Time now = RuntimeClock::now();
+    report.limits =
+        m_peers.limitsToTell(now, &m_state.groups().membersOf(group, m_state.directory()));
+    report.leaving = m_peers.leavingToTell(now, &group.service);
     m_reported[group] = {load, RuntimeClock::now()};
     return report;
 }
@@ -361,6 +363,7 @@
     if (!report.pace.empty())
         m_state.book().learnPace(report.group.service, report.pace);
     m_state.learnLimits(untagLimits(report.limits, m_state.directory()), report.from);
+    m_state.learnLeaving(report.leaving, report.from);
 }
 
 void PlacementLink::takeAsk(const PlacementAsk &ask, const UdpEndpoint &from)
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(schedulerLearnsThePace);
     CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
     CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
+    CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -182,7 +183,8 @@
                       11,
                       {{1, 2, 3, 4}},
                       {8'000, 300, 2, 900},
-                      {{5, CallRate{2200}, 7}}};
+                      {{5, CallRate{2200}, 7}},
+                      {UpstreamId("u", 9)}};
         ask.number = 5;
         ask.zone = ZoneName("z");
         ask.model = "m";
@@ -196,7 +198,9 @@
         CPPUNIT_ASSERT(back->report.group == ask.report.group);
         CPPUNIT_ASSERT_EQUAL(AskNumber{11}, back->report.openFrom);
         CPPUNIT_ASSERT_EQUAL(UnixMillis{7}, back->report.limits.at(0).stamp);
-        ask.report.limits.clear(); // most of the time none is in force
+        CPPUNIT_ASSERT(back->report.leaving.at(0) == UpstreamId("u", 9));
+        ask.report.limits.clear(); // most of the time no limit is in force, and none leaves
+        ask.report.leaving.clear();
         PlacementAnswer answer{VmName("vm"), Incarnation{7}, 5,
                                PlacedCall{1, 2, 3, 9, true, false, 4}, 5};
         const auto told = decodePlacementAnswer(encodePlacementAnswer(answer), &reason);
@@ -424,6 +428,27 @@
         CPPUNIT_ASSERT(pair.placed->choice);
         CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
     }
+
+    /// Only the asker got an answer that said so.
+    void schedulerHearsOfAnUpstreamThatLeaves()
+    {
+        Pair pair;
+        pair.ask();
+        pair.advance(milliseconds(10));
+        UpstreamStatement leaving;
+        leaving.isLeaving = true;
+        const UpstreamId leaver = pair.placed->choice->upstream;
+        pair.asker->state.upstreamSaid(leaver, leaving);
+        for (int n = 0; n < 5; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+            CPPUNIT_ASSERT(pair.placed->choice->upstream != leaver);
+            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+        }
+        const UpstreamDirectory &known = pair.scheduler->state.directory();
+        CPPUNIT_ASSERT(!known.takesWork(*known.find(leaver)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -28,10 +28,11 @@
     std::vector<TaggedLoad> load;
     PaceSample pace; ///< of the group's service, seen since the last report
     std::vector<TaggedLimit> limits; ///< of the group's upstreams, heard lately
+    std::vector<UpstreamId> leaving; ///< of the group's service, that said so lately
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, group, openFrom, load, pace, limits);
+        ar(from, incarnation, sequence, group, openFrom, load, pace, limits, leaving);
     }
 };
 
