upstreambook, placementlink: upstreams that ask for rest get it

Seen: an engine turned calls away with 503 and three seconds of rest, and got eight more from the gateway that it had told so in this time (two are the bound); 5 to 15 calls a second went to an engine that refused each of them, and callers were refused after two engines of three that did.

Cause: a refusal ended with its call. The time that the upstream names was not read; a vouched refusal is no failure, so its circuit stays closed; and an upstream that refuses at once has nothing under way, so it looked the least loaded and drew calls. Class: as the limit and the leaving, evidence in an answer that outlives its call was dropped.

Change: a rest, by life, keeps the upstream out of this gateway's choices; it is never shortened by answers of calls that were under way. It binds one gateway: questions to a scheduler name the resting upstreams as not to be taken, a scheduler's own rests do not count for others' calls, and an answer that names a resting upstream is not followed. No second try is planned where all others rest. A call that only rests keep is refused as not run, upstream-resting. A signed refusal counts although it lacks the upstream's word that nothing ran. Log line upstream-rest, counter rests_heard.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -55,8 +55,7 @@
 asio::awaitable<SendEnd> ForwardCall::takeAnswer()
 {
     const SendEnd judged = judgeHead();
-    if (judged != SendEnd::Corrupt)
-        noteStatement();
+    noteStatement();
     if (judged == SendEnd::Corrupt)
         m_lastReason = "the answer lacks the upstream's signature or its word for a refusal";
     if (judged == SendEnd::RefusedNotRun)
@@ -80,6 +79,8 @@
         m_shared.counters.add(Count::LimitsHeard);
     if (news.ofLeaving)
         m_shared.counters.add(Count::LeavingHeard);
+    if (news.ofRest)
+        m_shared.counters.add(Count::RestsHeard);
 }
 
 /// Holds the answer until it is whole, or passes it on once it is too long for that.
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -62,11 +62,14 @@
     const UpstreamDirectory &directory = m_shared.state.directory();
     if (!directory.usableOf(m_service).empty()) {
         const ChoiceAsk ask = makeAsk();
-        if (m_zones && !UpstreamBook::hasOther(ask, directory))
-            return ErrorKind::NoUpstreamInRegion;
         const UpstreamBook &book = m_shared.state.book();
-        const bool isLimited = book.isKeptByLimits(ask, directory, RuntimeClock::now());
-        return isLimited ? ErrorKind::UpstreamLimit : ErrorKind::NoUpstream;
+        const Time now = RuntimeClock::now();
+        if (book.isKeptByRests(ask, directory, now))
+            return ErrorKind::UpstreamResting;
+        if (book.isKeptByLimits(ask, directory, now))
+            return ErrorKind::UpstreamLimit;
+        const bool isKept = m_zones && !book.hasOther(ask, directory, now);
+        return isKept ? ErrorKind::NoUpstreamInRegion : ErrorKind::NoUpstream;
     }
     const bool isEvacuated = std::ranges::any_of(
         directory.entries() | std::views::values, [&](const UpstreamEntry &entry) {
@@ -165,7 +168,7 @@
         milliseconds(m_route->targetLatencyMs) / targetPartForSend, leastTimeForSend);
     now.timeLeft = timeLeft() > needed;
     now.mayHaveRun = m_mayHaveRun;
-    now.othersLeft = UpstreamBook::hasOther(makeAsk(), state.directory());
+    now.othersLeft = state.book().hasOther(makeAsk(), state.directory(), RuntimeClock::now());
     now.retryLeft = true;
     if (end == SendEnd::NotConnected)
         return now;
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -56,6 +56,7 @@
     QuarantinesBegun,
     LimitsHeard,
     LeavingHeard,
+    RestsHeard,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -47,6 +47,7 @@
     ZonesEvacuated,
     NoUpstreamInRegion,
     UpstreamLimit,
+    UpstreamResting,
     SettingsAbsent,
     RouterStopping,
     AgentBusy,
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -67,6 +67,7 @@
     {
         bool ofLimit = false;
         bool ofLeaving = false;
+        bool ofRest = false;
     };
 
     /// What an upstream's answer said of its own state.
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -28,6 +28,7 @@
 #include <reachlead/servicepace.h>
 #include <reachlead/upstreamdirectory.h>
 #include <reachlead/upstreamlimits.h>
+#include <reachlead/upstreamrests.h>
 
 namespace reachlead {
 
@@ -62,6 +63,7 @@
     /// The chooser gives out most of what the limited upstreams of its group take. Unlike
     /// placesForAll, it holds for one gateway alone among those that know the same fleet.
     bool ownsLimits = false;
+    bool isOwn = true; ///< a call of the chooser's gateway; false: of one that asked it
 };
 
 /// Numbers the questions of one life of a gateway, from 1.
@@ -205,6 +207,13 @@
     UpstreamLimits &limits() { return m_limits; }
     const UpstreamLimits &limits() const { return m_limits; }
 
+    /// The rests that upstreams asked this gateway for.
+    UpstreamRests &rests() { return m_rests; }
+    const UpstreamRests &rests() const { return m_rests; }
+
+    /// True when an upstream that would take the call is to be left alone by this gateway.
+    bool isKeptByRests(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
+
     /// False for an upstream whose calls another gateway places.
     static bool isOfGroup(const ChoiceAsk &ask, const UpstreamId &id)
     {
@@ -244,7 +253,7 @@
     }
 
     /// True when the service has an upstream that takes work and that was not tried.
-    static bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory);
+    bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
 
     /// Upstreams of a service that this gateway's own evidence speaks against, \p most at most.
     std::vector<UpstreamId> unhealthyOf(const ServiceName &service,
@@ -366,6 +375,7 @@
                     bool isHealthy) const;
     UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
+    bool isResting(const ChoiceAsk &ask, const UpstreamId &id, Time now) const;
     double partOf(const ChoiceAsk &ask, const UpstreamId &id, bool hasMost) const;
     Duration phaseOf(const UpstreamId &id, Duration spacing) const;
     bool isOverLimit(const ChoiceAsk &ask, const UpstreamId &id, const Record &record,
@@ -401,6 +411,7 @@
     std::deque<FreshNote> m_fresh; ///< oldest first
     QuietEngines m_quiet;
     UpstreamLimits m_limits;
+    UpstreamRests m_rests;
 };
 
 /// The upstream that all gateways prefer for a prompt whose last shared part has this key: the
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -176,6 +176,14 @@
     news.ofLeaving = statement.isLeaving && !m_directory.leaving().contains(id);
     if (news.ofLeaving)
         noteChange(m_directory.setLeaving(id, now()), "answer");
+    news.ofRest = statement.rest.has_value();
+    if (news.ofRest) {
+        m_book.rests().asked(id, *statement.rest, now());
+        LogLine(LogLevel::Info, "upstream-rest")
+            .with("upstream", id.text)
+            .with("born", id.born)
+            .with("for_ms", static_cast<std::int64_t>(toMillis(*statement.rest)));
+    }
     return news;
 }
 
@@ -251,6 +259,7 @@
     noteChange(m_directory.expire(now()), "missing-after-outage");
     m_crashes.forgetOld(now());
     m_book.limits().forgetOld(now());
+    m_book.rests().forgetOld(now());
 }
 
 bool GatewayState::isReady() const
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -367,10 +367,28 @@
     known.validUntil = std::max(known.validUntil, now + peerLoadAge);
 }
 
-bool UpstreamBook::hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory)
+bool UpstreamBook::hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                            Time now) const
 {
-    return std::ranges::any_of(directory.usableOf(ask.service),
-                               [&](const UpstreamEntry *entry) { return isEligible(ask, *entry); });
+    return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
+        return isEligible(ask, *entry) && !isResting(ask, entry->id, now);
+    });
+}
+
+/// What other gateways call is no matter of the rests that this one was asked for.
+bool UpstreamBook::isResting(const ChoiceAsk &ask, const UpstreamId &id, Time now) const
+{
+    return ask.isOwn && m_rests.isResting(id, now);
+}
+
+bool UpstreamBook::isKeptByRests(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                 Time now) const
+{
+    if (m_rests.isEmpty())
+        return false;
+    return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
+        return isEligible(ask, *entry) && isResting(ask, entry->id, now);
+    });
 }
 
 std::vector<UpstreamId> UpstreamBook::unhealthyOf(const ServiceName &service,
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -211,7 +211,7 @@
 }
 
 /// What the answer names, as this gateway knows it; nothing when it knows better: the upstream
-/// takes no more work, or was tried.
+/// takes no more work, was tried, or is to rest.
 std::optional<Choice> PlacementLink::readPlaced(const PlacedCall &placed,
                                                 const ChoiceAsk &ask) const
 {
@@ -219,9 +219,8 @@
     const UpstreamEntry *entry = directory.findTag(placed.upstream);
     if (entry == nullptr || !directory.takesWork(*entry) || entry->service != ask.service)
         return std::nullopt;
-    if (ask.tried != nullptr && ask.tried->contains(entry->id))
-        return std::nullopt;
-    if (!UpstreamBook::isInRegion(ask, *entry))
+    const bool isResting = m_state.book().rests().isResting(entry->id, RuntimeClock::now());
+    if (isResting || !UpstreamBook::isEligible(ask, *entry))
         return std::nullopt;
     Choice choice;
     choice.upstream = entry->id;
@@ -236,6 +235,21 @@
     return choice;
 }
 
+/// Upstreams of the group that asked this gateway to let them rest.
+std::vector<UpstreamId> PlacementLink::restingOf(const GroupName &group)
+{
+    std::vector<UpstreamId> resting;
+    const UpstreamRests &rests = m_state.book().rests();
+    if (rests.isEmpty())
+        return resting;
+    const Time now = RuntimeClock::now();
+    const std::set<UpstreamId> &members = m_state.groups().membersOf(group, m_state.directory());
+    std::ranges::copy_if(members, std::back_inserter(resting),
+                         [&](const UpstreamId &id) { return rests.isResting(id, now); });
+    resting.resize(std::min(resting.size(), mostResting));
+    return resting;
+}
+
 PlacementAsk PlacementLink::makeAsk(AskNumber number, const GroupName &group, const ChoiceAsk &ask)
 {
     const UpstreamDirectory &directory = m_state.directory();
@@ -250,7 +264,8 @@
         return AskedPart{part.id, static_cast<std::uint32_t>(part.tokens)};
     });
     if (ask.tried != nullptr)
-        std::ranges::transform(*ask.tried, std::back_inserter(made.tried), tagOf);
+        std::ranges::transform(*ask.tried, std::back_inserter(made.avoided), tagOf);
+    std::ranges::transform(restingOf(group), std::back_inserter(made.avoided), tagOf);
     const auto failing =
         m_state.book().unhealthyOf(ask.service, directory, RuntimeClock::now(), mostFailing);
     std::ranges::transform(failing, std::back_inserter(made.failing), tagOf);
@@ -380,7 +395,7 @@
                            [](const AskedPart &part) { return PromptPart{part.id, part.tokens}; });
     const Time now = RuntimeClock::now();
     std::set<UpstreamId> avoided;
-    for (const UpstreamTagNumber tag : ask.tried) {
+    for (const UpstreamTagNumber tag : ask.avoided) {
         if (const UpstreamEntry *entry = directory.findTag(tag))
             avoided.insert(entry->id);
     }
@@ -399,6 +414,7 @@
                        ask.rank};
     wanted.mayRefuse = ask.mayRefuse;
     wanted.zones = ask.zones ? &*ask.zones : nullptr;
+    wanted.isOwn = false;
     wanted.placesForAll = true;
     wanted.ownsLimits = ownsLimitsOf(group);
     PlacedChoice chosen;
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
     CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
     CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
+    CPPUNIT_TEST(restIsBetweenOneUpstreamAndOneGateway);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -189,7 +190,7 @@
         ask.zone = ZoneName("z");
         ask.model = "m";
         ask.prompt = {{17, 400}, {18, 13'000}};
-        ask.tried = {77};
+        ask.avoided = {77};
         ask.failing = {78, 79};
         std::string reason;
         const auto back = decodePlacementAsk(encodePlacementAsk(ask), &reason);
@@ -449,6 +450,28 @@
         const UpstreamDirectory &known = pair.scheduler->state.directory();
         CPPUNIT_ASSERT(!known.takesWork(*known.find(leaver)));
     }
+
+    /// Two engines want rest from the asker, the third one from the scheduler.
+    void restIsBetweenOneUpstreamAndOneGateway()
+    {
+        Pair pair;
+        pair.prompt = {{1, 100}, {2, 50}};
+        const Time now = RuntimeClock::now();
+        pair.asker->state.book().rests().asked(UpstreamId("u0"), seconds(3), now);
+        pair.asker->state.book().rests().asked(UpstreamId("u1"), seconds(3), now);
+        pair.scheduler->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        for (int n = 0; n < 5; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+            CPPUNIT_ASSERT(pair.placed->choice->upstream == UpstreamId("u2"));
+            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+        }
+        pair.asker->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        pair.ask();
+        pair.advance(milliseconds(100));
+        CPPUNIT_ASSERT(pair.placed && !pair.placed->choice);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -53,7 +53,8 @@
     ZoneName zone; ///< of the asker
     std::string model;
     std::vector<AskedPart> prompt;
-    std::vector<UpstreamTagNumber> tried; ///< by this call, in vain
+    /// Not to be taken: tried by this call in vain, or the asker was asked to let them rest.
+    std::vector<UpstreamTagNumber> avoided;
     std::vector<UpstreamTagNumber> failing; ///< by the asker's evidence
     std::uint32_t targetMs = 0; ///< to the first event; 0: none is promised
     std::uint32_t leftMs = 0; ///< until the caller gives up
@@ -64,13 +65,15 @@
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(report, number, zone, model, prompt, tried, failing, targetMs, leftMs, isMostUrgent,
+        ar(report, number, zone, model, prompt, avoided, failing, targetMs, leftMs, isMostUrgent,
            rank, mayRefuse, zones);
     }
 };
 
 /// Failing upstreams in one question: 64 bytes.
 inline constexpr std::size_t mostFailing = 16;
+/// Resting upstreams in one question: 128 bytes, about a group.
+inline constexpr std::size_t mostResting = 32;
 
 /// Where a call is to be placed.
 struct PlacedCall
