placementlink: the limits of a lost gateway are given out by the next in rank

Seen in a test of the change before: with the first gateway in rank gone while the list of gateways still names it (the store is away, or ten seconds have not passed), nobody gave out the larger part of its limits, and three engines with a limit of one call a second got one call in four seconds together instead of nine. No upstream gets too much by it, but callers are refused.

Change: the first in rank is taken among the gateways that were heard within peerLimit, once this process is as old as that; before, one that was not heard yet may live, and all that are listed count. The gateway that takes over has the small part until then, so two never have the large one by a silence of seconds.

limitsOfALostSchedulerAreGivenOutByTheNext failed before.

--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -66,6 +66,12 @@
         cores.emplace(vm, entry.cores);
     }
     m_strong = strongestOf(cores);
+    m_owners = m_strong;
+    if (now < m_began + GatewayPeers::peerLimit)
+        return; // one that was not heard yet may live
+    const std::set<VmName> heard = m_peers.heard();
+    std::erase_if(m_owners,
+                  [&](const VmName &vm) { return vm != m_state.vm() && !heard.contains(vm); });
 }
 
 VmName PlacementLink::schedulerFor(const GroupName &group)
@@ -82,12 +88,12 @@
         m_peers.sendTo(it->second.address, kind, payload);
 }
 
-/// True at the first gateway in rank, whether or not it answers now: where two gateways took a
-/// silent one's place, each with most of a limit, an upstream would get nearly twice of it.
+/// True at the first gateway in rank that lives, whether or not it answers now: where two gateways
+/// took a silent one's place, each with most of a limit, an upstream would get nearly twice of it.
 bool PlacementLink::ownsLimitsOf(const GroupName &group)
 {
     refreshFleet();
-    return schedulerOf(group, m_strong) == m_state.vm();
+    return schedulerOf(group, m_owners) == m_state.vm();
 }
 
 /// The group that places a call; nothing where this gateway chooses by itself. Plain calls are
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -114,6 +114,8 @@
     std::map<VmName, GatewayEntry> m_fleet; ///< as of m_fleetAt
     std::set<VmName> m_names; ///< of the same
     std::set<VmName> m_strong; ///< of these, those that place for the others
+    std::set<VmName> m_owners; ///< of these, those that live: they give out limits
+    const Time m_began = RuntimeClock::now();
     RefusalOrder m_refusals{m_options.lessUrgentHold};
     std::optional<Time> m_fleetAt;
     std::mt19937_64 m_random{std::random_device{}()};
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(schedulerLearnsThePace);
     CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
     CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
+    CPPUNIT_TEST(limitsOfALostSchedulerAreGivenOutByTheNext);
     CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
     CPPUNIT_TEST(restIsBetweenOneUpstreamAndOneGateway);
     CPPUNIT_TEST_SUITE_END();
@@ -472,6 +473,30 @@
         pair.advance(milliseconds(100));
         CPPUNIT_ASSERT(pair.placed && !pair.placed->choice);
     }
+
+    /// The list of gateways names the lost one still, as the platform's store is away.
+    void limitsOfALostSchedulerAreGivenOutByTheNext()
+    {
+        Pair pair;
+        pair.prompt = {{1, 100}, {2, 50}};
+        pair.advance(seconds(2)); // they hear each other
+        pair.scheduler->peers.stop();
+        limitAll(pair, CallRate{1000});
+        const auto placedIn = [&](Duration span) {
+            unsigned placed = 0;
+            for (Duration done{}; done < span; done += milliseconds(100)) {
+                pair.ask();
+                pair.advance(milliseconds(100));
+                placed += pair.placed && pair.placed->choice ? 1U : 0U;
+            }
+            return placed;
+        };
+        const unsigned unsure = placedIn(seconds(4)); // it may be another one's part still
+        CPPUNIT_ASSERT(unsure <= upstreamCount * 2);
+        pair.advance(GatewayPeers::peerLimit);
+        const unsigned sure = placedIn(seconds(4));
+        CPPUNIT_ASSERT(sure >= 8 && sure <= upstreamCount * 4);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
