agentcore, upstream: agents let upstreams rest that ask for it

The same cause at routers with agents: a refusal of the engine (429, 503) ended with its call, and the time in Retry-After was not read. The agent started what waited, which was refused as well, and told its routers of room.

Change: the agent, which is the only gate to its upstream, starts nothing during the rest, gives back what waits as not run, refuses what comes, and tells all routers a window of 0. Limits and leaving are told in fields of the platform, which agents do not speak.

--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -185,6 +185,10 @@
         refuse(session, key, ErrorKind::AgentLeaving, "draining");
         return;
     }
+    if (m_isResting) {
+        refuse(session, key, ErrorKind::AgentBusy, "the upstream wants rest");
+        return;
+    }
     if (message.tier >= tierCount) {
         refuse(session, key, ErrorKind::BadRequest, "tier out of range");
         return;
@@ -315,7 +319,7 @@
 
 void AgentCore::startQueued(Time now)
 {
-    if (wokeJustNow(now))
+    if (wokeJustNow(now) || m_isResting)
         return;
     while (!m_queue.empty() && m_running < m_window.size()) {
         Run &run = *m_runs.at(m_queue.begin()->second);
--- a/src/libreachlead/agentcore_test.cpp
+++ b/src/libreachlead/agentcore_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(creditHoldsUpOneStreamAlone);
     CPPUNIT_TEST(leavingAgentRefusesAndFinishes);
     CPPUNIT_TEST(listCanTakeItsWordBack);
+    CPPUNIT_TEST(upstreamThatWantsRestGetsIt);
     CPPUNIT_TEST(wokenAgentReadsBeforeItStarts);
     CPPUNIT_TEST(forgottenRecordIsNotNeverSeen);
     CPPUNIT_TEST(olderSessionIsDestroyed);
@@ -243,6 +244,32 @@
         CPPUNIT_ASSERT(m_core->idle());
     }
 
+    /// One call runs, one waits. The first is refused with three seconds of rest.
+    void upstreamThatWantsRestGetsIt()
+    {
+        AgentTuning tuning;
+        tuning.window = {1, 1, 1};
+        open(tuning);
+        dispatch(1);
+        dispatch(2);
+        m_core->upstreamWantsRest(seconds(3), m_now);
+        m_core->upstreamFailed(key(1), ErrorKind::UpstreamRefused, Outcome::NotRun, "503", m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count<StartUpstream>());
+        CPPUNIT_ASSERT(sent<Refused>().at(0).kind == ErrorKind::AgentBusy); // 2, given back
+        CPPUNIT_ASSERT_EQUAL(0U, sent<LoadReport>().at(0).load.window); // told at once
+        m_now += seconds(2);
+        m_core->upstreamWantsRest(milliseconds(100), m_now); // does not shorten the first
+        dispatch(3);
+        CPPUNIT_ASSERT(sent<Refused>().at(0).kind == ErrorKind::AgentBusy);
+        m_now += seconds(1);
+        m_core->tick(m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(1U, sent<LoadReport>().at(0).load.window);
+        dispatch(4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<StartUpstream>());
+    }
+
     /// It stood still for 4 s. What waits in its socket is a dispatch, then the word to leave.
     void wokenAgentReadsBeforeItStarts()
     {
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -3,7 +3,9 @@
 
 #include <reachlead/http.h>
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <ranges>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -119,6 +121,28 @@
     return {};
 }
 
+std::optional<double> readDecimal(std::string_view text)
+{
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::optional<Duration> restAsked(unsigned status, std::string_view retryAfter)
+{
+    constexpr unsigned tooMany = 429;
+    constexpr unsigned unavailable = 503;
+    constexpr double longest = 1e6; // s; fits a Duration
+    if (status != tooMany && status != unavailable)
+        return std::nullopt;
+    const std::optional<double> value = readDecimal(retryAfter);
+    if (!value || !std::isfinite(*value) || *value <= 0)
+        return std::nullopt;
+    return fromSeconds(std::min(*value, longest));
+}
+
 std::string encodeQuery(std::string_view text)
 {
     std::string out;
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -3,11 +3,14 @@
 
 #include "upstream/upstreamclient.h"
 
+#include <algorithm>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <fmt/format.h>
 
 #include <reachlead/log.h>
@@ -132,6 +135,7 @@
     }
     if (stream.status() != 200) {
         UpstreamFailure failure = failureOf(key, stream.status());
+        failure.rest = restAsked(stream.status(), stream.header("Retry-After"));
         co_await emit(std::move(failure));
         co_return;
     }
@@ -176,7 +180,12 @@
     auto reply = co_await httpCall(m_options.upstream, std::move(ask), m_options.serviceLimit,
                                    &reason, &progress);
     if (reply) {
-        UpstreamAnswer answer{key, std::move(*reply)};
+        const auto it = std::ranges::find_if(reply->headers, [](const Header &header) {
+            return boost::beast::iequals(header.name, "Retry-After");
+        });
+        const std::string retryAfter = it == reply->headers.end() ? std::string() : it->value;
+        const auto rest = restAsked(reply->status, retryAfter);
+        UpstreamAnswer answer{key, std::move(*reply), rest};
         co_await emit(std::move(answer));
         co_return;
     }
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 #include <variant>
 
@@ -37,6 +39,7 @@
 {
     AttemptKey key;
     HttpReply reply;
+    std::optional<Duration> rest = std::nullopt; ///< for which it wants no calls
 };
 struct UpstreamFailure
 {
@@ -44,6 +47,7 @@
     ErrorKind kind = ErrorKind::None;
     Outcome outcome = Outcome::Unknown;
     std::string reason;
+    std::optional<Duration> rest = std::nullopt; ///< for which it wants no calls
 };
 using UpstreamEvent = std::variant<UpstreamToken, UpstreamDone, UpstreamAnswer, UpstreamFailure>;
 
