placementlink: limits have an owner where no strong gateway lives; tests of statements in a file of their own

Where all gateways with most of a processor are lost, the owner of a limit is found among those that live; before, nobody gave out its larger part. Lint: a vector of a test reserves its size.

--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -252,7 +252,7 @@
         return !wasTried && isInRegion(ask, entry);
     }
 
-    /// True when the service has an upstream that takes work and that was not tried.
+    /// True when the service has an upstream that takes work, was not tried and need not rest.
     bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
 
     /// Upstreams of a service that this gateway's own evidence speaks against, \p most at most.
--- a/src/libreachlead/upstreambook_limit_test.cpp
+++ b/src/libreachlead/upstreambook_limit_test.cpp
@@ -92,6 +92,7 @@
                                       CallRate rate = limit)
     {
         std::vector<std::unique_ptr<Gateway>> fleet;
+        fleet.reserve(gateways);
         for (std::size_t n = 0; n < gateways; ++n)
             fleet.push_back(std::make_unique<Gateway>(gateways, n, hasOwner && n == 0));
         std::vector<Time> at;
@@ -149,6 +150,7 @@
     void unusedPartsAreNotSavedUp()
     {
         std::vector<std::unique_ptr<Gateway>> fleet;
+        fleet.reserve(999);
         for (std::size_t n = 1; n < 1000; ++n)
             fleet.push_back(std::make_unique<Gateway>(1000, n, false));
         std::vector<Time> at;
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -72,6 +72,10 @@
     const std::set<VmName> heard = m_peers.heard();
     std::erase_if(m_owners,
                   [&](const VmName &vm) { return vm != m_state.vm() && !heard.contains(vm); });
+    if (!m_owners.empty())
+        return;
+    m_owners = heard;
+    m_owners.insert(m_state.vm());
 }
 
 VmName PlacementLink::schedulerFor(const GroupName &group)
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -114,7 +114,7 @@
     std::map<VmName, GatewayEntry> m_fleet; ///< as of m_fleetAt
     std::set<VmName> m_names; ///< of the same
     std::set<VmName> m_strong; ///< of these, those that place for the others
-    std::set<VmName> m_owners; ///< of these, those that live: they give out limits
+    std::set<VmName> m_owners; ///< of these, those that live; all that live, if none does
     const Time m_began = RuntimeClock::now();
     RefusalOrder m_refusals{m_options.lessUrgentHold};
     std::optional<Time> m_fleetAt;
--- /dev/null
+++ b/src/peer/placementlink_statements_test.cpp
@@ -0,0 +1,128 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "peer/placementpair.h"
+
+namespace reachlead {
+
+/// What upstreams say of themselves in answers to one gateway, and another one places calls.
+class PlacementStatementsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlacementStatementsTest);
+    CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
+    CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
+    CPPUNIT_TEST(limitsOfALostSchedulerAreGivenOutByTheNext);
+    CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
+    CPPUNIT_TEST(restIsBetweenOneUpstreamAndOneGateway);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Pair = PlacementPair;
+    static constexpr unsigned upstreamCount = Pair::upstreamCount;
+
+    /// Each engine named a limit in an answer to the asker alone.
+    static void limitAll(const Pair &pair, CallRate rate)
+    {
+        for (const UpstreamEntry &entry : Pair::upstreams(upstreamCount))
+            pair.asker->state.book().limits().heard(entry.id, rate, RuntimeClock::now(),
+                                                    vmTimeOfDay());
+    }
+
+    void schedulerKeepsALimitThatItsAskerHeard()
+    {
+        Pair pair;
+        limitAll(pair, CallRate{1000});
+        for (unsigned n = 0; n < 20; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+        }
+        const std::uint64_t given = pair.scheduler->counters.value(Count::PlacementsGiven);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{upstreamCount}, given);
+    }
+
+    void plainCallsArePlacedWhileAnUpstreamIsLimited()
+    {
+        Pair pair;
+        pair.prompt.clear();
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
+        limitAll(pair, CallRate{1000});
+        pair.ask();
+        pair.advance(milliseconds(10));
+        CPPUNIT_ASSERT(pair.placed->choice);
+        CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+    }
+
+    /// Only the asker got an answer that said so.
+    void schedulerHearsOfAnUpstreamThatLeaves()
+    {
+        Pair pair;
+        pair.ask();
+        pair.advance(milliseconds(10));
+        UpstreamStatement leaving;
+        leaving.isLeaving = true;
+        const UpstreamId leaver = pair.placed->choice->upstream;
+        pair.asker->state.upstreamSaid(leaver, leaving);
+        for (int n = 0; n < 5; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+            CPPUNIT_ASSERT(pair.placed->choice->upstream != leaver);
+            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+        }
+        const UpstreamDirectory &known = pair.scheduler->state.directory();
+        CPPUNIT_ASSERT(!known.takesWork(*known.find(leaver)));
+    }
+
+    /// Two engines want rest from the asker, the third one from the scheduler.
+    void restIsBetweenOneUpstreamAndOneGateway()
+    {
+        Pair pair;
+        pair.prompt = {{1, 100}, {2, 50}};
+        const Time now = RuntimeClock::now();
+        pair.asker->state.book().rests().asked(UpstreamId("u0"), seconds(3), now);
+        pair.asker->state.book().rests().asked(UpstreamId("u1"), seconds(3), now);
+        pair.scheduler->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        for (int n = 0; n < 5; ++n) {
+            pair.ask();
+            pair.advance(milliseconds(10));
+            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
+            CPPUNIT_ASSERT(pair.placed->choice->upstream == UpstreamId("u2"));
+            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
+        }
+        pair.asker->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        pair.ask();
+        pair.advance(milliseconds(100));
+        CPPUNIT_ASSERT(pair.placed && !pair.placed->choice);
+    }
+
+    /// The list of gateways names the lost one still, as the platform's store is away.
+    void limitsOfALostSchedulerAreGivenOutByTheNext()
+    {
+        Pair pair;
+        pair.prompt = {{1, 100}, {2, 50}};
+        pair.advance(seconds(2)); // they hear each other
+        pair.scheduler->peers.stop();
+        limitAll(pair, CallRate{1000});
+        const auto placedIn = [&](Duration span) {
+            unsigned placed = 0;
+            for (Duration done{}; done < span; done += milliseconds(100)) {
+                pair.ask();
+                pair.advance(milliseconds(100));
+                placed += pair.placed && pair.placed->choice ? 1U : 0U;
+            }
+            return placed;
+        };
+        const unsigned unsure = placedIn(seconds(4)); // it may be another one's part still
+        CPPUNIT_ASSERT(unsure <= upstreamCount * 2);
+        pair.advance(GatewayPeers::peerLimit);
+        const unsigned sure = placedIn(seconds(4));
+        CPPUNIT_ASSERT(sure >= 8 && sure <= upstreamCount * 4);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementStatementsTest);
+
+} // namespace reachlead
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -2,16 +2,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <algorithm>
-#include <memory>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
-#include <fmt/format.h>
-
-#include "peer/placementlink.h"
+#include "peer/placementpair.h"
 
 namespace reachlead {
 
@@ -32,148 +26,13 @@
     CPPUNIT_TEST(callThatCannotBeginInTimeIsRefused);
     CPPUNIT_TEST(withoutItsSchedulerNothingIsRefused);
     CPPUNIT_TEST(schedulerLearnsThePace);
-    CPPUNIT_TEST(schedulerKeepsALimitThatItsAskerHeard);
-    CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
-    CPPUNIT_TEST(limitsOfALostSchedulerAreGivenOutByTheNext);
-    CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
-    CPPUNIT_TEST(restIsBetweenOneUpstreamAndOneGateway);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Time start{seconds(1000)};
-    static constexpr unsigned upstreamCount = 3;
-
-    static FleetKeys keys(const std::string &text)
-    {
-        std::string reason;
-        return FleetKeys::parse(text, &reason).value();
-    }
-
-    static std::vector<UpstreamEntry> upstreams(unsigned n)
-    {
-        std::vector<UpstreamEntry> all;
-        for (unsigned it = 0; it < n; ++it) {
-            UpstreamEntry entry;
-            entry.id = UpstreamId(fmt::format("u{}", it));
-            entry.service = ServiceName("llm");
-            entry.slots = 64;
-            all.push_back(entry);
-        }
-        return all;
-    }
-
-    struct Node
-    {
-        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key)
-            : state(stateOptions(vm)), peers(io, peerOptions(vm, key, &counters), state),
-              link(io, linkOptions(&counters), state, peers)
-        {
-            state.upstreamsListed(upstreams(upstreamCount), 1);
-        }
-        ~Node() { peers.stop(); }
-        Node(const Node &) = delete;
-        Node &operator=(const Node &) = delete;
-
-        static GatewayState::Options stateOptions(const std::string &vm)
-        {
-            GatewayState::Options made;
-            made.vm = VmName(vm);
-            return made;
-        }
-        static GatewayPeers::Options peerOptions(const std::string &vm, const std::string &key,
-                                                 Counters *counters)
-        {
-            GatewayPeers::Options made;
-            made.self = {VmName(vm), {"127.0.0.1", 0}};
-            made.keys = keys(key);
-            made.counters = counters;
-            return made;
-        }
-        static PlacementLink::Options linkOptions(Counters *counters)
-        {
-            PlacementLink::Options made;
-            made.counters = counters;
-            made.refusal.targets = 0.25;
-            return made;
-        }
-        GatewayEntry entry() const { return peers.self(); }
-        std::uint32_t running(const UpstreamId &id)
-        {
-            return state.book().loadOf(id, RuntimeClock::now()).running;
-        }
-
-        Counters counters;
-        GatewayState state;
-        GatewayPeers peers;
-        PlacementLink link;
-    };
+    using Pair = PlacementPair;
+    using Node = Pair::Node;
+    static constexpr unsigned upstreamCount = Pair::upstreamCount;
 
-    /// Two gateways of one fleet, of which `scheduler` places all calls of the service.
-    struct Pair
-    {
-        explicit Pair(const std::string &otherKey = "the key of this fleet")
-        {
-            RuntimeClock::pause(start);
-            const GroupName group{ServiceName("llm"), 0};
-            const std::set<VmName> names{VmName("a"), VmName("b")};
-            const VmName first = *schedulerOf(group, names);
-            const VmName second = first == VmName("a") ? VmName("b") : VmName("a");
-            scheduler = std::make_unique<Node>(io, first.text, otherKey);
-            asker = std::make_unique<Node>(io, second.text, "the key of this fleet");
-            const std::vector<GatewayEntry> both{scheduler->entry(), asker->entry()};
-            scheduler->state.gatewaysChanged({1, both});
-            asker->state.gatewaysChanged({1, both});
-        }
-        ~Pair()
-        {
-            io.stop();
-            RuntimeClock::resume();
-        }
-        Pair(const Pair &) = delete;
-        Pair &operator=(const Pair &) = delete;
-
-        void advance(Duration d)
-        {
-            constexpr Duration step = milliseconds(5);
-            for (Duration moved{}; moved < d; moved += step) {
-                RuntimeClock::advance(step);
-                io.restart();
-                io.run_for(std::chrono::milliseconds(3));
-            }
-        }
-
-        /// Asks at the asker; nothing while no choice is made.
-        void ask()
-        {
-            placed.reset();
-            boost::asio::co_spawn(io, askOnce(), boost::asio::detached);
-        }
-        boost::asio::awaitable<void> askOnce()
-        {
-            ChoiceAsk wanted{ServiceName("llm"), "m", prompt, nullptr};
-            wanted.patience = {milliseconds(600), seconds(6), false};
-            wanted.mayRefuse = true;
-            PlacedChoice got = co_await asker->link.choose(wanted);
-            if (got.choice)
-                asker->state.book().sent(got.choice->upstream, wanted, *got.choice,
-                                         RuntimeClock::now());
-            placed = std::move(got);
-        }
-
-        /// Each engine has \p tokens to read, by the scheduler's knowledge.
-        void load(TokenCount tokens) const
-        {
-            LoadByUpstream load;
-            for (const UpstreamEntry &entry : upstreams(upstreamCount))
-                load[entry.id] = {1, tokens, 0};
-            scheduler->state.book().setPeerLoad(VmName("third"), {load}, RuntimeClock::now());
-        }
-
-        std::vector<PromptPart> prompt{{1, 4'000}, {2, 3'000}};
-        boost::asio::io_context io{1};
-        std::unique_ptr<Node> scheduler;
-        std::unique_ptr<Node> asker;
-        std::optional<PlacedChoice> placed;
-    };
+    static std::vector<UpstreamEntry> upstreams(unsigned n) { return Pair::upstreams(n); }
 
     void messagesComeBackAsTheyWere()
     {
@@ -396,107 +255,6 @@
         const double after = pair.scheduler->state.book().paceOf(service).tokensPerMs();
         CPPUNIT_ASSERT(before > 30 && after < 20);
     }
-
-    /// Each engine named a limit in an answer to the asker alone.
-    static void limitAll(const Pair &pair, CallRate rate)
-    {
-        for (const UpstreamEntry &entry : upstreams(upstreamCount))
-            pair.asker->state.book().limits().heard(entry.id, rate, RuntimeClock::now(),
-                                                    vmTimeOfDay());
-    }
-
-    void schedulerKeepsALimitThatItsAskerHeard()
-    {
-        Pair pair;
-        limitAll(pair, CallRate{1000});
-        for (unsigned n = 0; n < 20; ++n) {
-            pair.ask();
-            pair.advance(milliseconds(10));
-        }
-        const std::uint64_t given = pair.scheduler->counters.value(Count::PlacementsGiven);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{upstreamCount}, given);
-    }
-
-    void plainCallsArePlacedWhileAnUpstreamIsLimited()
-    {
-        Pair pair;
-        pair.prompt.clear();
-        pair.ask();
-        pair.advance(milliseconds(10));
-        CPPUNIT_ASSERT(pair.placed->by == pair.asker->state.vm());
-        limitAll(pair, CallRate{1000});
-        pair.ask();
-        pair.advance(milliseconds(10));
-        CPPUNIT_ASSERT(pair.placed->choice);
-        CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
-    }
-
-    /// Only the asker got an answer that said so.
-    void schedulerHearsOfAnUpstreamThatLeaves()
-    {
-        Pair pair;
-        pair.ask();
-        pair.advance(milliseconds(10));
-        UpstreamStatement leaving;
-        leaving.isLeaving = true;
-        const UpstreamId leaver = pair.placed->choice->upstream;
-        pair.asker->state.upstreamSaid(leaver, leaving);
-        for (int n = 0; n < 5; ++n) {
-            pair.ask();
-            pair.advance(milliseconds(10));
-            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
-            CPPUNIT_ASSERT(pair.placed->choice->upstream != leaver);
-            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
-        }
-        const UpstreamDirectory &known = pair.scheduler->state.directory();
-        CPPUNIT_ASSERT(!known.takesWork(*known.find(leaver)));
-    }
-
-    /// Two engines want rest from the asker, the third one from the scheduler.
-    void restIsBetweenOneUpstreamAndOneGateway()
-    {
-        Pair pair;
-        pair.prompt = {{1, 100}, {2, 50}};
-        const Time now = RuntimeClock::now();
-        pair.asker->state.book().rests().asked(UpstreamId("u0"), seconds(3), now);
-        pair.asker->state.book().rests().asked(UpstreamId("u1"), seconds(3), now);
-        pair.scheduler->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
-        for (int n = 0; n < 5; ++n) {
-            pair.ask();
-            pair.advance(milliseconds(10));
-            CPPUNIT_ASSERT(pair.placed && pair.placed->choice);
-            CPPUNIT_ASSERT(pair.placed->choice->upstream == UpstreamId("u2"));
-            CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
-        }
-        pair.asker->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
-        pair.ask();
-        pair.advance(milliseconds(100));
-        CPPUNIT_ASSERT(pair.placed && !pair.placed->choice);
-    }
-
-    /// The list of gateways names the lost one still, as the platform's store is away.
-    void limitsOfALostSchedulerAreGivenOutByTheNext()
-    {
-        Pair pair;
-        pair.prompt = {{1, 100}, {2, 50}};
-        pair.advance(seconds(2)); // they hear each other
-        pair.scheduler->peers.stop();
-        limitAll(pair, CallRate{1000});
-        const auto placedIn = [&](Duration span) {
-            unsigned placed = 0;
-            for (Duration done{}; done < span; done += milliseconds(100)) {
-                pair.ask();
-                pair.advance(milliseconds(100));
-                placed += pair.placed && pair.placed->choice ? 1U : 0U;
-            }
-            return placed;
-        };
-        const unsigned unsure = placedIn(seconds(4)); // it may be another one's part still
-        CPPUNIT_ASSERT(unsure <= upstreamCount * 2);
-        pair.advance(GatewayPeers::peerLimit);
-        const unsigned sure = placedIn(seconds(4));
-        CPPUNIT_ASSERT(sure >= 8 && sure <= upstreamCount * 4);
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
--- /dev/null
+++ b/src/peer/placementpair.h
@@ -0,0 +1,162 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Two gateways that place for each other over real datagrams, for tests.
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <fmt/format.h>
+
+#include "peer/placementlink.h"
+
+namespace reachlead {
+
+/// Two gateways of one fleet on a paused clock, of which `scheduler` places all calls of the
+/// service.
+struct PlacementPair
+{
+    static constexpr Time start{seconds(1000)};
+    static constexpr unsigned upstreamCount = 3;
+
+    static FleetKeys keys(const std::string &text)
+    {
+        std::string reason;
+        return FleetKeys::parse(text, &reason).value();
+    }
+
+    static std::vector<UpstreamEntry> upstreams(unsigned n)
+    {
+        std::vector<UpstreamEntry> all;
+        for (unsigned it = 0; it < n; ++it) {
+            UpstreamEntry entry;
+            entry.id = UpstreamId(fmt::format("u{}", it));
+            entry.service = ServiceName("llm");
+            entry.slots = 64;
+            all.push_back(entry);
+        }
+        return all;
+    }
+
+    struct Node
+    {
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key)
+            : state(stateOptions(vm)), peers(io, peerOptions(vm, key, &counters), state),
+              link(io, linkOptions(&counters), state, peers)
+        {
+            state.upstreamsListed(upstreams(upstreamCount), 1);
+        }
+        ~Node() { peers.stop(); }
+        Node(const Node &) = delete;
+        Node &operator=(const Node &) = delete;
+
+        static GatewayState::Options stateOptions(const std::string &vm)
+        {
+            GatewayState::Options made;
+            made.vm = VmName(vm);
+            return made;
+        }
+        static GatewayPeers::Options peerOptions(const std::string &vm, const std::string &key,
+                                                 Counters *counters)
+        {
+            GatewayPeers::Options made;
+            made.self = {VmName(vm), {"127.0.0.1", 0}};
+            made.keys = keys(key);
+            made.counters = counters;
+            return made;
+        }
+        static PlacementLink::Options linkOptions(Counters *counters)
+        {
+            PlacementLink::Options made;
+            made.counters = counters;
+            made.refusal.targets = 0.25;
+            return made;
+        }
+        GatewayEntry entry() const { return peers.self(); }
+        std::uint32_t running(const UpstreamId &id)
+        {
+            return state.book().loadOf(id, RuntimeClock::now()).running;
+        }
+
+        Counters counters;
+        GatewayState state;
+        GatewayPeers peers;
+        PlacementLink link;
+    };
+
+    explicit PlacementPair(const std::string &otherKey = "the key of this fleet")
+    {
+        RuntimeClock::pause(start);
+        const GroupName group{ServiceName("llm"), 0};
+        const std::set<VmName> names{VmName("a"), VmName("b")};
+        const VmName first = *schedulerOf(group, names);
+        const VmName second = first == VmName("a") ? VmName("b") : VmName("a");
+        scheduler = std::make_unique<Node>(io, first.text, otherKey);
+        asker = std::make_unique<Node>(io, second.text, "the key of this fleet");
+        const std::vector<GatewayEntry> both{scheduler->entry(), asker->entry()};
+        scheduler->state.gatewaysChanged({1, both});
+        asker->state.gatewaysChanged({1, both});
+    }
+    ~PlacementPair()
+    {
+        io.stop();
+        RuntimeClock::resume();
+    }
+    PlacementPair(const PlacementPair &) = delete;
+    PlacementPair &operator=(const PlacementPair &) = delete;
+
+    void advance(Duration d)
+    {
+        constexpr Duration step = milliseconds(5);
+        for (Duration moved{}; moved < d; moved += step) {
+            RuntimeClock::advance(step);
+            io.restart();
+            io.run_for(std::chrono::milliseconds(3));
+        }
+    }
+
+    /// Asks at the asker; nothing while no choice is made.
+    void ask()
+    {
+        placed.reset();
+        boost::asio::co_spawn(io, askOnce(), boost::asio::detached);
+    }
+    boost::asio::awaitable<void> askOnce()
+    {
+        ChoiceAsk wanted{ServiceName("llm"), "m", prompt, nullptr};
+        wanted.patience = {milliseconds(600), seconds(6), false};
+        wanted.mayRefuse = true;
+        PlacedChoice got = co_await asker->link.choose(wanted);
+        if (got.choice)
+            asker->state.book().sent(got.choice->upstream, wanted, *got.choice,
+                                     RuntimeClock::now());
+        placed = std::move(got);
+    }
+
+    /// Each engine has \p tokens to read, by the scheduler's knowledge.
+    void load(TokenCount tokens) const
+    {
+        LoadByUpstream load;
+        for (const UpstreamEntry &entry : upstreams(upstreamCount))
+            load[entry.id] = {1, tokens, 0};
+        scheduler->state.book().setPeerLoad(VmName("third"), {load}, RuntimeClock::now());
+    }
+
+    std::vector<PromptPart> prompt{{1, 4'000}, {2, 3'000}};
+    boost::asio::io_context io{1};
+    std::unique_ptr<Node> scheduler;
+    std::unique_ptr<Node> asker;
+    std::optional<PlacedChoice> placed;
+};
+
+} // namespace reachlead
