agentcore, upstream: a stream that its engine cuts is not taken for one that ends engines

Cause: an agent took each lost connection for the end of its upstream's process and told all routers of it. An engine that cuts a stream of 60 tokens each 20 tokens and serves on was counted three times where all tries came to it, and the stream was quarantined as one that ends engines: its third cut was told as upstream-lost. Present since agents tell losses; not of the statements of upstreams.

Ruled out: the retry budget (another kind of refusal), the attempts (three of eight), the rest of agents (no 503 in it).

Change: after a call that was sent is lost, the agent asks its upstream for a connection, as gateways do, and tells of an end only where that is refused.

EndedUpstreamsTest passes unchanged; its engines now say that they ended, as their rig lets them.

--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -141,6 +141,9 @@
     /// A plain service answered.
     void upstreamAnswer(const AttemptKey &key, unsigned status, std::vector<Header> headers,
                         std::string body, Time now);
+    /// The upstream's process is gone, and was found so under this call. Tell this before the
+    /// failure of the call, which drops its record.
+    void upstreamEnded(const AttemptKey &key, Time now);
     /// The upstream failed the call; \p outcome says whether it can have run.
     void upstreamFailed(const AttemptKey &key, ErrorKind kind, Outcome outcome,
                         const std::string &reason, Time now);
@@ -212,7 +215,6 @@
     void send(const Run &run, ToRouter message);
     void flush(Run &run);
     void endFailed(Run &run, ErrorKind kind, Outcome outcome, const std::string &reason, Time now);
-    void tellLoss(const Run &run, Time now);
     void finish(Run &run, End end, Time now);
     void refuseRun(Run &run, ErrorKind kind, const std::string &reason);
     void leaveWindow(Run &run);
@@ -246,8 +248,8 @@
     bool m_marksLost = false; ///< some router's mark was dropped
     std::size_t m_running = 0; ///< attempts that hold a place in the window
     std::uint64_t m_arrivals = 0;
-    std::uint64_t m_livesLost = 0; ///< of the upstream
-    std::optional<Time> m_lostAt; ///< when a run was last lost with the upstream
+    std::uint64_t m_livesEnded = 0; ///< of the upstream
+    std::optional<Time> m_endedAt; ///< when a run last ended with the upstream
     std::uint64_t m_loadSequence = 0;
     Load m_told; ///< last load told
     Time m_toldAt{};
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -261,8 +261,7 @@
     template <class Archive> void serialize(Archive &ar) { ar(load); }
 };
 
-/// The upstream's connection was lost under a request, whichever router it came from. The agent
-/// stands beside its upstream, so the upstream's process closed it or is gone.
+/// The upstream's process ended under a request, whichever router it came from.
 struct UpstreamLoss
 {
     RequestDigest request;
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -104,14 +104,30 @@
     finish(*run, std::move(end), now);
 }
 
+/// Tells all routers, ahead of the run's end: a request that ends upstreams comes to any of them,
+/// and each would have to find it out by three upstreams of its own. Without it 30 of 30 tries of
+/// such a request ended an engine, with it three.
+void AgentCore::upstreamEnded(const AttemptKey &key, Time now)
+{
+    const Run *run = findRun(key);
+    if (!run || run->state != Run::State::Running)
+        return;
+    // What began before the last end went down with the same life of the upstream.
+    if (!m_endedAt || run->startedAt > *m_endedAt)
+        ++m_livesEnded;
+    m_endedAt = now;
+    const RequestDigest request = digestOf(contentOf(run->dispatch->account, run->dispatch->call));
+    const UpstreamLoss loss{request, m_livesEnded};
+    for (const auto &[session, router] : m_sessions)
+        m_actions.emplace_back(SendToRouter{session, loss});
+}
+
 void AgentCore::upstreamFailed(const AttemptKey &key, ErrorKind kind, Outcome outcome,
                                const std::string &reason, Time now)
 {
     Run *run = findRun(key);
     if (!run || run->state != Run::State::Running)
         return;
-    if (kind == ErrorKind::UpstreamLost)
-        tellLoss(*run, now);
     endFailed(*run, kind, outcome, reason, now);
 }
 
@@ -132,21 +148,6 @@
     startQueued(now);
 }
 
-/// Tells all routers, ahead of the run's end: a request that ends upstreams comes to any of them,
-/// and each would have to find it out by three upstreams of its own. Without it 30 of 30 tries of
-/// such a request ended an engine, with it three.
-void AgentCore::tellLoss(const Run &run, Time now)
-{
-    // What began before the last loss went down with the same life of the upstream.
-    if (!m_lostAt || run.startedAt > *m_lostAt)
-        ++m_livesLost;
-    m_lostAt = now;
-    const RequestDigest request = digestOf(contentOf(run.dispatch->account, run.dispatch->call));
-    const UpstreamLoss loss{request, m_livesLost};
-    for (const auto &[session, router] : m_sessions)
-        m_actions.emplace_back(SendToRouter{session, loss});
-}
-
 void AgentCore::finish(Run &run, End end, Time now)
 {
     leaveWindow(run);
--- a/src/libreachlead/agentcore_test.cpp
+++ b/src/libreachlead/agentcore_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(leavingAgentRefusesAndFinishes);
     CPPUNIT_TEST(listCanTakeItsWordBack);
     CPPUNIT_TEST(upstreamThatWantsRestGetsIt);
+    CPPUNIT_TEST(cutStreamIsNotToldAsTheUpstreamsEnd);
     CPPUNIT_TEST(wokenAgentReadsBeforeItStarts);
     CPPUNIT_TEST(forgottenRecordIsNotNeverSeen);
     CPPUNIT_TEST(olderSessionIsDestroyed);
@@ -270,6 +271,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<StartUpstream>());
     }
 
+    /// A stream that its engine cut three times was quarantined as one that ends engines.
+    void cutStreamIsNotToldAsTheUpstreamsEnd()
+    {
+        open();
+        dispatch(1);
+        m_core->upstreamFailed(key(1), ErrorKind::UpstreamLost, Outcome::Ran, "cut", m_now);
+        collect();
+        CPPUNIT_ASSERT(sent<End>().at(0).kind == ErrorKind::UpstreamLost);
+        CPPUNIT_ASSERT(sent<UpstreamLoss>().empty());
+        dispatch(2);
+        m_core->upstreamEnded(key(2), m_now);
+        m_core->upstreamFailed(key(2), ErrorKind::UpstreamLost, Outcome::Ran, "gone", m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<UpstreamLoss>().size());
+    }
+
     /// It stood still for 4 s. What waits in its socket is a dispatch, then the word to leave.
     void wokenAgentReadsBeforeItStarts()
     {
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -37,6 +37,8 @@
 {
     if (event.rest)
         core.upstreamWantsRest(*event.rest, now);
+    if (event.upstreamEnded)
+        core.upstreamEnded(event.key, now);
     core.upstreamFailed(event.key, event.kind, event.outcome, event.reason, now);
 }
 
--- a/src/reachlead-load/policyrig.cpp
+++ b/src/reachlead-load/policyrig.cpp
@@ -290,6 +290,7 @@
     agent.downUntil = m_now + downFor;
     for (const auto &[key, call] : std::exchange(agent.calls, {})) {
         toAgent(agent, [this, &agent, key = key] {
+            agent.core->upstreamEnded(key, m_now);
             agent.core->upstreamFailed(key, ErrorKind::UpstreamLost, Outcome::Unknown, "crash",
                                        m_now);
             drain(agent);
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -8,9 +8,12 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <fmt/format.h>
 
 #include <reachlead/log.h>
@@ -22,10 +25,16 @@
 namespace reachlead {
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 
 namespace {
 
 constexpr auto quietly = asio::as_tuple(asio::use_awaitable);
+
+/// How long a lost call's failure is held up to find out whether the upstream still listens. An
+/// agent stands beside its upstream, so that a connection is accepted or refused in far less.
+constexpr Duration probeLimit = milliseconds(200);
+
 /// What an engine's status line says of a call that gave no stream.
 UpstreamFailure failureOf(const AttemptKey &key, unsigned status)
 {
@@ -109,6 +118,24 @@
     }
 }
 
+/// Tells that a call which was sent is lost. A lost connection alone does not say that the process
+/// is gone: an upstream may cut a stream and serve on.
+UpstreamClient::Awaitable UpstreamClient::emitLoss(UpstreamFailure failure)
+{
+    failure.upstreamEnded = co_await refusesConnections();
+    co_await emit(std::move(failure));
+}
+
+asio::awaitable<bool> UpstreamClient::refusesConnections()
+{
+    beast::tcp_stream stream(m_io);
+    stream.expires_after(probeLimit);
+    const asio::ip::tcp::endpoint to(asio::ip::make_address(m_options.upstream.address),
+                                     m_options.upstream.port);
+    const auto [ec] = co_await stream.async_connect(to, quietly);
+    co_return ec == asio::error::connection_refused;
+}
+
 UpstreamClient::Awaitable UpstreamClient::callEngine(StartUpstream call)
 {
     const AttemptKey key = call.key;
@@ -130,7 +157,7 @@
     reason = co_await stream.ask(std::move(ask));
     if (!reason.empty()) {
         UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Unknown, reason};
-        co_await emit(std::move(failure));
+        co_await emitLoss(std::move(failure));
         co_return;
     }
     if (stream.status() != 200) {
@@ -147,7 +174,7 @@
             const ErrorKind kind =
                 stream.stalled() ? ErrorKind::UpstreamStalled : ErrorKind::UpstreamLost;
             UpstreamFailure failure{key, kind, Outcome::Ran, reason};
-            co_await emit(std::move(failure));
+            co_await emitLoss(std::move(failure));
             co_return;
         }
         for (const std::string &data : *events) {
@@ -190,9 +217,13 @@
         co_return;
     }
     const bool sent = progress != CallProgress::NotConnected;
-    UpstreamFailure failure{key, sent ? ErrorKind::UpstreamLost : ErrorKind::UpstreamUnreachable,
-                            sent ? Outcome::Unknown : Outcome::NotRun, reason};
-    co_await emit(std::move(failure));
+    if (!sent) {
+        UpstreamFailure failure{key, ErrorKind::UpstreamUnreachable, Outcome::NotRun, reason};
+        co_await emit(std::move(failure));
+        co_return;
+    }
+    UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Unknown, reason};
+    co_await emitLoss(std::move(failure));
 }
 
 } // namespace reachlead
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -48,6 +48,7 @@
     Outcome outcome = Outcome::Unknown;
     std::string reason;
     std::optional<Duration> rest = std::nullopt; ///< for which it wants no calls
+    bool upstreamEnded = false; ///< its process is gone, not the connection alone
 };
 using UpstreamEvent = std::variant<UpstreamToken, UpstreamDone, UpstreamAnswer, UpstreamFailure>;
 
@@ -83,6 +84,8 @@
     Awaitable callEngine(StartUpstream call);
     Awaitable callService(StartUpstream call);
     Awaitable emit(UpstreamEvent event);
+    Awaitable emitLoss(UpstreamFailure failure);
+    boost::asio::awaitable<bool> refusesConnections();
 
     Options m_options;
     std::map<AttemptKey, std::unique_ptr<boost::asio::cancellation_signal>> m_running;
