--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -79,8 +79,8 @@
         m_shared.counters.add(Count::LimitsHeard);
     if (news.ofLeaving)
         m_shared.counters.add(Count::LeavingHeard);
-    if (news.ofRest)
-        m_shared.counters.add(Count::RestsHeard);
+    if (news.ofBackoff)
+        m_shared.counters.add(Count::BackoffsHeard);
 }
 
 /// Holds the answer until it is whole, or passes it on once it is too long for that.
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -64,8 +64,8 @@
         const ChoiceAsk ask = makeAsk();
         const UpstreamBook &book = m_shared.state.book();
         const Time now = RuntimeClock::now();
-        if (book.isKeptByRests(ask, directory, now))
-            return ErrorKind::UpstreamResting;
+        if (book.isKeptByBackoffs(ask, directory, now))
+            return ErrorKind::UpstreamBackoff;
         if (book.isKeptByLimits(ask, directory, now))
             return ErrorKind::UpstreamLimit;
         const bool isKept = m_zones && !book.hasOther(ask, directory, now);
--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -147,11 +147,11 @@
     /// The upstream failed the call; \p outcome says whether it can have run.
     void upstreamFailed(const AttemptKey &key, ErrorKind kind, Outcome outcome,
                         const std::string &reason, Time now);
-    /// The upstream turned a call away and wants none for \p rest. Tell this before the end of that
-    /// call, as the next one would start with it.
-    void upstreamWantsRest(Duration rest, Time now);
-    /// A longer rest than this is cut: the agent does not hear of its upstream's next life.
-    static constexpr Duration longestRest = std::chrono::minutes(1);
+    /// The upstream turned a call away and wants none for \p retryAfter. Tell this before the end
+    /// of that call, as the next one would start with it.
+    void upstreamAskedToBackOff(Duration retryAfter, Time now);
+    /// A longer backoff is cut to this: the agent does not hear of its upstream's next life.
+    static constexpr Duration longestBackoff = std::chrono::minutes(1);
     /// The claim asked for by MakeClaim ended.
     void claimEnded(const AttemptKey &key, ClaimResult result, Time now);
 
@@ -232,8 +232,8 @@
     Counters *m_counters;
     std::unique_ptr<Counters> m_ownCounters;
     AdmissionWindow m_window;
-    Time m_restUntil{}; ///< the upstream wants no calls
-    bool m_isResting = false; ///< as of the last tick or word of the upstream
+    Time m_backoffUntil{}; ///< the upstream wants no calls before
+    bool m_isBackingOff = false; ///< as of the last tick or word of the upstream
     bool m_draining = false; ///< what the two flags below come to
     bool m_toldToDrain = false; ///< by an operator or a signal
     bool m_leavingByList = false; ///< by a router that read the membership list
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -56,7 +56,7 @@
     QuarantinesBegun,
     LimitsHeard,
     LeavingHeard,
-    RestsHeard,
+    BackoffsHeard,
     Size
 };
 
--- a/src/include/reachlead/dialect.h
+++ b/src/include/reachlead/dialect.h
@@ -61,7 +61,7 @@
     std::optional<CallRate> limit; ///< of calls from all gateways together; none: no limit
     bool isLimitReadable = true; ///< false: it names one that says nothing
     bool isLeaving = false; ///< it takes no new work in this life
-    std::optional<Duration> rest; ///< for which it wants no calls from this gateway
+    std::optional<Duration> retryAfter; ///< for which it wants no calls from this gateway
 };
 
 /// What an upstream's answer says of itself.
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -47,7 +47,7 @@
     ZonesEvacuated,
     NoUpstreamInRegion,
     UpstreamLimit,
-    UpstreamResting,
+    UpstreamBackoff,
     SettingsAbsent,
     RouterStopping,
     AgentBusy,
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -67,7 +67,7 @@
     {
         bool ofLimit = false;
         bool ofLeaving = false;
-        bool ofRest = false;
+        bool ofBackoff = false;
     };
 
     /// What an upstream's answer said of its own state.
--- a/src/include/reachlead/http.h
+++ b/src/include/reachlead/http.h
@@ -69,9 +69,9 @@
 /// The decimal number that is the whole \p text; nothing for any other text.
 std::optional<double> readDecimal(std::string_view text);
 
-/// The rest that a refusal (429, 503) asks for in Retry-After, in seconds and parts of one
+/// The time that a refusal (429, 503) asks for in Retry-After, in seconds and parts of one
 /// (RFC 9110, 10.2.3, has whole ones). Nothing for other statuses, and for a date.
-std::optional<Duration> restAsked(unsigned status, std::string_view retryAfter);
+std::optional<Duration> retryAfterOf(unsigned status, std::string_view retryAfter);
 
 /// Percent-encodes a query value.
 std::string encodeQuery(std::string_view text);
--- a/src/include/reachlead/upstreambook.h
+++ b/src/include/reachlead/upstreambook.h
@@ -26,9 +26,9 @@
 #include <reachlead/promptcache.h>
 #include <reachlead/quietengines.h>
 #include <reachlead/servicepace.h>
+#include <reachlead/upstreambackoffs.h>
 #include <reachlead/upstreamdirectory.h>
 #include <reachlead/upstreamlimits.h>
-#include <reachlead/upstreamrests.h>
 
 namespace reachlead {
 
@@ -207,12 +207,12 @@
     UpstreamLimits &limits() { return m_limits; }
     const UpstreamLimits &limits() const { return m_limits; }
 
-    /// The rests that upstreams asked this gateway for.
-    UpstreamRests &rests() { return m_rests; }
-    const UpstreamRests &rests() const { return m_rests; }
+    /// The backoffs that upstreams asked this gateway for.
+    UpstreamBackoffs &backoffs() { return m_backoffs; }
+    const UpstreamBackoffs &backoffs() const { return m_backoffs; }
 
     /// True when an upstream that would take the call is to be left alone by this gateway.
-    bool isKeptByRests(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
+    bool isKeptByBackoffs(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
 
     /// False for an upstream whose calls another gateway places.
     static bool isOfGroup(const ChoiceAsk &ask, const UpstreamId &id)
@@ -252,7 +252,7 @@
         return !wasTried && isInRegion(ask, entry);
     }
 
-    /// True when the service has an upstream that takes work, was not tried and need not rest.
+    /// True when the service has an upstream that takes work, was not tried and is not backed off.
     bool hasOther(const ChoiceAsk &ask, const UpstreamDirectory &directory, Time now) const;
 
     /// Upstreams of a service that this gateway's own evidence speaks against, \p most at most.
@@ -375,7 +375,7 @@
                     bool isHealthy) const;
     UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
-    bool isResting(const ChoiceAsk &ask, const UpstreamId &id, Time now) const;
+    bool isBackedOff(const ChoiceAsk &ask, const UpstreamId &id, Time now) const;
     double partOf(const ChoiceAsk &ask, const UpstreamId &id, bool hasMost) const;
     Duration phaseOf(const UpstreamId &id, Duration spacing) const;
     bool isOverLimit(const ChoiceAsk &ask, const UpstreamId &id, const Record &record,
@@ -411,7 +411,7 @@
     std::deque<FreshNote> m_fresh; ///< oldest first
     QuietEngines m_quiet;
     UpstreamLimits m_limits;
-    UpstreamRests m_rests;
+    UpstreamBackoffs m_backoffs;
 };
 
 /// The upstream that all gateways prefer for a prompt whose last shared part has this key: the
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -185,8 +185,8 @@
         refuse(session, key, ErrorKind::AgentLeaving, "draining");
         return;
     }
-    if (m_isResting) {
-        refuse(session, key, ErrorKind::AgentBusy, "the upstream wants rest");
+    if (m_isBackingOff) {
+        refuse(session, key, ErrorKind::AgentBusy, "the upstream asked to back off");
         return;
     }
     if (message.tier >= tierCount) {
@@ -319,7 +319,7 @@
 
 void AgentCore::startQueued(Time now)
 {
-    if (wokeJustNow(now) || m_isResting)
+    if (wokeJustNow(now) || m_isBackingOff)
         return;
     while (!m_queue.empty() && m_running < m_window.size()) {
         Run &run = *m_runs.at(m_queue.begin()->second);
--- a/src/libreachlead/agentcore_load.cpp
+++ b/src/libreachlead/agentcore_load.cpp
@@ -19,7 +19,7 @@
 {
     Load load;
     load.sequence = m_loadSequence;
-    load.window = m_isResting ? 0 : m_window.size();
+    load.window = m_isBackingOff ? 0 : m_window.size();
     load.running = static_cast<std::uint32_t>(m_running);
     load.queued = static_cast<std::uint32_t>(m_queue.size());
     load.tokenGapMicros = static_cast<std::uint32_t>(toSeconds(m_window.gap()) * 1e6);
@@ -90,13 +90,13 @@
 }
 
 /// What waits is given back, so that routers place it elsewhere.
-void AgentCore::upstreamWantsRest(Duration rest, Time now)
+void AgentCore::upstreamAskedToBackOff(Duration retryAfter, Time now)
 {
-    m_restUntil = std::max(m_restUntil, now + std::min(rest, longestRest));
-    m_isResting = now < m_restUntil;
-    while (m_isResting && !m_queue.empty())
+    m_backoffUntil = std::max(m_backoffUntil, now + std::min(retryAfter, longestBackoff));
+    m_isBackingOff = now < m_backoffUntil;
+    while (m_isBackingOff && !m_queue.empty())
         refuseRun(*m_runs.at(m_queue.begin()->second), ErrorKind::AgentBusy,
-                  "the upstream wants rest");
+                  "the upstream asked to back off");
     reportLoad(true, now);
 }
 
@@ -122,7 +122,7 @@
 {
     wokeJustNow(now);
     m_tickedAt = now;
-    m_isResting = now < m_restUntil;
+    m_isBackingOff = now < m_backoffUntil;
     m_window.steer(now, static_cast<std::uint32_t>(m_running), tightestTarget());
     endGrace(now);
     forgetOld(now);
--- a/src/libreachlead/agentcore_test.cpp
+++ b/src/libreachlead/agentcore_test.cpp
@@ -19,7 +19,7 @@
     CPPUNIT_TEST(creditHoldsUpOneStreamAlone);
     CPPUNIT_TEST(leavingAgentRefusesAndFinishes);
     CPPUNIT_TEST(listCanTakeItsWordBack);
-    CPPUNIT_TEST(upstreamThatWantsRestGetsIt);
+    CPPUNIT_TEST(upstreamIsNotCalledBeforeItsRetryAfter);
     CPPUNIT_TEST(cutStreamIsNotToldAsTheUpstreamsEnd);
     CPPUNIT_TEST(wokenAgentReadsBeforeItStarts);
     CPPUNIT_TEST(forgottenRecordIsNotNeverSeen);
@@ -245,22 +245,22 @@
         CPPUNIT_ASSERT(m_core->idle());
     }
 
-    /// One call runs, one waits. The first is refused with three seconds of rest.
-    void upstreamThatWantsRestGetsIt()
+    /// One call runs, one waits. The first is refused with a Retry-After of three seconds.
+    void upstreamIsNotCalledBeforeItsRetryAfter()
     {
         AgentTuning tuning;
         tuning.window = {1, 1, 1};
         open(tuning);
         dispatch(1);
         dispatch(2);
-        m_core->upstreamWantsRest(seconds(3), m_now);
+        m_core->upstreamAskedToBackOff(seconds(3), m_now);
         m_core->upstreamFailed(key(1), ErrorKind::UpstreamRefused, Outcome::NotRun, "503", m_now);
         collect();
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count<StartUpstream>());
         CPPUNIT_ASSERT(sent<Refused>().at(0).kind == ErrorKind::AgentBusy); // 2, given back
         CPPUNIT_ASSERT_EQUAL(0U, sent<LoadReport>().at(0).load.window); // told at once
         m_now += seconds(2);
-        m_core->upstreamWantsRest(milliseconds(100), m_now); // does not shorten the first
+        m_core->upstreamAskedToBackOff(milliseconds(100), m_now); // does not shorten the first
         dispatch(3);
         CPPUNIT_ASSERT(sent<Refused>().at(0).kind == ErrorKind::AgentBusy);
         m_now += seconds(1);
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -57,7 +57,7 @@
      "No upstream serves this in a region that the route and the account allow."},
     {UpstreamLimit, "upstream-limit", 503, notRun, soon,
      "The upstreams of this service take no more requests a second now."},
-    {UpstreamResting, "upstream-resting", 503, notRun, soon,
+    {UpstreamBackoff, "upstream-backoff", 503, notRun, soon,
      "The upstreams of this service turned requests away and asked for a pause."},
     {SettingsAbsent, "settings-absent", 503, notRun, soon, "The router has no settings yet."},
     {RouterStopping, "router-stopping", 503, notRun, soon, "The router is shutting down."},
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -176,13 +176,13 @@
     news.ofLeaving = statement.isLeaving && !m_directory.leaving().contains(id);
     if (news.ofLeaving)
         noteChange(m_directory.setLeaving(id, now()), "answer");
-    news.ofRest = statement.rest.has_value();
-    if (news.ofRest) {
-        m_book.rests().asked(id, *statement.rest, now());
-        LogLine(LogLevel::Info, "upstream-rest")
+    news.ofBackoff = statement.retryAfter.has_value();
+    if (news.ofBackoff) {
+        m_book.backoffs().asked(id, *statement.retryAfter, now());
+        LogLine(LogLevel::Info, "upstream-backoff")
             .with("upstream", id.text)
             .with("born", id.born)
-            .with("for_ms", static_cast<std::int64_t>(toMillis(*statement.rest)));
+            .with("for_ms", static_cast<std::int64_t>(toMillis(*statement.retryAfter)));
     }
     return news;
 }
@@ -259,7 +259,7 @@
     noteChange(m_directory.expire(now()), "missing-after-outage");
     m_crashes.forgetOld(now());
     m_book.limits().forgetOld(now());
-    m_book.rests().forgetOld(now());
+    m_book.backoffs().forgetOld(now());
 }
 
 bool GatewayState::isReady() const
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -130,7 +130,7 @@
     return value;
 }
 
-std::optional<Duration> restAsked(unsigned status, std::string_view retryAfter)
+std::optional<Duration> retryAfterOf(unsigned status, std::string_view retryAfter)
 {
     constexpr unsigned tooMany = 429;
     constexpr unsigned unavailable = 503;
--- a/src/libreachlead/upstreambook.cpp
+++ b/src/libreachlead/upstreambook.cpp
@@ -371,23 +371,23 @@
                             Time now) const
 {
     return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
-        return isEligible(ask, *entry) && !isResting(ask, entry->id, now);
+        return isEligible(ask, *entry) && !isBackedOff(ask, entry->id, now);
     });
 }
 
-/// What other gateways call is no matter of the rests that this one was asked for.
-bool UpstreamBook::isResting(const ChoiceAsk &ask, const UpstreamId &id, Time now) const
+/// A backoff binds the gateway that was asked for it; calls placed for others go on.
+bool UpstreamBook::isBackedOff(const ChoiceAsk &ask, const UpstreamId &id, Time now) const
 {
-    return ask.isOwn && m_rests.isResting(id, now);
+    return ask.isOwn && m_backoffs.isBackedOff(id, now);
 }
 
-bool UpstreamBook::isKeptByRests(const ChoiceAsk &ask, const UpstreamDirectory &directory,
-                                 Time now) const
+bool UpstreamBook::isKeptByBackoffs(const ChoiceAsk &ask, const UpstreamDirectory &directory,
+                                    Time now) const
 {
-    if (m_rests.isEmpty())
+    if (m_backoffs.isEmpty())
         return false;
     return std::ranges::any_of(directory.usableOf(ask.service), [&](const UpstreamEntry *entry) {
-        return isEligible(ask, *entry) && isResting(ask, entry->id, now);
+        return isEligible(ask, *entry) && isBackedOff(ask, entry->id, now);
     });
 }
 
--- a/src/libreachlead/upstreambook_choice.cpp
+++ b/src/libreachlead/upstreambook_choice.cpp
@@ -184,7 +184,7 @@
         ask.prompt.empty() ? none : m_quiet.of(ask.service, directory, now);
     std::vector<Candidate> all;
     for (const UpstreamEntry *entry : directory.usableOf(ask.service)) {
-        if (!isEligible(ask, *entry) || isResting(ask, entry->id, now))
+        if (!isEligible(ask, *entry) || isBackedOff(ask, entry->id, now))
             continue;
         Record &record = m_records[entry->id];
         if (isTooCold(ask, *entry, &record, now) || isOverLimit(ask, entry->id, record, now))
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -221,7 +221,7 @@
 }
 
 /// What the answer names, as this gateway knows it; nothing when it knows better: the upstream
-/// takes no more work, was tried, or is to rest.
+/// takes no more work, was tried, or is backed off.
 std::optional<Choice> PlacementLink::readPlaced(const PlacedCall &placed,
                                                 const ChoiceAsk &ask) const
 {
@@ -229,8 +229,8 @@
     const UpstreamEntry *entry = directory.findTag(placed.upstream);
     if (entry == nullptr || !directory.takesWork(*entry) || entry->service != ask.service)
         return std::nullopt;
-    const bool isResting = m_state.book().rests().isResting(entry->id, RuntimeClock::now());
-    if (isResting || !UpstreamBook::isEligible(ask, *entry))
+    const bool isBackedOff = m_state.book().backoffs().isBackedOff(entry->id, RuntimeClock::now());
+    if (isBackedOff || !UpstreamBook::isEligible(ask, *entry))
         return std::nullopt;
     Choice choice;
     choice.upstream = entry->id;
@@ -245,19 +245,19 @@
     return choice;
 }
 
-/// Upstreams of the group that asked this gateway to let them rest.
-std::vector<UpstreamId> PlacementLink::restingOf(const GroupName &group)
+/// Upstreams of the group that asked this gateway to back off.
+std::vector<UpstreamId> PlacementLink::backedOffIn(const GroupName &group)
 {
-    std::vector<UpstreamId> resting;
-    const UpstreamRests &rests = m_state.book().rests();
-    if (rests.isEmpty())
-        return resting;
+    std::vector<UpstreamId> found;
+    const UpstreamBackoffs &backoffs = m_state.book().backoffs();
+    if (backoffs.isEmpty())
+        return found;
     const Time now = RuntimeClock::now();
     const std::set<UpstreamId> &members = m_state.groups().membersOf(group, m_state.directory());
-    std::ranges::copy_if(members, std::back_inserter(resting),
-                         [&](const UpstreamId &id) { return rests.isResting(id, now); });
-    resting.resize(std::min(resting.size(), mostResting));
-    return resting;
+    std::ranges::copy_if(members, std::back_inserter(found),
+                         [&](const UpstreamId &id) { return backoffs.isBackedOff(id, now); });
+    found.resize(std::min(found.size(), mostBackedOff));
+    return found;
 }
 
 PlacementAsk PlacementLink::makeAsk(AskNumber number, const GroupName &group, const ChoiceAsk &ask)
@@ -275,7 +275,7 @@
     });
     if (ask.tried != nullptr)
         std::ranges::transform(*ask.tried, std::back_inserter(made.avoided), tagOf);
-    std::ranges::transform(restingOf(group), std::back_inserter(made.avoided), tagOf);
+    std::ranges::transform(backedOffIn(group), std::back_inserter(made.avoided), tagOf);
     const auto failing =
         m_state.book().unhealthyOf(ask.service, directory, RuntimeClock::now(), mostFailing);
     std::ranges::transform(failing, std::back_inserter(made.failing), tagOf);
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -88,7 +88,7 @@
     PlacedChoice chooseHere(ChoiceAsk ask, const std::optional<GroupName> &group);
     PlacedChoice choosePatiently(const ChoiceAsk &ask);
     std::optional<Choice> readPlaced(const PlacedCall &placed, const ChoiceAsk &ask) const;
-    std::vector<UpstreamId> restingOf(const GroupName &group);
+    std::vector<UpstreamId> backedOffIn(const GroupName &group);
     PlacementAsk makeAsk(AskNumber number, const GroupName &group, const ChoiceAsk &ask);
     GroupLoad makeReport(const GroupName &group, const LoadByUpstream &load);
     LoadByGroup ownLoads();
--- a/src/peer/placementlink_statements_test.cpp
+++ b/src/peer/placementlink_statements_test.cpp
@@ -15,7 +15,7 @@
     CPPUNIT_TEST(plainCallsArePlacedWhileAnUpstreamIsLimited);
     CPPUNIT_TEST(limitsOfALostSchedulerAreGivenOutByTheNext);
     CPPUNIT_TEST(schedulerHearsOfAnUpstreamThatLeaves);
-    CPPUNIT_TEST(restIsBetweenOneUpstreamAndOneGateway);
+    CPPUNIT_TEST(backoffIsBetweenOneUpstreamAndOneGateway);
     CPPUNIT_TEST_SUITE_END();
 
     using Pair = PlacementPair;
@@ -76,15 +76,15 @@
         CPPUNIT_ASSERT(!known.takesWork(*known.find(leaver)));
     }
 
-    /// Two engines want rest from the asker, the third one from the scheduler.
-    void restIsBetweenOneUpstreamAndOneGateway()
+    /// Two engines asked the asker to back off, the third one asked the scheduler.
+    void backoffIsBetweenOneUpstreamAndOneGateway()
     {
         Pair pair;
         pair.prompt = {{1, 100}, {2, 50}};
         const Time now = RuntimeClock::now();
-        pair.asker->state.book().rests().asked(UpstreamId("u0"), seconds(3), now);
-        pair.asker->state.book().rests().asked(UpstreamId("u1"), seconds(3), now);
-        pair.scheduler->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        pair.asker->state.book().backoffs().asked(UpstreamId("u0"), seconds(3), now);
+        pair.asker->state.book().backoffs().asked(UpstreamId("u1"), seconds(3), now);
+        pair.scheduler->state.book().backoffs().asked(UpstreamId("u2"), seconds(3), now);
         for (int n = 0; n < 5; ++n) {
             pair.ask();
             pair.advance(milliseconds(10));
@@ -92,7 +92,7 @@
             CPPUNIT_ASSERT(pair.placed->choice->upstream == UpstreamId("u2"));
             CPPUNIT_ASSERT(pair.placed->by == pair.scheduler->state.vm());
         }
-        pair.asker->state.book().rests().asked(UpstreamId("u2"), seconds(3), now);
+        pair.asker->state.book().backoffs().asked(UpstreamId("u2"), seconds(3), now);
         pair.ask();
         pair.advance(milliseconds(100));
         CPPUNIT_ASSERT(pair.placed && !pair.placed->choice);
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -53,7 +53,7 @@
     ZoneName zone; ///< of the asker
     std::string model;
     std::vector<AskedPart> prompt;
-    /// Not to be taken: tried by this call in vain, or the asker was asked to let them rest.
+    /// Not to be taken: tried by this call in vain, or the asker was asked to back off.
     std::vector<UpstreamTagNumber> avoided;
     std::vector<UpstreamTagNumber> failing; ///< by the asker's evidence
     std::uint32_t targetMs = 0; ///< to the first event; 0: none is promised
@@ -72,8 +72,8 @@
 
 /// Failing upstreams in one question: 64 bytes.
 inline constexpr std::size_t mostFailing = 16;
-/// Resting upstreams in one question: 128 bytes, about a group.
-inline constexpr std::size_t mostResting = 32;
+/// Upstreams that the asker backs off from, in one question: 128 bytes, about a group.
+inline constexpr std::size_t mostBackedOff = 32;
 
 /// Where a call is to be placed.
 struct PlacedCall
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -27,16 +27,16 @@
 
 void apply(AgentCore &core, UpstreamAnswer &event, Time now)
 {
-    if (event.rest)
-        core.upstreamWantsRest(*event.rest, now);
+    if (event.retryAfter)
+        core.upstreamAskedToBackOff(*event.retryAfter, now);
     core.upstreamAnswer(event.key, event.reply.status, std::move(event.reply.headers),
                         std::move(event.reply.body), now);
 }
 
 void apply(AgentCore &core, UpstreamFailure &event, Time now)
 {
-    if (event.rest)
-        core.upstreamWantsRest(*event.rest, now);
+    if (event.retryAfter)
+        core.upstreamAskedToBackOff(*event.retryAfter, now);
     if (event.upstreamEnded)
         core.upstreamEnded(event.key, now);
     core.upstreamFailed(event.key, event.kind, event.outcome, event.reason, now);
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -162,7 +162,7 @@
     }
     if (stream.status() != 200) {
         UpstreamFailure failure = failureOf(key, stream.status());
-        failure.rest = restAsked(stream.status(), stream.header("Retry-After"));
+        failure.retryAfter = retryAfterOf(stream.status(), stream.header("Retry-After"));
         co_await emit(std::move(failure));
         co_return;
     }
@@ -211,8 +211,8 @@
             return boost::beast::iequals(header.name, "Retry-After");
         });
         const std::string retryAfter = it == reply->headers.end() ? std::string() : it->value;
-        const auto rest = restAsked(reply->status, retryAfter);
-        UpstreamAnswer answer{key, std::move(*reply), rest};
+        const auto backoff = retryAfterOf(reply->status, retryAfter);
+        UpstreamAnswer answer{key, std::move(*reply), backoff};
         co_await emit(std::move(answer));
         co_return;
     }
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -39,7 +39,7 @@
 {
     AttemptKey key;
     HttpReply reply;
-    std::optional<Duration> rest = std::nullopt; ///< for which it wants no calls
+    std::optional<Duration> retryAfter = std::nullopt; ///< for which it wants no calls
 };
 struct UpstreamFailure
 {
@@ -47,7 +47,7 @@
     ErrorKind kind = ErrorKind::None;
     Outcome outcome = Outcome::Unknown;
     std::string reason;
-    std::optional<Duration> rest = std::nullopt; ///< for which it wants no calls
+    std::optional<Duration> retryAfter = std::nullopt; ///< for which it wants no calls
     bool upstreamEnded = false; ///< its process is gone, not the connection alone
 };
 using UpstreamEvent = std::variant<UpstreamToken, UpstreamDone, UpstreamAnswer, UpstreamFailure>;
--- a/src/upstream/upstreamclient_test.cpp
+++ b/src/upstream/upstreamclient_test.cpp
@@ -19,9 +19,9 @@
 class UpstreamClientTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UpstreamClientTest);
-    CPPUNIT_TEST(refusedStreamTellsTheRest);
-    CPPUNIT_TEST(refusedServiceCallTellsTheRest);
-    CPPUNIT_TEST(otherTextsAskForNoRest);
+    CPPUNIT_TEST(refusedStreamTellsRetryAfter);
+    CPPUNIT_TEST(refusedServiceCallTellsRetryAfter);
+    CPPUNIT_TEST(otherTextsAreNoRetryAfter);
     CPPUNIT_TEST(streamCutByALivingEngineIsNotItsEnd);
     CPPUNIT_TEST(callCutByALivingServiceIsNotItsEnd);
     CPPUNIT_TEST(answerOfAFailedEngineIsNotItsEnd);
@@ -92,26 +92,26 @@
         return std::get<UpstreamFailure>(event);
     }
 
-    void refusedStreamTellsTheRest()
+    void refusedStreamTellsRetryAfter()
     {
         const auto failure = std::get<UpstreamFailure>(eventOf(true));
         CPPUNIT_ASSERT(failure.kind == ErrorKind::UpstreamRefused);
-        CPPUNIT_ASSERT(failure.rest == milliseconds(1500));
+        CPPUNIT_ASSERT(failure.retryAfter == milliseconds(1500));
     }
 
-    void refusedServiceCallTellsTheRest()
+    void refusedServiceCallTellsRetryAfter()
     {
         const auto answer = std::get<UpstreamAnswer>(eventOf(false));
         CPPUNIT_ASSERT_EQUAL(503U, answer.reply.status);
-        CPPUNIT_ASSERT(answer.rest == milliseconds(1500));
+        CPPUNIT_ASSERT(answer.retryAfter == milliseconds(1500));
     }
 
-    void otherTextsAskForNoRest()
+    void otherTextsAreNoRetryAfter()
     {
-        CPPUNIT_ASSERT(restAsked(429, "2") == seconds(2));
-        CPPUNIT_ASSERT(!restAsked(200, "2"));
+        CPPUNIT_ASSERT(retryAfterOf(429, "2") == seconds(2));
+        CPPUNIT_ASSERT(!retryAfterOf(200, "2"));
         for (const std::string text : {"", "0", "-1", "nan", "inf", "2 s", "Thu, 03 Dec 2026"})
-            CPPUNIT_ASSERT_MESSAGE(text, !restAsked(503, text));
+            CPPUNIT_ASSERT_MESSAGE(text, !retryAfterOf(503, text));
     }
 
     void streamCutByALivingEngineIsNotItsEnd()
