--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -57,6 +57,7 @@
     LimitsReceived,
     LeavingReceived,
     BackoffsReceived,
+    StoreRestores,
     Size
 };
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -23,6 +23,15 @@
         .with("source", source);
 }
 
+/// Logs an answer of the platform that is older than the local state, and is therefore ignored.
+void logIgnored(std::string_view kind, std::uint64_t revision, std::uint64_t known)
+{
+    LogLine(LogLevel::Warn, "platform-answer-ignored")
+        .with("kind", kind)
+        .with("revision", revision)
+        .with("known", known);
+}
+
 } // namespace
 
 GatewayState::GatewayState(const Options &options)
@@ -60,16 +69,22 @@
 
 void GatewayState::upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision)
 {
+    if (revision < m_directory.revision())
+        logIgnored("upstreams", revision, m_directory.revision());
     handleChange(m_directory.replaceAll(entries, revision, now()), "platform");
 }
 
 void GatewayState::upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision)
 {
+    if (revision < m_directory.revision())
+        logIgnored("upstreams", revision, m_directory.revision());
     handleChange(m_directory.applyChanges(changes, revision, now()), "platform");
 }
 
 void GatewayState::gatewaysChanged(GatewayRoster roster)
 {
+    if (roster.revision < m_roster.revision)
+        logIgnored("roster", roster.revision, m_roster.revision);
     if (roster.revision <= m_roster.revision)
         return;
     m_roster = std::move(roster);
@@ -79,6 +94,8 @@
 
 void GatewayState::evacuationsRead(ZoneSet zones, std::uint64_t revision)
 {
+    if (revision < m_evacuations.readRevision())
+        logIgnored("evacuations", revision, m_evacuations.readRevision());
     if (m_evacuations.setFromPlatform(std::move(zones), revision))
         applyEvacuations("platform");
 }
