--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -240,7 +240,7 @@
         .with("route", m_route != nullptr ? m_route->name : "-")
         .with("account", m_account != nullptr ? m_account->name.text : "-")
         .with("config", m_table ? m_table->version() : 0)
-        .with("registry", m_context.state.directory().revision())
+        .with("registry", m_context.state.directory().revision().number)
         .with("state_age_ms", stateAgeMs())
         .with("upstream", m_lastUpstream.text)
         .with("cost", static_cast<std::int64_t>(m_lastCost))
--- a/src/include/reachlead/coldstartlimiter.h
+++ b/src/include/reachlead/coldstartlimiter.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 
 #include <reachlead/clock.h>
+#include <reachlead/storerevision.h>
 
 namespace reachlead {
 
@@ -26,7 +27,7 @@
     /// Takes over the remaining cold time \p left from the given \p revision of the upstream's
     /// registry entry. The first call is allowed after \p phase, so that gateways that share the
     /// rate do not all start at once.
-    void update(std::uint64_t revision, Duration left, Duration phase, Time now)
+    void update(StoreRevision revision, Duration left, Duration phase, Time now)
     {
         const bool isNewRevision = revision != m_revision;
         if (!isNewRevision && !m_isAssumptionPending)
@@ -55,7 +56,7 @@
     void sent(Time now, Duration spacing) { m_nextCall = std::max(m_nextCall, now + spacing); }
 
 private:
-    std::uint64_t m_revision = 0; ///< of the registry entry taken over last
+    StoreRevision m_revision; ///< of the registry entry taken over last
     Time m_coldUntil{}; ///< end of the reported cold time
     Time m_assumedColdUntil{}; ///< end of the assumed cold time, whatever the registry reports
     bool m_isAssumptionPending = false;
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -16,6 +16,7 @@
 #include <reachlead/evacuations.h>
 #include <reachlead/routing.h>
 #include <reachlead/routingdelta.h>
+#include <reachlead/storerevision.h>
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
@@ -42,7 +43,7 @@
 /// The list of gateways stored by the platform, and the platform's revision of its last change.
 struct GatewayRoster
 {
-    std::uint64_t revision = 0; ///< 0: not known yet
+    StoreRevision revision; ///< number 0: no list is stored, or none was read yet
     std::vector<GatewayEntry> gateways;
 
     template <class Archive> void serialize(Archive &ar) { ar(revision, gateways); }
@@ -52,10 +53,10 @@
 struct StateVersions
 {
     std::uint64_t config = 0;
-    std::uint64_t registry = 0;
+    StoreRevision registry;
     std::uint64_t registryDigest = 0; ///< as UpstreamDirectory::digest()
-    std::uint64_t evacuations = 0; ///< as Evacuations::readRevision()
-    std::uint64_t roster = 0; ///< as GatewayRoster::revision
+    StoreRevision evacuations; ///< as Evacuations::readRevision()
+    StoreRevision roster; ///< as GatewayRoster::revision
 
     template <class Archive> void serialize(Archive &ar)
     {
@@ -70,7 +71,7 @@
     std::optional<RoutingDelta> configChange;
     RegistryUpdate registry;
     EvacuationUpdate evacuations;
-    GatewayRoster roster; ///< revision 0: no newer roster
+    GatewayRoster roster; ///< without a revision: no newer roster
 };
 
 /// Receives what a FleetSource reads. Called on the traffic thread.
@@ -80,12 +81,12 @@
     virtual ~FleetSink() = default;
 
     virtual void configRead(RoutingConfig config) = 0;
-    virtual void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) = 0;
-    virtual void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) = 0;
+    virtual void upstreamsListed(std::vector<UpstreamEntry> entries, StoreRevision revision) = 0;
+    virtual void upstreamsChanged(std::vector<UpstreamChange> changes, StoreRevision revision) = 0;
     virtual void gatewaysChanged(GatewayRoster roster) = 0;
 
     /// All evacuated zones as of the platform's \p revision.
-    virtual void evacuationsRead(ZoneSet zones, std::uint64_t revision) = 0;
+    virtual void evacuationsRead(ZoneSet zones, StoreRevision revision) = 0;
 
     /// The registry started or stopped responding to this gateway.
     virtual void contactChanged(bool inContact) = 0;
@@ -95,6 +96,9 @@
 
     /// Quarantined requests, which crash the upstreams that run them, as published by any gateway.
     virtual void quarantineRead(std::vector<QuarantinedRequest> requests) = 0;
+
+    /// All quarantined requests that are known by now.
+    virtual std::vector<QuarantinedRequest> quarantined() const = 0;
 };
 
 /// Reads the configuration and the registry and follows their changes.
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -51,13 +51,14 @@
 
     // FleetSink: updates from the platform.
     void configRead(RoutingConfig config) override;
-    void upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision) override;
-    void upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision) override;
+    void upstreamsListed(std::vector<UpstreamEntry> entries, StoreRevision revision) override;
+    void upstreamsChanged(std::vector<UpstreamChange> changes, StoreRevision revision) override;
     void gatewaysChanged(GatewayRoster roster) override;
-    void evacuationsRead(ZoneSet zones, std::uint64_t revision) override;
+    void evacuationsRead(ZoneSet zones, StoreRevision revision) override;
     void contactChanged(bool inContact) override;
     void caughtUp() override;
     void quarantineRead(std::vector<QuarantinedRequest> requests) override;
+    std::vector<QuarantinedRequest> quarantined() const override;
 
     /// Adds requests that other gateways have quarantined.
     void learnQuarantine(const std::vector<QuarantinedRequest> &requests, std::string_view source);
@@ -85,7 +86,7 @@
     StateUpdate updateSince(const StateVersions &known) const;
 
     /// Compares a peer's evacuations with the local ones, see Evacuations::compare().
-    void compareEvacuations(std::uint64_t revision, std::uint32_t checksum)
+    void compareEvacuations(StoreRevision revision, std::uint32_t checksum)
     {
         m_evacuations.compareWithPeer(revision, checksum);
     }
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -20,6 +20,7 @@
 #include <reachlead/http.h>
 #include <reachlead/leavingupstreams.h>
 #include <reachlead/routing.h>
+#include <reachlead/storerevision.h>
 #include <reachlead/upstreamid.h>
 
 namespace reachlead {
@@ -39,7 +40,7 @@
     unsigned slots = 1; ///< requests that it runs concurrently
     bool leaving = false; ///< takes no new work
     std::uint32_t coldLeftMs = 0; ///< remaining cold time when the entry was written
-    std::uint64_t revision = 0; ///< of the entry's last change
+    StoreRevision revision; ///< of the entry's last change
 
     template <class Archive> void serialize(Archive &ar)
     {
@@ -47,6 +48,9 @@
     }
 };
 
+/// Whether two entries differ in nothing but their revisions.
+bool hasSameContent(const UpstreamEntry &first, const UpstreamEntry &second);
+
 /// A change of one entry.
 struct UpstreamChange
 {
@@ -65,20 +69,31 @@
     template <class Archive> void serialize(Archive &ar) { ar(entry, leftMs); }
 };
 
+/// An upstream whose entry the registry has again since the store was restored from a copy made
+/// before the entry was removed.
+struct WithheldUpstream
+{
+    UpstreamId id;
+    std::int32_t leftMs = 0; ///< until it takes work, if the entry is still there
+
+    template <class Archive> void serialize(Archive &ar) { ar(id, leftMs); }
+};
+
 /// An update from one directory to another: the registry at a revision and, separately, the
 /// upstreams in use that are missing in it.
 struct RegistryUpdate
 {
-    std::uint64_t revision = 0;
-    std::uint64_t changesFrom = 0; ///< the querying gateway's revision
+    StoreRevision revision;
+    StoreRevision changesFrom; ///< the querying gateway's revision
     std::vector<UpstreamChange> changes; ///< after changesFrom
     std::optional<std::vector<UpstreamEntry>>
         snapshot; ///< all entries, if the changes are not known
     std::vector<HeldUpstream> held; ///< not in the registry at that revision
+    std::vector<WithheldUpstream> withheld; ///< in the registry, but not in use
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(revision, changesFrom, changes, snapshot, held);
+        ar(revision, changesFrom, changes, snapshot, held, withheld);
     }
 };
 
@@ -91,6 +106,14 @@
 /// is sent under a revision: an entry passed on under a later revision than that of its removal
 /// would be used for 2 s more at each gateway that receives it.
 ///
+/// A store that was restored from an older copy begins a new era (see StoreRevision). Its first
+/// list replaces the known state, except for what the copy cannot know:
+///  - entries that are missing are held as after an outage, since their upstreams write them again;
+///  - an upstream that was known to leave stays out of use, whatever its entry reports;
+///  - an upstream whose entry had been removed is withheld until the entry changes, or has been
+///  there
+///    for longer than the registry keeps the entry of an upstream that does not renew it.
+///
 /// An upstream that restarted under its name is a new upstream: its earlier incarnation is removed
 /// at once and not held, and a late message about it has no effect.
 class UpstreamDirectory
@@ -116,19 +139,27 @@
     /// write about once a second, and the registry's documentation specifies 2 s.
     static constexpr Duration reregistrationGrace = milliseconds(2000);
 
+    /// Time for the registry to remove the entries of upstreams that are gone from a restored copy:
+    /// it does so after three missed renewals, which are due about once a second.
+    static constexpr Duration restoredEntryHold = seconds(6);
+
+    /// A removal is remembered for this long, far longer than the age of the copies that the store
+    /// is restored from.
+    static constexpr Duration removalRetention = std::chrono::minutes(10);
+
     /// Applies the registry's whole list as of \p revision; an older one is ignored.
-    UsableChanges replaceAll(const std::vector<UpstreamEntry> &entries, std::uint64_t revision,
+    UsableChanges replaceAll(const std::vector<UpstreamEntry> &entries, StoreRevision revision,
                              Time now);
 
     /// Applies the registry's changes up to \p revision; older ones are ignored.
-    UsableChanges applyChanges(const std::vector<UpstreamChange> &changes, std::uint64_t revision,
+    UsableChanges applyChanges(const std::vector<UpstreamChange> &changes, StoreRevision revision,
                                Time now);
 
     /// The update for a directory at \p revision: changes if they are still known, otherwise all
     /// entries. No entries are sent if its \p digest equals digest(): gateways that list the
     /// registry at the same time get different revisions, and would otherwise send each other all
     /// entries.
-    RegistryUpdate updateSince(std::uint64_t revision, Time now, std::uint64_t digest = 0) const;
+    RegistryUpdate updateSince(StoreRevision revision, Time now, std::uint64_t digest = 0) const;
 
     /// Digest of the registry's entries and the revisions of their last changes; 0: no entries.
     std::uint64_t digest() const;
@@ -152,7 +183,7 @@
     /// Whether new work may be sent to an upstream.
     bool takesWork(const UpstreamEntry &entry) const
     {
-        return !isLeaving(entry) && !isEvacuated(entry);
+        return !isLeaving(entry) && !isEvacuated(entry) && !m_withheld.contains(entry.id);
     }
     /// Whether an upstream is leaving, by its registry entry or by its own answers.
     bool isLeaving(const UpstreamEntry &entry) const
@@ -167,8 +198,8 @@
     /// The registry responds again.
     void regainedContact(Time now);
 
-    /// Removes held entries whose grace time is over, and forgets leaving upstreams without an
-    /// entry.
+    /// Removes held entries whose grace time is over, takes withheld ones back into use, and
+    /// forgets old removals and leaving upstreams without an entry.
     UsableChanges expire(Time now);
 
     const UpstreamEntry *find(const UpstreamId &id) const;
@@ -182,7 +213,7 @@
     const std::vector<const UpstreamEntry *> &usableUpstreams(const ServiceName &service) const;
 
     /// The changes of the registry after \p revision; empty if they are no longer known.
-    std::optional<std::vector<UpstreamChange>> changesSince(std::uint64_t revision) const;
+    std::optional<std::vector<UpstreamChange>> changesSince(StoreRevision revision) const;
 
     /// Finds an upstream by the hash of its id; null if there is none.
     const UpstreamEntry *findByHash(UpstreamHash hash) const;
@@ -195,26 +226,38 @@
     std::uint64_t changeCount() const { return m_changeCount; }
 
     /// The registry's revision of the entries; 0: none was received yet.
-    std::uint64_t revision() const { return m_revision; }
+    StoreRevision revision() const { return m_revision; }
 
     bool inContact() const { return m_inContact; }
 
 private:
     struct LoggedChange
     {
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         UpstreamId id;
     };
+    struct Removal
+    {
+        StoreRevision revision;
+        Time at;
+        bool wasLeaving = false;
+    };
 
     using HeldUntil = std::map<UpstreamId, Time>;
 
     bool isHoldingRemovals(Time now) const { return m_catchesUp && now < m_graceUntil; }
-    void advanceToList(std::uint64_t revision);
-    void put(const UpstreamEntry &entry, UsableChanges *changed);
+    void prepareForEra(std::uint64_t era, Time now);
+    void advanceToList(StoreRevision revision);
+    void put(const UpstreamEntry &entry, Time now, UsableChanges *changed);
     void putAll(const std::vector<UpstreamEntry> &entries, Time now, const HeldUntil &held,
                 UsableChanges *changed);
     void putChanges(const std::vector<UpstreamChange> &changes, Time now, const HeldUntil &held,
                     UsableChanges *changed);
+    void putChanged(const UpstreamEntry &entry, Time now, UsableChanges *changed);
+    void withhold(const UpstreamId &id, Time until, UsableChanges *changed);
+    void release(const UpstreamId &id, UsableChanges *changed);
+    void withholdRemoved(const UpstreamEntry &entry, Time now, UsableChanges *changed);
+    void keepLeaving(const UpstreamEntry &known, const UpstreamEntry &entry, Time now);
     void erase(const UpstreamId &id);
     const UpstreamEntry *findByName(const std::string &name) const;
     bool supersede(const UpstreamEntry &entry, UsableChanges *changed);
@@ -226,19 +269,21 @@
 
     std::map<UpstreamId, UpstreamEntry> m_entries;
     std::map<UpstreamId, Time> m_missing; ///< end of the hold of each held entry
+    std::map<UpstreamId, Removal> m_removed; ///< recently, by the registry
+    std::map<UpstreamId, Time> m_withheld; ///< until when
     ZoneSet m_evacuated;
     LeavingUpstreams m_leaving;
     std::uint64_t m_changeCount = 0;
     std::deque<LoggedChange> m_log; ///< oldest first
-    std::uint64_t m_logFloor = 0; ///< the log is complete after this revision
+    StoreRevision m_logFloor; ///< the log is complete after this revision
     // Built on demand; current while m_indexedAt equals m_changeCount.
     mutable std::map<ServiceName, std::vector<const UpstreamEntry *>> m_usable;
     mutable std::unordered_map<UpstreamHash, const UpstreamEntry *> m_byHash;
     mutable std::uint64_t m_indexedAt = 0;
-    std::uint64_t m_revision = 0;
+    StoreRevision m_revision;
     bool m_inContact = false;
     bool m_wasInContact = false; ///< at any earlier time
-    bool m_catchesUp = false; ///< the first response after an outage is still pending
+    bool m_catchesUp = false; ///< the first response after an outage or a restore is still pending
     Time m_graceUntil{};
 };
 
--- a/src/include/reachlead/usageplatform.h
+++ b/src/include/reachlead/usageplatform.h
@@ -19,7 +19,7 @@
 /// Result of a call.
 enum class UsageResult : std::uint8_t {
     Done,
-    Conflict, ///< the record has another revision; nothing was done
+    Conflict, ///< the era's record has another revision, or the era is over; nothing was done
     Refused, ///< nothing was done
     Unknown ///< no reply; it may have been done, or be done later
 };
@@ -29,7 +29,8 @@
 {
     UsageResult result = UsageResult::Unknown;
     std::optional<StoredUsage> stored; ///< by a read; none: there is no record
-    std::uint64_t revision = 0; ///< after a successful write
+    std::uint64_t era = 0; ///< of the store, by a read
+    StoreRevision revision; ///< after a successful write
     std::string reason; ///< why the call failed
 };
 
@@ -39,11 +40,13 @@
 public:
     virtual ~UsagePlatform() = default;
 
+    /// Reads the record of the store's current era.
     virtual boost::asio::awaitable<UsageReply> read() = 0;
 
-    /// Overwrites the record at \p revision; without one, writes only if there is no record.
+    /// Overwrites the record at \p revision; without a number, writes only if its era has no
+    /// record.
     virtual boost::asio::awaitable<UsageReply> write(UsageRecord record,
-                                                     std::optional<std::uint64_t> revision) = 0;
+                                                     StoreRevision revision) = 0;
 
     /// Reports the record's window. After \p limit, none of the report is in flight any more.
     virtual boost::asio::awaitable<UsageReply> send(UsageRecord record, Duration limit) = 0;
--- a/src/include/reachlead/usagereporter.h
+++ b/src/include/reachlead/usagereporter.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 
+#include <reachlead/storerevision.h>
 #include <reachlead/usagetable.h>
 
 namespace reachlead {
@@ -16,8 +17,17 @@
 /// Increases with each new lease holder.
 using FencingToken = std::uint64_t;
 
-/// State of usage reporting in the platform's store, a single object: the counts of one window,
-/// which are never changed once written, and the lease holder that sends them.
+/// The token of the first lease holder in an era of the store. It is higher than all tokens of
+/// earlier eras, which a restored store may have lost.
+constexpr FencingToken firstToken(std::uint64_t era)
+{
+    constexpr FencingToken tokensPerEra = 1'000'000;
+    return era * tokensPerEra + 1;
+}
+
+/// State of usage reporting in the platform's store, one object for each era of the store: the
+/// counts of one window, which are never changed once written, and the lease holder that sends
+/// them.
 struct UsageRecord
 {
     FencingToken token = 0;
@@ -33,7 +43,7 @@
 struct StoredUsage
 {
     UsageRecord record;
-    std::uint64_t revision = 0; ///< expected by a conditional write
+    StoreRevision revision; ///< expected by a conditional write
 
     auto operator<=>(const StoredUsage &) const = default;
 };
@@ -51,7 +61,7 @@
 {
     UsageStep step = UsageStep::Idle;
     UsageRecord record; ///< to write or to send
-    std::optional<std::uint64_t> revision; ///< to overwrite; none: there must be no record
+    StoreRevision revision; ///< to overwrite; no number: the era must have no record
     bool isTakeover = false; ///< the write makes this gateway the holder
     Duration limit{}; ///< of a report: none of it may be in flight after that time
 };
@@ -77,6 +87,10 @@
 ///    started the write; another gateway writes only after it has seen the same revision for a
 ///    whole lease by its own steady clock, and with a higher token;
 ///  - a write without a reply is read back before anything else.
+///  - a store that was restored from an older copy begins a new era with no record. Which windows
+///    were reported before is not known then, but none was that had not ended. So only windows that
+///    end after a gateway found no record are reported, and not before a lease has passed, in
+///    which a holder of the earlier era may still send.
 /// So if the holder is suspended, partitioned or killed between any two steps, its successor sends
 /// the same counts, and the holder's own late write fails because of the revision.
 class UsageReporter
@@ -92,10 +106,12 @@
     /// Returns the next step, whose result must be passed to one of the functions below.
     UsageAction next(const UsageView &view) const;
 
-    /// A read completed at \p now with this record; none: there is no record.
-    void onRead(const std::optional<StoredUsage> &stored, Time now);
+    /// A read in the store's \p era completed at \p now with this record; none: the era has no
+    /// record. \p openWindow contains the current time.
+    void onRead(const std::optional<StoredUsage> &stored, std::uint64_t era, Time now,
+                WindowNumber openWindow);
     /// A write that started at \p startedAt succeeded, and the store now has \p revision.
-    void onWritten(const UsageRecord &record, std::uint64_t revision, Time startedAt);
+    void onWritten(const UsageRecord &record, StoreRevision revision, Time startedAt);
     /// The result of a write is unknown, or the store has another revision.
     void invalidate() { m_isCurrent = false; }
     /// The platform accepted the report.
@@ -132,6 +148,9 @@
     std::optional<Time> m_writtenAt; ///< when this gateway's write of the revision started
     bool m_isSent = false; ///< the record's window was sent by this incarnation
     WindowNumber m_lastSkipped = 0;
+    std::uint64_t m_era = 0; ///< of the last read
+    std::optional<Time> m_absentSince; ///< when the era was first found to have no record
+    WindowNumber m_firstWindow = 0; ///< that may be reported in the era
 };
 
 } // namespace reachlead
--- a/src/libreachlead/evacuations_test.cpp
+++ b/src/libreachlead/evacuations_test.cpp
@@ -70,16 +70,19 @@
         return state.directory().usableUpstreams(ServiceName("s")).size();
     }
 
+    static constexpr Time at{}; ///< for tests in which time does not matter
+
     void olderSetNeverReplacesANewerOne()
     {
         Evacuations known;
         CPPUNIT_ASSERT(!known.isKnown());
-        CPPUNIT_ASSERT(known.setFromPlatform(zones({"a"}), 10));
-        CPPUNIT_ASSERT(known.setFromPlatform(zones({}), 20)); // evacuation ended
-        CPPUNIT_ASSERT(!known.applyUpdate({10, zones({"a"})})); // from a peer with older state
-        CPPUNIT_ASSERT(!known.setFromPlatform(zones({"a"}), 15));
+        CPPUNIT_ASSERT(known.setFromPlatform(zones({"a"}), 10, at));
+        CPPUNIT_ASSERT(known.setFromPlatform(zones({}), 20, at)); // evacuation ended
+        CPPUNIT_ASSERT(
+            !known.applyUpdate({10, zones({"a"}), {}}, at)); // from a peer with older state
+        CPPUNIT_ASSERT(!known.setFromPlatform(zones({"a"}), 15, at));
         CPPUNIT_ASSERT(known.zones().empty());
-        CPPUNIT_ASSERT(known.applyUpdate({30, zones({"a"})})); // evacuated again
+        CPPUNIT_ASSERT(known.applyUpdate({30, zones({"a"}), {}}, at)); // evacuated again
         CPPUNIT_ASSERT(known.zones() == zones({"a"}));
     }
 
@@ -88,21 +91,21 @@
     {
         Evacuations first;
         Evacuations second;
-        first.setFromPlatform({}, 100);
-        second.setFromPlatform({}, 250);
+        first.setFromPlatform({}, 100, at);
+        second.setFromPlatform({}, 250, at);
         CPPUNIT_ASSERT(second.revision() <= first.readRevision());
         CPPUNIT_ASSERT(first.revision() <= second.readRevision());
-        second.setFromPlatform({}, 400);
+        second.setFromPlatform({}, 400, at);
         CPPUNIT_ASSERT(second.revision() <= first.readRevision());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, second.updateSince(first.readRevision()).revision);
+        CPPUNIT_ASSERT(!second.updateSince(first.readRevision(), at).revision.isKnown());
     }
 
     void changeBeforeTheLastReadIsIgnored()
     {
         Evacuations known;
         known.setFromPlatform(
-            {}, 50); // after the end of an evacuation that is still in force for a peer
-        CPPUNIT_ASSERT(!known.applyUpdate({40, zones({"a"})}));
+            {}, 50, at); // after the end of an evacuation that is still in force for a peer
+        CPPUNIT_ASSERT(!known.applyUpdate({40, zones({"a"}), {}}, at));
         CPPUNIT_ASSERT(known.zones().empty());
     }
 
@@ -111,17 +114,17 @@
     void firstReaderAfterTheEndUpdatesTheOthers()
     {
         Evacuations old;
-        old.setFromPlatform(zones({"a"}), 40);
+        old.setFromPlatform(zones({"a"}), 40, at);
         Evacuations fresh;
-        fresh.setFromPlatform({}, 60);
+        fresh.setFromPlatform({}, 60, at);
         fresh.compareWithPeer(old.revision(), old.checksum());
         CPPUNIT_ASSERT(fresh.revision() > old.readRevision());
-        CPPUNIT_ASSERT(old.applyUpdate(fresh.updateSince(old.readRevision())));
+        CPPUNIT_ASSERT(old.applyUpdate(fresh.updateSince(old.readRevision(), at), at));
         CPPUNIT_ASSERT(old.zones().empty());
         Evacuations next;
-        next.setFromPlatform({}, 90);
+        next.setFromPlatform({}, 90, at);
         next.compareWithPeer(fresh.revision(), fresh.checksum()); // the same set: no update
-        CPPUNIT_ASSERT_EQUAL(fresh.revision(), next.revision());
+        CPPUNIT_ASSERT(fresh.revision() == next.revision());
     }
 
     /// Zones of a platform are evacuated and restored at random. Twelve gateways read the platform
@@ -150,23 +153,23 @@
                 if (draw(3) == 0 && history.lower_bound(asOf) != history.begin())
                     reader.setFromPlatform(
                         std::prev(history.upper_bound(std::max<std::uint64_t>(asOf, 5)))->second,
-                        std::max<std::uint64_t>(asOf, 5));
+                        std::max<std::uint64_t>(asOf, 5), at);
                 const Evacuations &sender = all[draw(gateways)];
                 Evacuations &receiver = all[draw(gateways)];
                 receiver.compareWithPeer(sender.revision(), sender.checksum());
                 if (sender.revision() > receiver.readRevision())
-                    receiver.applyUpdate(sender.updateSince(receiver.readRevision()));
-                const auto at = history.upper_bound(receiver.readRevision());
-                if (receiver.isKnown() && at != history.begin())
+                    receiver.applyUpdate(sender.updateSince(receiver.readRevision(), at), at);
+                const auto next = history.upper_bound(receiver.readRevision().number);
+                if (receiver.isKnown() && next != history.begin())
                     CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {} step {}", seed, n),
-                                           std::prev(at)->second == receiver.zones()
+                                           std::prev(next)->second == receiver.zones()
                                                || receiver.revision() == 1);
             }
-            all[0].setFromPlatform(history.rbegin()->second, revision);
+            all[0].setFromPlatform(history.rbegin()->second, revision, at);
             for (const Evacuations &sender : all)
                 all[0].compareWithPeer(sender.revision(), sender.checksum());
             for (Evacuations &receiver : all)
-                receiver.applyUpdate(all[0].updateSince(receiver.readRevision()));
+                receiver.applyUpdate(all[0].updateSince(receiver.readRevision(), at), at);
             for (const Evacuations &it : all)
                 CPPUNIT_ASSERT_MESSAGE(fmt::format("seed {}", seed),
                                        !it.isKnown() || it.zones() == history.rbegin()->second);
@@ -220,7 +223,7 @@
         GatewayState receiver({});
         receiver.applyPeerUpdate(VmName("teller"), sender.updateSince(receiver.versions()));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, usable(receiver));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, receiver.versions().evacuations);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, receiver.versions().evacuations.number);
         sender.evacuationsRead({}, 15);
         receiver.applyPeerUpdate(VmName("teller"), sender.updateSince(receiver.versions()));
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, usable(receiver));
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -24,12 +24,14 @@
 }
 
 /// Logs an answer of the platform that is older than the local state, and is therefore ignored.
-void logIgnored(std::string_view kind, std::uint64_t revision, std::uint64_t known)
+void logIgnored(std::string_view kind, StoreRevision revision, StoreRevision known)
 {
     LogLine(LogLevel::Warn, "platform-answer-ignored")
         .with("kind", kind)
-        .with("revision", revision)
-        .with("known", known);
+        .with("era", revision.era)
+        .with("revision", revision.number)
+        .with("known_era", known.era)
+        .with("known", known.number);
 }
 
 } // namespace
@@ -67,14 +69,14 @@
         m_onChange();
 }
 
-void GatewayState::upstreamsListed(std::vector<UpstreamEntry> entries, std::uint64_t revision)
+void GatewayState::upstreamsListed(std::vector<UpstreamEntry> entries, StoreRevision revision)
 {
     if (revision < m_directory.revision())
         logIgnored("upstreams", revision, m_directory.revision());
     handleChange(m_directory.replaceAll(entries, revision, now()), "platform");
 }
 
-void GatewayState::upstreamsChanged(std::vector<UpstreamChange> changes, std::uint64_t revision)
+void GatewayState::upstreamsChanged(std::vector<UpstreamChange> changes, StoreRevision revision)
 {
     if (revision < m_directory.revision())
         logIgnored("upstreams", revision, m_directory.revision());
@@ -83,20 +85,23 @@
 
 void GatewayState::gatewaysChanged(GatewayRoster roster)
 {
-    if (roster.revision < m_roster.revision)
+    if (roster.revision.isKnown() && roster.revision < m_roster.revision)
         logIgnored("roster", roster.revision, m_roster.revision);
     if (roster.revision <= m_roster.revision)
         return;
+    const bool isSame = roster.gateways == m_roster.gateways;
     m_roster = std::move(roster);
+    if (isSame)
+        return;
     setLiveGateways(m_liveGateways);
     LogLine(LogLevel::Info, "gateways-changed").with("gateways", m_roster.gateways.size());
 }
 
-void GatewayState::evacuationsRead(ZoneSet zones, std::uint64_t revision)
+void GatewayState::evacuationsRead(ZoneSet zones, StoreRevision revision)
 {
     if (revision < m_evacuations.readRevision())
         logIgnored("evacuations", revision, m_evacuations.readRevision());
-    if (m_evacuations.setFromPlatform(std::move(zones), revision))
+    if (m_evacuations.setFromPlatform(std::move(zones), revision, now()))
         applyEvacuations("platform");
 }
 
@@ -105,11 +110,12 @@
 /// of the evacuation was read, as registry and evacuations are followed separately.
 void GatewayState::applyEvacuations(std::string_view source)
 {
-    const ZoneSet &zones = m_evacuations.zones();
+    const ZoneSet zones = m_evacuations.zones();
     LogLine(LogLevel::Warn, "evacuations-changed")
         .with("zones", zones.size())
         .with("first", zones.empty() ? "-" : zones.begin()->text)
-        .with("revision", m_evacuations.revision())
+        .with("era", m_evacuations.revision().era)
+        .with("revision", m_evacuations.revision().number)
         .with("source", source);
     const UpstreamDirectory::UsableChanges changed = m_directory.setEvacuated(zones);
     std::ranges::for_each(changed.added,
@@ -139,7 +145,7 @@
     LogLine(inContact ? LogLevel::Info : LogLevel::Warn,
             inContact ? "registry-regained" : "registry-lost")
         .with("config_version", configVersion())
-        .with("registry_revision", m_directory.revision())
+        .with("registry_revision", m_directory.revision().number)
         .with("upstreams", m_directory.entries().size());
 }
 
@@ -167,6 +173,11 @@
     learnQuarantine(requests, "platform");
 }
 
+std::vector<QuarantinedRequest> GatewayState::quarantined() const
+{
+    return m_crashes.quarantined(now());
+}
+
 void GatewayState::learnQuarantine(const std::vector<QuarantinedRequest> &requests,
                                    std::string_view source)
 {
@@ -241,8 +252,9 @@
         if (auto config = applyDelta(m_table->config(), *update.configChange))
             applyConfig(std::move(*config), peer.text);
     }
-    gatewaysChanged(update.roster);
-    if (m_evacuations.applyUpdate(update.evacuations))
+    if (update.roster.revision.isKnown())
+        gatewaysChanged(update.roster);
+    if (m_evacuations.applyUpdate(update.evacuations, now()))
         applyEvacuations(peer.text);
     handleChange(m_directory.applyUpdate(update.registry, now()), peer.text);
 }
@@ -264,8 +276,8 @@
             update.config = m_table->config();
     }
     update.registry = m_directory.updateSince(known.registry, now(), known.registryDigest);
-    update.evacuations = m_evacuations.updateSince(known.evacuations);
-    if (m_roster.revision > known.roster)
+    update.evacuations = m_evacuations.updateSince(known.evacuations, now());
+    if (m_roster.revision.isKnown() && m_roster.revision > known.roster)
         update.roster = m_roster;
     return update;
 }
@@ -273,6 +285,8 @@
 void GatewayState::tick()
 {
     handleChange(m_directory.expire(now()), "missing-after-outage");
+    if (m_evacuations.expire(now()))
+        applyEvacuations("missing-after-restore");
     m_crashes.dropExpired(now());
     m_upstreams.limits().dropExpired(now());
     m_upstreams.backoffs().dropExpired(now());
@@ -298,14 +312,14 @@
             .with("service", entry != nullptr ? entry->service.text : "-")
             .with("zone", entry != nullptr ? entry->zone.text : "-")
             .with("source", source)
-            .with("revision", m_directory.revision());
+            .with("revision", m_directory.revision().number);
     }
     for (const UpstreamId &id : changed.withdrawn) {
         LogLine(LogLevel::Info, "upstream-left")
             .with("upstream", id.text)
             .with("born", id.startedAt)
             .with("source", source)
-            .with("revision", m_directory.revision());
+            .with("revision", m_directory.revision().number);
     }
     m_upstreams.removeUnlisted(m_directory);
     if (m_onChange)
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -108,7 +108,7 @@
         state.upstreamsChanged({addition, removal}, 22);
         setLogLevel(LogLevel::Error);
         CPPUNIT_ASSERT(state.directory().find(UpstreamId("b")) == nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{22}, state.directory().revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{22}, state.directory().revision().number);
     }
 
     void updateHasChangesIfTheyAreKnown()
@@ -124,7 +124,7 @@
         removal.entry = entry("a");
         removal.removed = true;
         sender.upstreamsChanged({removal}, 21);
-        const StateUpdate update = sender.updateSince({3, 20});
+        const StateUpdate update = sender.updateSince({3, 20, 0, {}, {}});
         CPPUNIT_ASSERT(!update.config && !update.registry.snapshot);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update.configChange->routes.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, update.registry.changes.size());
@@ -141,7 +141,7 @@
         for (std::uint64_t version = 1; version <= GatewayState::maxFormerTables + 2; ++version)
             sender.configRead(withRoutes(version, 2));
         sender.upstreamsListed({entry("a")}, 20);
-        const StateUpdate update = sender.updateSince({1, 7});
+        const StateUpdate update = sender.updateSince({1, 7, 0, {}, {}});
         CPPUNIT_ASSERT(update.config && update.registry.snapshot);
         GatewayState fresh({});
         fresh.applyPeerUpdate(VmName("peer"), update);
@@ -153,7 +153,7 @@
         gap.registry.changesFrom = 7;
         gap.registry.revision = 20;
         behind.applyPeerUpdate(VmName("peer"), gap);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, behind.directory().revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, behind.directory().revision().number);
     }
 
     void readyNeedsConfigurationAndUpstreams()
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -4,8 +4,10 @@
 #include <reachlead/upstreamdirectory.h>
 
 #include <algorithm>
+#include <array>
 #include <ranges>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -18,10 +20,28 @@
     return XXH32(id.text.data(), id.text.size(), static_cast<XXH32_hash_t>(seed));
 }
 
-/// Advances to the revision of a whole list. Entries that were added and removed since the previous
-/// revision are not known then, so no changes can be sent across the list: a directory that knows
-/// such an entry would keep it.
-void UpstreamDirectory::advanceToList(std::uint64_t revision)
+bool hasSameContent(const UpstreamEntry &first, const UpstreamEntry &second)
+{
+    const auto content = [](const UpstreamEntry &entry) {
+        return std::tie(entry.id, entry.service, entry.address.address, entry.address.port,
+                        entry.zone, entry.slots, entry.leaving, entry.coldLeftMs);
+    };
+    return content(first) == content(second);
+}
+
+/// In a new era, entries may be missing until their upstreams write them again.
+void UpstreamDirectory::prepareForEra(std::uint64_t era, Time now)
+{
+    if (!m_revision.isKnown() || era == m_revision.era)
+        return;
+    m_catchesUp = true;
+    m_graceUntil = std::max(m_graceUntil, now + reregistrationGrace);
+}
+
+/// Advances to the revision of a whole list, or of another era. Entries that were added and removed
+/// since the previous revision are not known then, so no changes can be sent across the list: a
+/// directory that knows such an entry would keep it.
+void UpstreamDirectory::advanceToList(StoreRevision revision)
 {
     if (revision != m_revision)
         m_logFloor = revision;
@@ -34,7 +54,8 @@
     std::set<std::string> listed;
     for (const UpstreamEntry &entry : entries) {
         listed.insert(entry.id.text);
-        put(entry, changed);
+        withholdRemoved(entry, now, changed);
+        put(entry, now, changed);
     }
     std::vector<UpstreamId> absent;
     std::ranges::copy_if(m_entries | std::views::keys, std::back_inserter(absent),
@@ -50,17 +71,26 @@
         if (change.removed)
             remove(change.entry.id, now, held, changed);
         else
-            put(change.entry, changed);
+            putChanged(change.entry, now, changed);
     }
 }
 
+/// Puts an entry that its upstream has just written, so it is not one of a restored copy.
+void UpstreamDirectory::putChanged(const UpstreamEntry &entry, Time now, UsableChanges *changed)
+{
+    m_removed.erase(entry.id);
+    put(entry, now, changed);
+    release(entry.id, changed);
+}
+
 UpstreamDirectory::UsableChanges
-UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries, std::uint64_t revision,
+UpstreamDirectory::replaceAll(const std::vector<UpstreamEntry> &entries, StoreRevision revision,
                               Time now)
 {
     UsableChanges changed;
     if (revision < m_revision)
         return changed;
+    prepareForEra(revision.era, now);
     advanceToList(revision);
     putAll(entries, now, {}, &changed);
     m_catchesUp = false;
@@ -68,7 +98,7 @@
 }
 
 UpstreamDirectory::UsableChanges
-UpstreamDirectory::applyChanges(const std::vector<UpstreamChange> &changes, std::uint64_t revision,
+UpstreamDirectory::applyChanges(const std::vector<UpstreamChange> &changes, StoreRevision revision,
                                 Time now)
 {
     UsableChanges changed;
@@ -80,23 +110,26 @@
     return changed;
 }
 
-RegistryUpdate UpstreamDirectory::updateSince(std::uint64_t revision, Time now,
+RegistryUpdate UpstreamDirectory::updateSince(StoreRevision revision, Time now,
                                               std::uint64_t digest) const
 {
     RegistryUpdate update;
     update.revision = m_revision;
     if (m_revision <= revision)
         return update;
-    for (const auto &[id, until] : m_missing) {
-        const auto left = static_cast<std::int32_t>(toMillis(std::max(until - now, Duration{})));
-        update.held.push_back({m_entries.at(id), left});
-    }
+    const auto leftMs = [now](Time until) {
+        return static_cast<std::int32_t>(toMillis(std::max(until - now, Duration{})));
+    };
+    for (const auto &[id, until] : m_missing)
+        update.held.push_back({m_entries.at(id), leftMs(until)});
+    for (const auto &[id, until] : m_withheld)
+        update.withheld.push_back({id, leftMs(until)});
     if (auto changes = changesSince(revision)) {
         update.changesFrom = revision;
         update.changes = std::move(*changes);
         return update;
     }
-    if (revision > 0 && digest == this->digest()) {
+    if (revision.isKnown() && digest == this->digest()) {
         update.changesFrom = revision;
         return update;
     }
@@ -110,7 +143,9 @@
     for (const auto &[id, entry] : m_entries) {
         if (m_missing.contains(id))
             continue;
-        const std::uint64_t seed = XXH64(&id.startedAt, sizeof id.startedAt, entry.revision);
+        const std::array<std::uint64_t, 3> numbers{id.startedAt, entry.revision.era,
+                                                   entry.revision.number};
+        const std::uint64_t seed = XXH64(numbers.data(), sizeof numbers, 0);
         digest ^= XXH64(id.text.data(), id.text.size(), seed);
     }
     return digest;
@@ -121,10 +156,12 @@
 {
     UsableChanges changed;
     const bool isApplicable =
-        update.snapshot || (m_revision > 0 && update.changesFrom <= m_revision);
+        update.snapshot || (m_revision.isKnown() && update.changesFrom <= m_revision);
     if (update.revision <= m_revision || !isApplicable)
         return changed;
-    if (update.snapshot)
+    const bool catchesUp = m_catchesUp;
+    prepareForEra(update.revision.era, now);
+    if (update.snapshot || update.revision.era != m_revision.era)
         advanceToList(update.revision);
     m_revision = update.revision;
     HeldUntil held;
@@ -132,13 +169,19 @@
         const Duration left =
             std::clamp<Duration>(milliseconds(it.leftMs), {}, reregistrationGrace);
         held.emplace(it.entry.id, now + left);
-        if (update.snapshot && !m_entries.contains(it.entry.id))
-            put(it.entry, &changed); // not listed, so putAll() removes it with a hold
+        const bool isKnown = m_entries.contains(it.entry.id) || m_removed.contains(it.entry.id);
+        if (update.snapshot && !isKnown)
+            put(it.entry, now, &changed); // not listed, so putAll() removes it with a hold
     }
     if (update.snapshot)
         putAll(*update.snapshot, now, held, &changed);
     else
         putChanges(update.changes, now, held, &changed);
+    for (const WithheldUpstream &it : update.withheld) {
+        const Duration left = std::clamp<Duration>(milliseconds(it.leftMs), {}, restoredEntryHold);
+        withhold(it.id, now + left, &changed);
+    }
+    m_catchesUp = catchesUp;
     return changed;
 }
 
@@ -199,10 +242,20 @@
             ++it;
             continue;
         }
-        erase(it->first);
-        changed.withdrawn.push_back(it->first);
+        const UpstreamId id = it->first;
         it = m_missing.erase(it);
+        m_removed.insert_or_assign(id, Removal{m_revision, now, m_leaving.contains(id)});
+        erase(id);
+        changed.withdrawn.push_back(id);
+    }
+    std::vector<UpstreamId> released;
+    for (const auto &[id, until] : m_withheld) {
+        if (until <= now)
+            released.push_back(id);
     }
+    std::ranges::for_each(released, [&](const UpstreamId &id) { release(id, &changed); });
+    std::erase_if(m_removed,
+                  [now](const auto &it) { return it.second.at + removalRetention <= now; });
     m_leaving.dropExpired(now, [this](const UpstreamId &id) { return m_entries.contains(id); });
     return changed;
 }
@@ -253,9 +306,9 @@
 }
 
 std::optional<std::vector<UpstreamChange>>
-UpstreamDirectory::changesSince(std::uint64_t revision) const
+UpstreamDirectory::changesSince(StoreRevision revision) const
 {
-    if (m_revision == 0 || revision < m_logFloor)
+    if (!m_revision.isKnown() || revision < m_logFloor)
         return std::nullopt;
     std::set<std::string> names;
     for (const LoggedChange &change : m_log) {
@@ -287,6 +340,51 @@
 {
     ++m_changeCount;
     m_entries.erase(id);
+    m_withheld.erase(id);
+}
+
+void UpstreamDirectory::withhold(const UpstreamId &id, Time until, UsableChanges *changed)
+{
+    const UpstreamEntry *entry = find(id);
+    const bool tookWork = entry != nullptr && takesWork(*entry);
+    if (!m_withheld.emplace(id, until).second)
+        return;
+    ++m_changeCount;
+    if (tookWork)
+        changed->withdrawn.push_back(id);
+}
+
+void UpstreamDirectory::release(const UpstreamId &id, UsableChanges *changed)
+{
+    if (m_withheld.erase(id) == 0)
+        return;
+    ++m_changeCount;
+    if (const UpstreamEntry *entry = find(id); entry != nullptr && takesWork(*entry))
+        changed->added.push_back(id);
+}
+
+/// Withholds a listed upstream whose entry was removed in an earlier era.
+void UpstreamDirectory::withholdRemoved(const UpstreamEntry &entry, Time now,
+                                        UsableChanges *changed)
+{
+    const auto it = m_removed.find(entry.id);
+    if (it == m_removed.end())
+        return;
+    const Removal removal = it->second;
+    m_removed.erase(it);
+    if (removal.revision.era == m_revision.era)
+        return;
+    if (removal.wasLeaving)
+        m_leaving.add(entry.id, now);
+    withhold(entry.id, now + restoredEntryHold, changed);
+}
+
+/// Keeps an upstream out of use that was known to leave, if its entry in a new era is from before.
+void UpstreamDirectory::keepLeaving(const UpstreamEntry &known, const UpstreamEntry &entry,
+                                    Time now)
+{
+    if (known.leaving && !entry.leaving && known.revision.era < entry.revision.era)
+        m_leaving.add(entry.id, now);
 }
 
 /// The known incarnation of an upstream; null if there is none.
@@ -312,7 +410,7 @@
     return true;
 }
 
-void UpstreamDirectory::put(const UpstreamEntry &entry, UsableChanges *changed)
+void UpstreamDirectory::put(const UpstreamEntry &entry, Time now, UsableChanges *changed)
 {
     if (!supersede(entry, changed))
         return;
@@ -322,12 +420,19 @@
         log(entry.id);
     if (entry.revision < it->second.revision)
         return; // from a page that was read before the known change
+    // A list of a new era has all entries under new revisions, though most did not change.
+    const bool isNewEra = entry.revision.era != it->second.revision.era;
+    if (!isNew && isNewEra && hasSameContent(entry, it->second)) {
+        it->second.revision = entry.revision;
+        return;
+    }
     if (isNew || entry.revision > it->second.revision)
         log(entry.id);
     ++m_changeCount;
     const bool wasLeaving = !isNew && it->second.leaving;
+    keepLeaving(it->second, entry, now);
     it->second = entry;
-    if (isNew && !entry.leaving)
+    if (isNew && !entry.leaving && !m_withheld.contains(entry.id))
         changed->added.push_back(entry.id);
     if (entry.leaving && !wasLeaving)
         changed->withdrawn.push_back(entry.id);
@@ -361,6 +466,7 @@
         m_missing.emplace(knownId, *until);
         return;
     }
+    m_removed.insert_or_assign(knownId, Removal{m_revision, now, isLeaving(*known)});
     erase(knownId);
     changed->withdrawn.push_back(knownId);
 }
--- a/src/libreachlead/upstreamdirectory_fleet_test.cpp
+++ b/src/libreachlead/upstreamdirectory_fleet_test.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <map>
 #include <ranges>
+#include <set>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -41,13 +42,32 @@
     void step(unsigned kind, unsigned who, unsigned with, unsigned which)
     {
         using Step = void (DirectoryFleet::*)(std::size_t, std::size_t, unsigned);
-        static constexpr std::array<Step, 9> steps{
+        static constexpr std::array<Step, 10> steps{
             &DirectoryFleet::write,      &DirectoryFleet::leave,     &DirectoryFleet::depart,
             &DirectoryFleet::disconnect, &DirectoryFleet::reconnect, &DirectoryFleet::follow,
-            &DirectoryFleet::list,       &DirectoryFleet::update,    &DirectoryFleet::advanceTime};
+            &DirectoryFleet::list,       &DirectoryFleet::update,    &DirectoryFleet::advanceTime,
+            &DirectoryFleet::restore};
         (this->*steps[kind % steps.size()])(who % gateways, with % gateways, which % 5);
-        for (UpstreamDirectory &it : m_directories)
-            it.expire(m_now);
+        for (std::size_t n = 0; n < gateways; ++n) {
+            m_directories.at(n).expire(m_now);
+            recordLeaving(n);
+        }
+    }
+
+    /// True if no directory uses an upstream that it knew to be leaving.
+    bool noneUsesLeavingUpstreams() const
+    {
+        for (std::size_t n = 0; n < gateways; ++n) {
+            const UpstreamDirectory &it = m_directories.at(n);
+            const bool isUsed =
+                std::ranges::any_of(m_knownLeaving.at(n), [&](const UpstreamId &id) {
+                    const UpstreamEntry *entry = it.find(id);
+                    return entry != nullptr && it.takesWork(*entry);
+                });
+            if (isUsed)
+                return false;
+        }
+        return true;
     }
 
     /// True if each directory has the entries of the registry at the directory's revision.
@@ -84,11 +104,22 @@
 private:
     struct Departure
     {
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         Time at;
     };
 
-    static UpstreamId upstreamId(unsigned which) { return UpstreamId(std::to_string(which)); }
+    /// A process behind one of the upstreams; its successor has another id.
+    struct Process
+    {
+        unsigned number = 0;
+        bool isLeaving = false;
+        bool hasExited = false;
+    };
+
+    UpstreamId upstreamId(unsigned which) const
+    {
+        return UpstreamId(std::to_string(which + 5 * m_processes.at(which).number));
+    }
 
     std::vector<UpstreamEntry> registryNow() const
     {
@@ -99,7 +130,7 @@
 
     void record(const UpstreamChange &change)
     {
-        ++m_revision;
+        ++m_revision.number;
         if (change.removed) {
             m_registry.erase(change.entry.id);
         } else {
@@ -114,9 +145,13 @@
 
     void write(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
     {
+        Process &process = m_processes.at(which);
+        if (process.hasExited)
+            process = {process.number + 1, false, false};
         UpstreamChange change;
         change.entry.id = upstreamId(which);
         change.entry.service = ServiceName("s");
+        change.entry.leaving = process.isLeaving;
         m_departures.erase(change.entry.id);
         record(change);
     }
@@ -126,6 +161,7 @@
         const auto it = m_registry.find(upstreamId(which));
         if (it == m_registry.end())
             return;
+        m_processes.at(which).isLeaving = true;
         UpstreamChange change{it->second, false};
         change.entry.leaving = true;
         record(change);
@@ -136,6 +172,7 @@
         UpstreamChange change;
         change.entry.id = upstreamId(which);
         change.removed = true;
+        m_processes.at(which).hasExited = true;
         if (m_registry.contains(change.entry.id))
             record(change);
     }
@@ -157,6 +194,10 @@
         UpstreamDirectory &it = m_directories.at(who);
         if (!it.inContact())
             return;
+        if (it.revision().era != m_revision.era) {
+            list(who, 0, 0);
+            return;
+        }
         std::vector<UpstreamChange> changes;
         for (const auto &[revision, change] : m_log) {
             if (revision > it.revision())
@@ -169,20 +210,50 @@
     void list(std::size_t who, std::size_t /*with*/, unsigned /*which*/)
     {
         UpstreamDirectory &it = m_directories.at(who);
-        if (it.inContact())
-            recordDepartures(it.replaceAll(registryNow(), m_revision, m_now).withdrawn);
+        if (!it.inContact())
+            return;
+        if (it.revision().era != m_revision.era)
+            m_regainedAt.at(who) = m_now;
+        recordDepartures(it.replaceAll(registryNow(), m_revision, m_now).withdrawn);
     }
 
     void update(std::size_t who, std::size_t with, unsigned /*which*/)
     {
         UpstreamDirectory &receiver = m_directories.at(who);
         const RegistryUpdate message =
-            m_directories.at(with).updateSince(receiver.revision(), m_now);
+            m_directories.at(with).updateSince(receiver.revision(), m_now, receiver.digest());
         if (!message.held.empty())
             m_regainedAt.at(who) = std::max(m_regainedAt.at(who), m_regainedAt.at(with));
+        if (message.revision.era != receiver.revision().era)
+            m_regainedAt.at(who) = m_now;
         receiver.applyUpdate(message, m_now);
     }
 
+    /// The registry is restored from a copy that is some changes old.
+    void restore(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
+    {
+        const std::uint64_t lost = std::min<std::uint64_t>(which * 2 + 1, m_revision.number - 1);
+        const auto copy =
+            std::prev(m_history.upper_bound({m_revision.era, m_revision.number - lost}));
+        const StoreRevision restored{m_revision.era + 1, copy->first.number};
+        m_registry.clear();
+        for (UpstreamEntry entry : copy->second) {
+            entry.revision.era = restored.era;
+            m_departures.erase(entry.id);
+            m_registry.emplace(entry.id, entry);
+        }
+        m_revision = restored;
+        m_history[m_revision] = registryNow();
+    }
+
+    void recordLeaving(std::size_t n)
+    {
+        for (const auto &[id, entry] : m_directories.at(n).entries()) {
+            if (entry.leaving)
+                m_knownLeaving.at(n).insert(id);
+        }
+    }
+
     void advanceTime(std::size_t /*who*/, std::size_t /*with*/, unsigned which)
     {
         m_now += milliseconds(300 * (which + 1));
@@ -198,19 +269,22 @@
     }
 
     Time m_now{seconds(100)};
-    std::uint64_t m_revision = 1;
+    StoreRevision m_revision{1};
     std::map<UpstreamId, UpstreamEntry> m_registry;
-    std::vector<std::pair<std::uint64_t, UpstreamChange>> m_log;
-    std::map<std::uint64_t, std::vector<UpstreamEntry>> m_history{{1, {}}};
+    std::vector<std::pair<StoreRevision, UpstreamChange>> m_log;
+    std::map<StoreRevision, std::vector<UpstreamEntry>> m_history{{StoreRevision(1), {}}};
     std::map<UpstreamId, Departure> m_departures;
     std::array<UpstreamDirectory, gateways> m_directories;
+    std::array<std::set<UpstreamId>, gateways> m_knownLeaving;
+    std::array<Process, 5> m_processes;
     /// End of the outage after which each one may hold entries.
     std::array<Time, gateways> m_regainedAt{};
 };
 
 } // namespace
 
-/// Directories that update each other match the registry, and none uses departed upstreams.
+/// Directories that update each other match the registry, and none uses departed upstreams, also if
+/// the registry is restored from older copies.
 class UpstreamDirectoryFleetTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(UpstreamDirectoryFleetTest);
@@ -226,6 +300,7 @@
                 fleet.step(kind, gateways & 15U, gateways >> 4U, which);
                 RC_ASSERT(fleet.viewsMatchTheRegistry());
                 RC_ASSERT(fleet.noneUsesDepartedUpstreams());
+                RC_ASSERT(fleet.noneUsesLeavingUpstreams());
             }
         }));
     }
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -131,7 +131,7 @@
         directory.applyChanges({removal("a")}, 12, start);
         directory.replaceAll({entry("a", 5), entry("b", 6)}, 11, start);
         CPPUNIT_ASSERT(directory.find(UpstreamId("a")) == nullptr);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, directory.revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, directory.revision().number);
     }
 
     void olderPageDoesNotUndoAChange()
@@ -208,7 +208,7 @@
         const RegistryUpdate same = sender.updateSince(20, start, receiver.digest());
         CPPUNIT_ASSERT(!same.snapshot && same.changes.empty());
         receiver.applyUpdate(same, start);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{30}, receiver.revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{30}, receiver.revision().number);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, receiver.entries().size());
         UpstreamDirectory other;
         other.replaceAll({entry("a", 5), entry("b", 7)}, 20, start);
@@ -285,7 +285,7 @@
         sender.applyChanges({{entry("c", 40), false}}, 40, regained + milliseconds(100));
         receiver.applyUpdate(sender.updateSince(10, regained + milliseconds(200)),
                              regained + milliseconds(200));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, receiver.revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, receiver.revision().number);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, receiver.registered().size());
         receiver.expire(regained + UpstreamDirectory::reregistrationGrace);
         CPPUNIT_ASSERT(receiver.find(UpstreamId("a")) == nullptr);
@@ -331,7 +331,7 @@
         first.applyChanges({removal("c")}, 12, start);
         second.applyUpdate(first.updateSince(10, start), start);
         third.applyUpdate(second.updateSince(11, start), start);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, third.revision());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, third.revision().number);
         CPPUNIT_ASSERT(third.find(UpstreamId("c")) == nullptr);
     }
 };
--- a/src/libreachlead/usagereporter.cpp
+++ b/src/libreachlead/usagereporter.cpp
@@ -4,13 +4,14 @@
 #include <reachlead/usagereporter.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace reachlead {
 
 WindowNumber UsageReporter::nextWindow(WindowNumber due) const
 {
     const WindowNumber after = m_stored ? m_stored->record.window + 1 : 0;
-    return std::max({after, m_lastSkipped + 1, due - maxWindowsBehind});
+    return std::max({after, m_lastSkipped + 1, due - maxWindowsBehind, m_firstWindow});
 }
 
 void UsageReporter::skip(WindowNumber window)
@@ -43,6 +44,7 @@
     }
     const WindowNumber window = nextWindow(view.dueWindow);
     const bool isDue = window <= view.dueWindow;
+    action.revision = StoreRevision(m_era, 0);
     if (m_stored) {
         action.record = m_stored->record;
         action.revision = m_stored->revision;
@@ -60,7 +62,8 @@
         }
         return action;
     }
-    if (!isDue || !view.isComplete)
+    const bool mayHoldLease = m_stored || !m_absentSince || *m_absentSince + m_lease <= view.now;
+    if (!isDue || !view.isComplete || !mayHoldLease)
         return action;
     action.record.window = window;
     if (view.counts.empty()) {
@@ -68,14 +71,22 @@
         return action;
     }
     action.isTakeover = !m_stored;
-    action.record.token = std::max<FencingToken>(action.record.token, 1);
+    action.record.token = std::max(action.record.token, firstToken(m_era));
     action.record.counts = view.counts;
     action.step = UsageStep::Write;
     return action;
 }
 
-void UsageReporter::onRead(const std::optional<StoredUsage> &stored, Time now)
+void UsageReporter::onRead(const std::optional<StoredUsage> &stored, std::uint64_t era, Time now,
+                           WindowNumber openWindow)
 {
+    const bool isNewEra = std::exchange(m_era, era) != era;
+    if (stored) {
+        m_absentSince.reset();
+    } else if (isNewEra || !m_absentSince) {
+        m_absentSince = now;
+        m_firstWindow = openWindow;
+    }
     const bool isSame = m_stored && stored && m_stored->revision == stored->revision;
     m_isCurrent = true;
     m_readAt = now;
@@ -88,7 +99,7 @@
     m_isSent = false;
 }
 
-void UsageReporter::onWritten(const UsageRecord &record, std::uint64_t revision, Time startedAt)
+void UsageReporter::onWritten(const UsageRecord &record, StoreRevision revision, Time startedAt)
 {
     m_stored = {record, revision};
     m_isCurrent = true;
--- a/src/libreachlead/usagereporter_test.cpp
+++ b/src/libreachlead/usagereporter_test.cpp
@@ -38,7 +38,7 @@
     struct LateWrite
     {
         UsageRecord record;
-        std::optional<std::uint64_t> revision;
+        StoreRevision revision;
 
         auto operator<=>(const LateWrite &) const = default;
     };
@@ -60,14 +60,15 @@
 
     Time now{};
     std::vector<UsageReporter> reporters;
-    std::optional<UsageRecord> stored;
-    std::uint64_t revision = 0;
+    std::optional<UsageRecord> stored; ///< in this era
+    StoreRevision revision;
     std::vector<LateWrite> lateWrites;
     std::vector<LateReport> lateReports;
     std::map<WindowNumber, UsageCounts> accepted;
     std::vector<AcceptedReport> lastReports; ///< the last report of each holder, newest last
     Duration requiredLease{}; ///< during which reports of two holders must not alternate
     int faultsLeft = 0;
+    int restoresLeft = 0; ///< of the store
     bool isViolated = false;
 
     auto operator<=>(const Model &) const = default;
@@ -76,7 +77,16 @@
         : requiredLease(lease), faultsLeft(faults)
     {
         for (std::uint64_t n = 0; n < gateways; ++n)
-            reporters.emplace_back(gatewayId(n, 1), leaseTime);
+            reporters.push_back(knowingNoRecord(gatewayId(n, 1)));
+    }
+
+    /// A reporter that found no record a lease ago, and must read again.
+    static UsageReporter knowingNoRecord(const GatewayIncarnation &self)
+    {
+        UsageReporter reporter(self, leaseTime);
+        reporter.onRead(std::nullopt, 0, Time(-leaseTime), 0);
+        reporter.invalidate();
+        return reporter;
     }
 
     static GatewayIncarnation gatewayId(std::uint64_t gateway, std::uint64_t incarnation)
@@ -98,16 +108,23 @@
         return view;
     }
 
-    bool write(const UsageRecord &record, const std::optional<std::uint64_t> &over)
+    bool write(const UsageRecord &record, StoreRevision over)
     {
-        const bool matches = over ? stored && *over == revision : !stored;
-        if (!matches)
+        const bool matches = over.isKnown() ? stored && over == revision : !stored;
+        if (!matches || over.era != revision.era)
             return false;
         stored = record;
-        ++revision;
+        ++revision.number;
         return true;
     }
 
+    /// The store is restored from an older copy: its new era has no record.
+    void restore()
+    {
+        stored.reset();
+        revision = {revision.era + 1, 0};
+    }
+
     void report(const UsageRecord &record)
     {
         const auto [it, isFirst] = accepted.emplace(record.window, record.counts);
@@ -140,7 +157,7 @@
             std::optional<StoredUsage> read;
             if (stored)
                 read = StoredUsage{*stored, revision};
-            next.reporters[gateway].onRead(read, now);
+            next.reporters[gateway].onRead(read, revision.era, now, viewAt(gateway).dueWindow + 1);
             take(std::move(next));
         }
         for (const Delivery delivery : deliveries) {
@@ -211,6 +228,12 @@
                 take(std::move(next));
             }
         }
+        if (restoresLeft > 0) {
+            Model next = *this;
+            --next.restoresLeft;
+            next.restore();
+            take(std::move(next));
+        }
         Model later = *this;
         later.now += tick;
         take(std::move(later));
@@ -225,12 +248,15 @@
     WindowNumber lastAccepted = 0; ///< the last window with an accepted report
 };
 
-/// Visits every state that can be reached by \p horizon with at most \p faults faults.
-SearchResult explore(std::size_t gateways, Duration lease, int faults, Time horizon)
+/// Visits every state that can be reached by \p horizon with at most \p faults faults and \p
+/// restores of the store.
+SearchResult explore(std::size_t gateways, Duration lease, int faults, Time horizon,
+                     int restores = 0)
 {
     SearchResult result;
     std::set<Model> seen;
     std::deque<Model> frontier{Model(gateways, lease, faults)};
+    frontier.front().restoresLeft = restores;
     while (!frontier.empty()) {
         const Model model = std::move(frontier.front());
         frontier.pop_front();
@@ -263,6 +289,8 @@
     CPPUNIT_TEST(oldWindowsAreNotReported);
     CPPUNIT_TEST(noOrderOfEventsBreaksTheInvariant);
     CPPUNIT_TEST(shorterLeaseIsDetected);
+    CPPUNIT_TEST(windowReportedBeforeARestoreIsNotReportedAgain);
+    CPPUNIT_TEST(noRestoreOfTheStoreBreaksTheInvariant);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -288,7 +316,7 @@
     static UsageReporter holder()
     {
         UsageReporter reporter(gatewayId("a"), seconds(3));
-        reporter.onRead(std::nullopt, start);
+        reporter.onRead(std::nullopt, 0, start - seconds(3), 1);
         const UsageAction action = reporter.next(view(start, 1, 5));
         reporter.onWritten(action.record, 11, start);
         return reporter;
@@ -298,10 +326,10 @@
     {
         UsageReporter reporter(gatewayId("a"), seconds(3));
         CPPUNIT_ASSERT(reporter.next(view(start, 1, 5)).step == UsageStep::Read);
-        reporter.onRead(std::nullopt, start);
+        reporter.onRead(std::nullopt, 0, start - seconds(3), 1);
         const UsageAction write = reporter.next(view(start, 1, 5));
         CPPUNIT_ASSERT(write.step == UsageStep::Write);
-        CPPUNIT_ASSERT(!write.revision);
+        CPPUNIT_ASSERT(!write.revision.isKnown());
         reporter.onWritten(write.record, 11, start);
         const UsageAction send = reporter.next(view(start, 1, 9));
         CPPUNIT_ASSERT(send.step == UsageStep::Send);
@@ -311,18 +339,18 @@
         CPPUNIT_ASSERT(reporter.next(view(start, 1, 9)).step == UsageStep::Idle);
         const UsageAction second = reporter.next(view(start + seconds(5), 2, 7));
         CPPUNIT_ASSERT(second.step == UsageStep::Write);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, *second.revision);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{11}, second.revision.number);
         CPPUNIT_ASSERT_EQUAL(FencingToken{1}, second.record.token);
     }
 
     void writeWithoutReplyIsReadBack()
     {
         UsageReporter reporter(gatewayId("a"), seconds(3));
-        reporter.onRead(std::nullopt, start);
+        reporter.onRead(std::nullopt, 0, start - seconds(3), 1);
         const UsageAction write = reporter.next(view(start, 1, 5));
         reporter.invalidate();
         CPPUNIT_ASSERT(reporter.next(view(start, 1, 6)).step == UsageStep::Read);
-        reporter.onRead(StoredUsage{write.record, 11}, start + seconds(1));
+        reporter.onRead(StoredUsage{write.record, 11}, 0, start + seconds(1), 2);
         const UsageAction renew = reporter.next(view(start + seconds(1), 1, 6));
         CPPUNIT_ASSERT(renew.step == UsageStep::Write);
         CPPUNIT_ASSERT(renew.record.counts == write.record.counts);
@@ -332,9 +360,9 @@
     {
         const UsageReporter first = holder();
         UsageReporter next(gatewayId("b"), seconds(3));
-        next.onRead(first.lastKnown(), start + seconds(1));
+        next.onRead(first.lastKnown(), 0, start + seconds(1), 2);
         CPPUNIT_ASSERT(next.next(view(start + seconds(2), 2, 8)).step == UsageStep::Read);
-        next.onRead(first.lastKnown(), start + seconds(4));
+        next.onRead(first.lastKnown(), 0, start + seconds(4), 2);
         const UsageAction take = next.next(view(start + seconds(4), 2, 8));
         CPPUNIT_ASSERT(take.step == UsageStep::Write);
         CPPUNIT_ASSERT(take.isTakeover);
@@ -359,7 +387,7 @@
     void emptyWindowsAreSkipped()
     {
         UsageReporter reporter(gatewayId("a"), seconds(3));
-        reporter.onRead(std::nullopt, start);
+        reporter.onRead(std::nullopt, 0, start - seconds(3), 1);
         UsageView early = view(start, 1, 0);
         early.isComplete = false;
         CPPUNIT_ASSERT(reporter.next(early).step == UsageStep::Idle);
@@ -373,7 +401,7 @@
     void standbyThatKnowsOfNoCallsSkipsNothing()
     {
         UsageReporter next(gatewayId("b"), seconds(3));
-        next.onRead(holder().lastKnown(), start);
+        next.onRead(holder().lastKnown(), 0, start, 2);
         CPPUNIT_ASSERT(next.next(view(start + seconds(4), 2, 0)).step == UsageStep::Idle);
         CPPUNIT_ASSERT_EQUAL(WindowNumber{2}, next.nextWindow(2));
         UsageView later = view(start + seconds(4), 3, 0);
@@ -407,6 +435,32 @@
     {
         CPPUNIT_ASSERT(explore(2, leaseTime * 3, 0, Time(tick * 4)).isViolated);
     }
+
+    /// The store lost the record of window 1. A gateway that counted other calls would report that
+    /// window once more, and under the token that the lost record had.
+    void windowReportedBeforeARestoreIsNotReportedAgain()
+    {
+        const UsageReporter first = holder();
+        UsageReporter next(gatewayId("b"), seconds(3));
+        next.onRead(first.lastKnown(), 0, start, 2);
+        next.onRead(std::nullopt, 1, start + seconds(1), 2);
+        CPPUNIT_ASSERT(next.next(view(start + seconds(2), 1, 8)).step == UsageStep::Idle);
+        CPPUNIT_ASSERT(next.next(view(start + seconds(4), 1, 8)).step == UsageStep::Idle);
+        const UsageAction write = next.next(view(start + seconds(4), 2, 8));
+        CPPUNIT_ASSERT(write.step == UsageStep::Write);
+        CPPUNIT_ASSERT_EQUAL(WindowNumber{2}, write.record.window);
+        CPPUNIT_ASSERT(write.record.token > first.lastKnown()->record.token);
+        CPPUNIT_ASSERT(write.revision == StoreRevision(1, 0));
+    }
+
+    /// Two gateways report, and the store may be restored at any step.
+    void noRestoreOfTheStoreBreaksTheInvariant()
+    {
+        const SearchResult result = explore(2, leaseTime, 0, Time(tick * 5), 1);
+        CPPUNIT_ASSERT(!result.isViolated);
+        CPPUNIT_ASSERT(result.lastAccepted >= 3);
+        CPPUNIT_ASSERT(!explore(2, leaseTime, 1, Time(tick * 3), 1).isViolated);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UsageReporterTest);
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -103,10 +103,10 @@
     Incarnation incarnation;
     std::uint64_t sequence = 0; ///< increases with each message of an incarnation
     std::uint64_t configVersion = 0;
-    std::uint64_t registryRevision = 0;
-    std::uint64_t evacuationRevision = 0; ///< see Evacuations::revision()
+    StoreRevision registryRevision;
+    StoreRevision evacuationRevision; ///< see Evacuations::revision()
     std::uint32_t evacuationChecksum = 0; ///< see Evacuations::checksum()
-    std::uint64_t rosterRevision = 0; ///< see GatewayRoster::revision
+    StoreRevision rosterRevision; ///< see GatewayRoster::revision
     std::int32_t ageMs = unknownAge; ///< time since the state was last known to be current
     UnixMillis clock = 0; ///< time of day at the sender
     std::uint64_t quarantineChecksum = 0; ///< see CrashTracker::checksum()
--- a/src/peer/gatewaymessages_test.cpp
+++ b/src/peer/gatewaymessages_test.cpp
@@ -135,7 +135,7 @@
             decodeGatewayHeartbeat(bytes, &reason);
             decodeStateUpdate(bytes, &reason);
             const auto query = decodeStateQuery(bytes, &reason);
-            RC_ASSERT(!query || bytes.size() == 48);
+            RC_ASSERT(!query || bytes.size() == 72);
         }));
     }
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -460,7 +460,9 @@
     if (!isLocalBehind)
         confirmState(heartbeat, now);
     // The roster is not part of the state that a peer confirms, since calls do not depend on it.
-    if (!isLocalBehind && heartbeat.rosterRevision <= m_state.roster().revision) {
+    const bool hasNewerRoster =
+        heartbeat.rosterRevision.isKnown() && heartbeat.rosterRevision > m_state.roster().revision;
+    if (!isLocalBehind && !hasNewerRoster) {
         m_behindSince.reset();
         return;
     }
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -188,10 +188,10 @@
     std::vector<Endpoint> m_otherGateways; ///< cache of otherGateways()
     std::optional<Time> m_otherGatewaysAt;
     /// Number of peers and roster revision that m_otherGateways was made from.
-    std::pair<std::size_t, std::uint64_t> m_otherGatewaysVersion;
+    std::pair<std::size_t, StoreRevision> m_otherGatewaysVersion;
     /// Peers and the gateways of the roster, by vmHash().
     std::unordered_map<std::uint32_t, GatewayEntry> m_gatewaysByHash;
-    std::uint64_t m_indexedRosterRevision = 0; ///< that m_gatewaysByHash holds
+    StoreRevision m_indexedRosterRevision; ///< that m_gatewaysByHash holds
     std::mt19937_64 m_random{std::random_device{}()};
     /// Position in the rotation over targets. Starts at random: all gateways have the others in the
     /// same order, so that those started together would all send to the same few gateways, and the
--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -259,7 +259,8 @@
 {
     const UsageReply reply = co_await m_platform->read();
     if (reply.result == UsageResult::Done) {
-        m_reporter.onRead(reply.stored, RuntimeClock::now());
+        m_reporter.onRead(reply.stored, reply.era, RuntimeClock::now(),
+                          m_table.windowAt(m_peers.timeOfDay()));
         logHolder();
     } else {
         recordFailure("read", reply);
--- a/src/peer/usagelink_test.cpp
+++ b/src/peer/usagelink_test.cpp
@@ -50,20 +50,19 @@
         co_return reply;
     }
 
-    boost::asio::awaitable<UsageReply> write(UsageRecord record,
-                                             std::optional<std::uint64_t> revision) override
+    boost::asio::awaitable<UsageReply> write(UsageRecord record, StoreRevision revision) override
     {
         ++m_backend.calls;
         UsageReply reply;
         if (isUnreachable())
             co_return reply;
-        const bool isExpected = revision
-            ? m_backend.stored && m_backend.stored->revision == *revision
+        const bool isExpected = revision.isKnown()
+            ? m_backend.stored && m_backend.stored->revision == revision
             : !m_backend.stored;
         reply.result = isExpected ? UsageResult::Done : UsageResult::Conflict;
         if (isExpected)
-            m_backend.stored = StoredUsage{std::move(record), revision.value_or(0) + 1};
-        reply.revision = revision.value_or(0) + 1;
+            m_backend.stored = StoredUsage{std::move(record), revision.number + 1};
+        reply.revision = revision.number + 1;
         if (m_backend.losesReplies)
             reply.result = UsageResult::Unknown;
         co_return reply;
