Cut the change log of a directory that takes over a revision by its digest

What callers would see: an upstream that departed stays in use at a gateway.

Cause: an update without changes looks the same whether there were none or the digests were equal. Now the log of the receiver begins anew with any update without changes; a gateway further behind gets the list, or nothing if its digest is equal.

--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -161,7 +161,9 @@
         return changed;
     const bool catchesUp = m_catchesUp;
     prepareForEra(update.revision.era, now);
-    if (update.snapshot || update.revision.era != m_revision.era)
+    // Without changes, the sender's digest may be the same, while its changes are not known.
+    const bool isGap = update.changes.empty() || update.revision.era != m_revision.era;
+    if (update.snapshot || isGap)
         advanceToList(update.revision);
     m_revision = update.revision;
     HeldUntil held;
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(leavingEntriesAreNotHeld);
     CPPUNIT_TEST(firstContactHoldsNothing);
     CPPUNIT_TEST(sameRegistryAtAnotherRevisionIsNotSent);
+    CPPUNIT_TEST(departureBehindAnEqualDigestIsNotLost);
     CPPUNIT_TEST(heldEntriesAreSentSeparately);
     CPPUNIT_TEST(heldEntryOfAnotherIsNotAddedWithChanges);
     CPPUNIT_TEST(departureSeenAfterTheFirstAnswerIsNotHeld);
@@ -223,6 +224,21 @@
             empty.updateSince(0, start, UpstreamDirectory().digest()).snapshot.has_value());
     }
 
+    /// A gateway took over a later revision as its digest was the peer's, without the changes in
+    /// between. To one that had missed a departure among these, it then sent no changes.
+    void departureBehindAnEqualDigestIsNotLost()
+    {
+        UpstreamDirectory lister;
+        lister.replaceAll({entry("a", 5)}, 30, start); // "b" came and left
+        UpstreamDirectory between;
+        between.replaceAll({entry("a", 5)}, 10, start);
+        between.applyUpdate(lister.updateSince(10, start, between.digest()), start);
+        UpstreamDirectory behind;
+        behind.replaceAll({entry("a", 5), entry("b", 15)}, 20, start);
+        behind.applyUpdate(between.updateSince(20, start, behind.digest()), start);
+        CPPUNIT_ASSERT(behind.find(UpstreamId("b")) == nullptr);
+    }
+
     void heldEntriesAreSentSeparately()
     {
         const Time regained = start + seconds(9);
