upstream: an exit is recognized while the exiting process still listens

What was seen: testsuite/ended-engines failed beside 14 busy processes: three engines were killed under one stream, and the router sent the request to the fourth.

Cause: after a lost call the agent connects to its upstream, and takes an accepted connection for a sign of life. A killed process may close the connections in use before its listening socket. So the crash was not reported, and not counted.

Change: the probe's connection must stay open until the probe's time is over, 200 ms; one that is closed is tried again after 5 ms. The report of a lost call of a living upstream is later by that time.

UpstreamClientTest::exitThatStopsListeningLastIsAnExit failed before, passes now. Not changed: the gateways' own probe has the same assumption (CrashDetector); no record shows it there.

--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -4,6 +4,7 @@
 #include "upstream/upstreamclient.h"
 
 #include <algorithm>
+#include <array>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -32,8 +33,10 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 /// Timeout of the probe whether an upstream still listens, which delays the report of a lost call.
-/// The upstream runs on the agent's VM, so that it accepts or refuses in much less time.
+/// The upstream runs on the agent's VM, so that an exit completes in much less time.
 constexpr Duration probeTimeout = milliseconds(200);
+/// Delay before another probe of an upstream that closed the connection of the last one.
+constexpr Duration probeInterval = milliseconds(5);
 
 /// The failure for an engine's answer with a status other than 200.
 UpstreamFailure statusFailure(const AttemptKey &key, unsigned status)
@@ -126,14 +129,27 @@
     co_await emit(std::move(failure));
 }
 
+/// Returns whether the upstream stopped listening. An exiting process may accept connections for
+/// some time after it has lost those in use, and then closes them, so one must stay open.
 asio::awaitable<bool> UpstreamClient::refusesConnections()
 {
-    beast::tcp_stream stream(m_io);
-    stream.expires_after(probeTimeout);
+    const Time limit = RuntimeClock::now() + probeTimeout;
     const asio::ip::tcp::endpoint to(asio::ip::make_address(m_options.upstream.address),
                                      m_options.upstream.port);
-    const auto [ec] = co_await stream.async_connect(to, asTuple);
-    co_return ec == asio::error::connection_refused;
+    while (RuntimeClock::now() < limit) {
+        beast::tcp_stream stream(m_io);
+        stream.expires_after(limit - RuntimeClock::now());
+        const auto [connectError] = co_await stream.async_connect(to, asTuple);
+        if (connectError)
+            co_return connectError == asio::error::connection_refused;
+        std::array<char, 1> buf{};
+        const auto [readError, n] = co_await stream.async_read_some(asio::buffer(buf), asTuple);
+        if (!readError || readError == beast::error::timeout)
+            co_return false;
+        Timer timer(m_io, probeInterval);
+        co_await timer.async_wait(asTuple);
+    }
+    co_return false;
 }
 
 UpstreamClient::Awaitable UpstreamClient::callEngine(StartUpstreamCall call)
--- a/src/upstream/upstreamclient_test.cpp
+++ b/src/upstream/upstreamclient_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(closedServiceCallIsNotAnExit);
     CPPUNIT_TEST(serverErrorIsNotAnExit);
     CPPUNIT_TEST(refusedReconnectIsAnExit);
+    CPPUNIT_TEST(exitThatStopsListeningLastIsAnExit);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -142,6 +143,27 @@
         CPPUNIT_ASSERT(failureOfClosedConnection(true, true).upstreamExited);
         CPPUNIT_ASSERT(failureOfClosedConnection(false, true).upstreamExited);
     }
+
+    /// A killed process may lose its connections some milliseconds before its listening socket,
+    /// which accepts the probe meanwhile and closes it. Three engines were killed under one request
+    /// that way, and the router sent it to a fourth.
+    void exitThatStopsListeningLastIsAnExit()
+    {
+        boost::asio::io_context io;
+        tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+        const std::uint16_t port = acceptor.local_endpoint().port();
+        std::thread thread([&] {
+            tcp::socket socket = acceptor.accept();
+            std::array<char, 4096> request{};
+            socket.read_some(boost::asio::buffer(request));
+            socket.close();
+            std::this_thread::sleep_for(std::chrono::milliseconds(30));
+            acceptor.close();
+        });
+        const UpstreamEvent event = callUpstream(port, true);
+        thread.join();
+        CPPUNIT_ASSERT(std::get<UpstreamFailure>(event).upstreamExited);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamClientTest);
