Reword two comments on restores of the store

Read as a newcomer: 'restored' was said of a zone and of the store in one header, and a list item was broken in three lines. No code changes.

--- a/src/include/reachlead/evacuations.h
+++ b/src/include/reachlead/evacuations.h
@@ -25,7 +25,7 @@
 struct HeldZone
 {
     ZoneName zone;
-    std::int32_t leftMs = 0; ///< until it is considered restored
+    std::int32_t leftMs = 0; ///< until its upstreams get calls again
 
     template <class Archive> void serialize(Archive &ar) { ar(zone, leftMs); }
 };
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -110,9 +110,8 @@
 /// list replaces the known state, except for what the copy cannot know:
 ///  - entries that are missing are held as after an outage, since their upstreams write them again;
 ///  - an upstream that was known to leave stays out of use, whatever its entry reports;
-///  - an upstream whose entry had been removed is withheld until the entry changes, or has been
-///  there
-///    for longer than the registry keeps the entry of an upstream that does not renew it.
+///  - an upstream whose entry had been removed is withheld until it writes another entry, or until
+///    the registry would have removed the entry of an upstream that does not renew it.
 ///
 /// An upstream that restarted under its name is a new upstream: its earlier incarnation is removed
 /// at once and not held, and a late message about it has no effect.
