--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -110,6 +110,7 @@
     unsigned m_connectRefusals = 0; ///< as in ForwardState
     bool m_mayHaveRun = false;
     UpstreamId m_lastUpstream;
+    SoftwareVersion m_lastVersion; ///< of m_lastUpstream, as known when the call was sent
     std::string m_lastReason;
     bool m_isConnectionRefused = false; ///< by the last upstream
     double m_lastCost = 0;
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -121,6 +121,7 @@
     const UpstreamEntry entry = *state.directory().find(selection->upstream);
     m_tried.insert(entry.id);
     m_lastUpstream = entry.id;
+    m_lastVersion = entry.softwareVersion;
     m_lastCost = selection->cost;
     m_pendingPrefillTokens = selection->prefillTokens;
     m_prefillTokens = selection->prefillTokens;
@@ -149,6 +150,7 @@
         .with("attempt", m_metadata.attemptId)
         .with("after", toString(result))
         .with("upstream", entry.id.text)
+        .with("version", entry.softwareVersion.text)
         .with("reason", m_lastReason)
         .with("sends", m_sends)
         .with("ms_left", static_cast<std::int64_t>(toMillis(timeLeft())));
@@ -284,6 +286,7 @@
         .with("request", toString(digest()))
         .with("upstream", entry.id.text)
         .with("born", entry.id.startedAt)
+        .with("version", entry.softwareVersion.text)
         .with("events", m_events.eventCount())
         .with("ahead", m_tokensToFirstEvent)
         .with("running", m_context.state.upstreams().load(entry.id, RuntimeClock::now()).running)
--- a/src/include/reachlead/ids.h
+++ b/src/include/reachlead/ids.h
@@ -37,6 +37,9 @@
 using ZoneName = Name<struct ZoneTag>;
 using RegionName = Name<struct RegionTag>;
 
+/// The version of an upstream's software; empty: not given. Versions have no order.
+using SoftwareVersion = Name<struct SoftwareVersionTag>;
+
 /// The target of a request, a model or a plain service, as `model:NAME` or `service:NAME`.
 using TargetName = Name<struct TargetTag>;
 
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -40,11 +40,13 @@
     unsigned slots = 1; ///< requests that it runs concurrently
     bool leaving = false; ///< takes no new work
     std::uint32_t coldLeftMs = 0; ///< remaining cold time when the entry was written
+    SoftwareVersion softwareVersion;
     StoreRevision revision; ///< of the entry's last change
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(id, service, address.address, address.port, zone, slots, leaving, coldLeftMs, revision);
+        ar(id, service, address.address, address.port, zone, slots, leaving, coldLeftMs,
+           softwareVersion, revision);
     }
 };
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -311,6 +311,7 @@
             .with("born", id.startedAt)
             .with("service", entry != nullptr ? entry->service.text : "-")
             .with("zone", entry != nullptr ? entry->zone.text : "-")
+            .with("version", entry != nullptr ? entry->softwareVersion.text : "-")
             .with("source", source)
             .with("revision", m_directory.revision().number);
     }
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -24,7 +24,8 @@
 {
     const auto content = [](const UpstreamEntry &entry) {
         return std::tie(entry.id, entry.service, entry.address.address, entry.address.port,
-                        entry.zone, entry.slots, entry.leaving, entry.coldLeftMs);
+                        entry.zone, entry.slots, entry.leaving, entry.coldLeftMs,
+                        entry.softwareVersion);
     };
     return content(first) == content(second);
 }
