--- a/testsuite/gateway.bash
+++ b/testsuite/gateway.bash
@@ -60,11 +60,12 @@
     echo "{\"name\":\"$1\",\"host\":\"h\",\"pathPrefix\":\"/$1/\",\"routeType\":\"$2\",\"service\":\"s\",\"maxAttempts\":2,\"timeoutMs\":20000}"
 }
 
-# send_request GATEWAY PATH [curl options...]: prints the body, then the status.
+# send_request GATEWAY PATH [curl options...]: prints the body, then the status. ATTEMPT is the id of
+# the attempt.
 send_request() {
     local gateway=$1 path=$2
     shift 2
-    curl -sS -N -w '%{http_code}\n' -H 'Host: h' -H 'Authorization: Bearer k' -H 'Attempt-Id: a' \
+    curl -sS -N -w '%{http_code}\n' -H 'Host: h' -H 'Authorization: Bearer k' -H "Attempt-Id: ${ATTEMPT:-a}" \
         -H 'Deadline-Ms: 20000' "$@" "http://127.0.0.1:${PORT[$gateway-callers]}$path"
 }
 
