Keep a stream at the software version that began it

What callers saw: streams with events of two software versions of a service, which do not fit together, inside one answer and over a caller's attempts.

Cause: the version that begins a stream was known to no process. The registry entry's version was checked for its type and dropped, and the caller's Resumes header was not read, so the selection for a lost upstream and for a returning caller took any upstream. The class: state that a continuation depends on, held by nobody, or only by the process whose loss is what makes the caller return.

Change: with the first event an answer is bound to the version of its upstream, as known at the send; the selection, its candidates, reasons and waits count only upstreams of that version, also at a gateway that places for others. The binding is copied to four other gateways when the request is sent to an upstream; a gateway to which a caller returns asks the first eight by rank. Without a binding a stream goes on only if the service has had one version lately.

The loss of half of 16 gateways leaves nine tenths of 120 streams known (StreamLinkTest); copies per stream are four with 8 and with 16 gateways.

Ruled out: that versions were known and out of date; the entries of the record's upstreams were seconds old and ids are not given twice there.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -50,6 +50,10 @@
         co_return co_await refuse(*error);
     setDeadline();
     installStopHandlers();
+    if (const auto error = co_await bindResumedStream()) {
+        m_timer.cancel();
+        co_return co_await refuse(*error);
+    }
     while (true) {
         const auto decision = co_await sendOnce();
         if (!decision)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include <reachlead/eventsplitter.h>
 #include <reachlead/forwardpolicy.h>
@@ -75,6 +76,18 @@
     const RequestDigest &digest();
     bool mayBeSuspect() const;
 
+    // Versions of streams
+    bool isResumption() const;
+    StreamKey streamKey(std::string_view attemptId) const;
+    boost::asio::awaitable<std::optional<Error>> bindResumedStream();
+    boost::asio::awaitable<StreamLookup> lookUpStream();
+    std::optional<StreamBinding> onlyKnownVersion(std::set<SoftwareVersion> versions) const;
+    bool checkVersion(const UpstreamEntry &entry);
+    void recordStream();
+    void shareStream();
+    void bindToVersion();
+    Duration timeUntilCallerGivesUp() const;
+
     // Answer to the caller
     boost::asio::awaitable<bool> finish(ForwardDecision decision);
     boost::asio::awaitable<bool> deliverAnswer();
@@ -108,6 +121,11 @@
     unsigned m_sends = 0; ///< attempts that may have reached an upstream
     unsigned m_connectFailures = 0; ///< as in ForwardState
     unsigned m_connectRefusals = 0; ///< as in ForwardState
+    /// Set once the version that began the stream is known: before the first send of a resumed
+    /// stream, and with the first event of a new one.
+    std::optional<StreamBinding> m_binding;
+    std::optional<SoftwareVersion> m_sharedVersion; ///< last recorded for other gateways
+    bool m_wasMoved = false; ///< another version was recorded before
     bool m_mayHaveRun = false;
     UpstreamId m_lastUpstream;
     SoftwareVersion m_lastVersion; ///< of m_lastUpstream, as known when the call was sent
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -153,6 +153,7 @@
 {
     recordFirstByte();
     recordTokenGap(RuntimeClock::now());
+    bindToVersion();
     if (!m_headDelivered) {
         const bool sent = co_await sendHead();
         if (!sent)
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -35,7 +35,8 @@
     query.slack = {milliseconds(m_route->targetLatencyMs), timeLeft(),
                    m_table->isMostUrgent(*m_route, m_service), m_route->priority};
     query.permittedZones = m_zones ? &*m_zones : nullptr;
-    query.mayRefuse = m_tried.empty() && !m_metadata.resumeAfter;
+    query.softwareVersion = m_binding ? &m_binding->version : nullptr;
+    query.mayRefuse = m_tried.empty() && !isResumption();
     return query;
 }
 
@@ -64,6 +65,11 @@
         const SelectionQuery query = makeSelectionQuery();
         const UpstreamTable &table = m_context.state.upstreams();
         const Time now = RuntimeClock::now();
+        const auto isOfVersion = [&](const UpstreamEntry *entry) {
+            return UpstreamTable::isOfVersion(query, *entry);
+        };
+        if (std::ranges::none_of(directory.usableUpstreams(m_service), isOfVersion))
+            return ErrorKind::NoUpstreamOfVersion;
         if (table.isBlockedByBackoff(query, directory, now))
             return ErrorKind::UpstreamBackoff;
         if (table.isBlockedByLimit(query, directory, now))
@@ -209,10 +215,15 @@
         ++(m_isConnectionRefused ? m_connectRefusals : m_connectFailures);
         co_return SendResult::NotConnected;
     }
+    if (!checkVersion(entry)) {
+        m_lastReason = "the upstream has another software version now";
+        co_return SendResult::NotConnected;
+    }
     if (m_sends == 0)
         m_context.state.retries().recordFirstSend(m_service, RuntimeClock::now());
     ++m_sends;
     m_context.counters.add(Counter::Dispatched);
+    recordStream();
     m_exchange.emplace(m_channel, m_context.headerCodec);
     const UpstreamCall call = makeCall(entry);
     bool isOk = co_await m_exchange->write(call);
--- /dev/null
+++ b/src/forward/forwardcall_streams.cpp
@@ -0,0 +1,143 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The part of ForwardCall that keeps a stream at the software version that began it.
+
+#include "forwardcall.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include <reachlead/log.h>
+
+namespace reachlead {
+
+namespace asio = boost::asio;
+
+/// True if the caller continues a stream that an earlier attempt began.
+bool ForwardCall::isResumption() const
+{
+    const bool isResumable = m_route->kind == RouteKind::Stream && m_route->resumable;
+    return isResumable && (m_metadata.isResumption || !m_metadata.resumedAttempt.empty());
+}
+
+StreamKey ForwardCall::streamKey(std::string_view attemptId) const
+{
+    return computeStreamKey(m_account != nullptr ? m_account->name : AccountName(), attemptId);
+}
+
+/// Finds out which version began a resumed stream. Returns an error if that is not known.
+asio::awaitable<std::optional<Error>> ForwardCall::bindResumedStream()
+{
+    if (!isResumption())
+        co_return std::nullopt;
+    m_context.counters.add(Counter::StreamsResumed);
+    StreamLookup found;
+    if (!m_metadata.resumedAttempt.empty())
+        found = co_await lookUpStream();
+    m_binding = found.binding ? found.binding : onlyKnownVersion(std::move(found.versions));
+    LogLine(LogLevel::Info, "stream-resumed")
+        .with("attempt", m_metadata.attemptId)
+        .with("resumes", m_metadata.resumedAttempt)
+        .with("resume_after", m_metadata.resumeAfter.value_or(0))
+        .with("service", m_binding ? m_binding->service.text : "-")
+        .with("version", m_binding ? m_binding->version.text : "-")
+        .with("known_by",
+              found.binding   ? found.source.text
+                  : m_binding ? "only-version"
+                              : "-")
+        .with("age_ms", found.binding ? static_cast<std::int64_t>(toMillis(found.age)) : -1);
+    if (!m_binding) {
+        m_context.counters.add(Counter::StreamsUnknown);
+        co_return Error{ErrorKind::StreamVersionUnknown,
+                        "no gateway knows the version, and the service had several"};
+    }
+    const bool isServed = std::ranges::any_of(m_route->services, [this](const ServiceShare &share) {
+        return share.service == m_binding->service;
+    });
+    if (isServed)
+        m_service = m_binding->service;
+    co_return std::nullopt;
+}
+
+asio::awaitable<StreamLookup> ForwardCall::lookUpStream()
+{
+    const StreamKey stream = streamKey(m_metadata.resumedAttempt);
+    if (m_context.streams != nullptr)
+        co_return co_await m_context.streams->find(stream, m_service);
+    StreamLookup found;
+    const Time now = RuntimeClock::now();
+    if (const auto *known = m_context.state.streams().find(stream, now)) {
+        found.binding = known->binding;
+        found.age = now - known->recordedAt;
+        found.source = m_context.state.vm();
+    }
+    co_return found;
+}
+
+/// The version that must have begun a stream that no gateway knows: the only one of the route's
+/// services in the time that callers have for resuming, here and at the gateways that reported
+/// \p versions.
+std::optional<StreamBinding> ForwardCall::onlyKnownVersion(std::set<SoftwareVersion> versions) const
+{
+    for (const ServiceShare &share : m_route->services)
+        versions.merge(m_context.state.directory().recentVersions(share.service));
+    if (versions.size() != 1)
+        return std::nullopt;
+    return StreamBinding{m_service, *versions.begin(), 0};
+}
+
+/// Returns false if the upstream is known to have another version by now than when it was selected
+/// for a stream that must stay at its version.
+bool ForwardCall::checkVersion(const UpstreamEntry &entry)
+{
+    const UpstreamEntry *current = m_context.state.directory().find(entry.id);
+    if (current != nullptr)
+        m_lastVersion = current->softwareVersion;
+    return !m_binding || m_binding->version == m_lastVersion;
+}
+
+/// Shares the version that is about to run a stream, early enough that it is known elsewhere before
+/// the first event.
+void ForwardCall::recordStream()
+{
+    const bool isResumable = m_route->kind == RouteKind::Stream && m_route->resumable;
+    if (!isResumable || m_metadata.attemptId.empty() || m_sharedVersion == m_lastVersion)
+        return;
+    m_wasMoved = m_sharedVersion.has_value();
+    m_sharedVersion = m_lastVersion;
+    shareStream();
+}
+
+void ForwardCall::shareStream()
+{
+    const StreamKey stream = streamKey(m_metadata.attemptId);
+    const StreamBinding binding{m_service, m_lastVersion, m_sends};
+    const Duration retention = timeUntilCallerGivesUp() + StreamBindings::retentionSlack;
+    if (m_context.streams != nullptr)
+        m_context.streams->record(stream, binding, retention);
+    else
+        m_context.state.streams().record(stream, binding, retention, RuntimeClock::now());
+}
+
+/// Called before events are passed on: the first ones decide the version of the stream.
+void ForwardCall::bindToVersion()
+{
+    if (m_binding)
+        return;
+    m_binding = StreamBinding{m_service, m_lastVersion, m_sends};
+    // A gateway that missed the datagram of a move would report the version of the earlier send.
+    if (m_wasMoved)
+        shareStream();
+}
+
+/// The caller's own timeout may exceed the route's, and it may return until then.
+Duration ForwardCall::timeUntilCallerGivesUp() const
+{
+    const Duration left =
+        m_metadata.timeout ? *m_metadata.timeout - (RuntimeClock::now() - m_arrivedAt) : timeLeft();
+    return std::clamp<Duration>(left, Duration{}, StreamBindings::maxRetention);
+}
+
+} // namespace reachlead
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -18,6 +18,7 @@
 #include <reachlead/crashtracker.h>
 #include <reachlead/gatewaystate.h>
 #include <reachlead/latency.h>
+#include <reachlead/streamregistry.h>
 #include <reachlead/upstreamselector.h>
 
 #include "caller/callerstream.h"
@@ -43,6 +44,7 @@
     std::shared_ptr<std::set<ForwardCall *>> activeCalls =
         std::make_shared<std::set<ForwardCall *>>();
     UpstreamSelector *selector = nullptr; ///< null: GatewayState::upstreams() selects
+    StreamRegistry *streams = nullptr; ///< null: only GatewayState::streams() is used
     CrashDetector *crashDetector =
         nullptr; ///< receives calls that lost their upstream; may be null
     /// Called for a request that completed although an upstream had crashed while running it; may
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -58,6 +58,9 @@
     LeavingReceived,
     BackoffsReceived,
     StoreRestores,
+    StreamsResumed,
+    StreamsUnknown,
+    StreamsEvicted,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -46,6 +46,8 @@
     NoUpstream,
     ZonesEvacuated,
     NoUpstreamInRegion,
+    NoUpstreamOfVersion,
+    StreamVersionUnknown,
     UpstreamLimit,
     UpstreamBackoff,
     SettingsAbsent,
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -22,6 +22,7 @@
 #include <reachlead/regions.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/routing.h>
+#include <reachlead/streambindings.h>
 #include <reachlead/upstreamdirectory.h>
 #include <reachlead/upstreamtable.h>
 #include <reachlead/watcherelection.h>
@@ -123,6 +124,7 @@
     const RegionByZone &regions() const { return m_options.regions; }
     RetryShare &retries() { return m_retries; }
     CrashTracker &crashes() { return m_crashes; }
+    StreamBindings &streams() { return m_streams; }
     const GatewayRoster &roster() const { return m_roster; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
@@ -163,6 +165,7 @@
     PlacementGroups m_groups;
     RetryShare m_retries;
     CrashTracker m_crashes;
+    StreamBindings m_streams;
     GatewayRoster m_roster;
     std::size_t m_liveGateways = 1;
     std::optional<Time> m_currentAt;
--- a/src/include/reachlead/headercodec.h
+++ b/src/include/reachlead/headercodec.h
@@ -38,6 +38,7 @@
     std::string apiKey; ///< empty: none
     std::optional<Duration> timeout; ///< how long the caller waits for the answer
     std::optional<std::uint64_t> resumeAfter; ///< the last event that the caller has received
+    bool isResumption = false; ///< names a last event, even if its id cannot be parsed
     /// The caller's attempt that brought the first event of the stream to resume; empty: not given.
     std::string resumedAttempt;
     std::string model; ///< empty: not a call to a model
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,6 +22,7 @@
 #include <reachlead/leavingupstreams.h>
 #include <reachlead/routing.h>
 #include <reachlead/storerevision.h>
+#include <reachlead/streambindings.h>
 #include <reachlead/upstreamid.h>
 
 namespace reachlead {
@@ -148,6 +150,9 @@
     /// is restored from.
     static constexpr Duration removalRetention = std::chrono::minutes(10);
 
+    /// A version without an upstream is remembered at least as long as callers may resume streams.
+    static constexpr Duration versionRetention = StreamBindings::maxRetention;
+
     /// Applies the registry's whole list as of \p revision; an older one is ignored.
     UsableChanges replaceAll(const std::vector<UpstreamEntry> &entries, StoreRevision revision,
                              Time now);
@@ -216,6 +221,9 @@
     /// The changes of the registry after \p revision; empty if they are no longer known.
     std::optional<std::vector<UpstreamChange>> changesSince(StoreRevision revision) const;
 
+    /// The software versions that the upstreams of a service have had within versionRetention.
+    std::set<SoftwareVersion> recentVersions(const ServiceName &service) const;
+
     /// Finds an upstream by the hash of its id; null if there is none.
     const UpstreamEntry *findByHash(UpstreamHash hash) const;
 
@@ -262,6 +270,7 @@
     void erase(const UpstreamId &id);
     const UpstreamEntry *findByName(const std::string &name) const;
     bool supersede(const UpstreamEntry &entry, UsableChanges *changed);
+    void recordVersions(Time now);
     void log(const UpstreamId &id);
     void buildIndex() const;
     void remove(const UpstreamId &id, Time now, const HeldUntil &held, UsableChanges *changed);
@@ -272,6 +281,8 @@
     std::map<UpstreamId, Time> m_missing; ///< end of the hold of each held entry
     std::map<UpstreamId, Removal> m_removed; ///< recently, by the registry
     std::map<UpstreamId, Time> m_withheld; ///< until when
+    std::map<ServiceName, std::map<SoftwareVersion, Time>> m_versions; ///< when last seen
+    Time m_versionsRecordedAt{};
     ZoneSet m_evacuated;
     LeavingUpstreams m_leaving;
     std::uint64_t m_changeCount = 0;
--- a/src/include/reachlead/upstreamtable.h
+++ b/src/include/reachlead/upstreamtable.h
@@ -55,6 +55,8 @@
     const ServiceInfo *serviceInfo = nullptr; ///< null: unknown
     const ZoneName *zone = nullptr; ///< of the gateway that received the call; null: the local one
     const ZoneSet *permittedZones = nullptr; ///< null: all
+    /// The version that began the stream to be continued; null: any.
+    const SoftwareVersion *softwareVersion = nullptr;
     /// Upstreams for which the selector places calls, and whose load it therefore knows; null: all
     /// upstreams are equivalent.
     const std::set<UpstreamId> *group = nullptr;
@@ -258,11 +260,17 @@
         return query.permittedZones == nullptr || query.permittedZones->contains(entry.zone);
     }
 
-    /// False if the upstream was tried, or the regions of the call exclude it.
+    /// False if another version began the stream that the call continues.
+    static bool isOfVersion(const SelectionQuery &query, const UpstreamEntry &entry)
+    {
+        return query.softwareVersion == nullptr || *query.softwareVersion == entry.softwareVersion;
+    }
+
+    /// False if the upstream was tried, or the regions or the version of the call exclude it.
     static bool isEligible(const SelectionQuery &query, const UpstreamEntry &entry)
     {
         const bool wasTried = query.tried != nullptr && query.tried->contains(entry.id);
-        return !wasTried && isInRegion(query, entry);
+        return !wasTried && isInRegion(query, entry) && isOfVersion(query, entry);
     }
 
     /// True if the service has an upstream that takes calls, was not tried and is not in backoff.
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -29,7 +29,9 @@
     "usage_sends_failed",  "usage_takeovers",
     "upstreams_ended",     "quarantines_begun",
     "limits_heard",        "leaving_heard",
-    "backoffs_heard",      "store_restores"};
+    "backoffs_heard",      "store_restores",
+    "streams_resumed",     "streams_unknown",
+    "streams_evicted"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -287,6 +287,7 @@
     handleChange(m_directory.expire(now()), "missing-after-outage");
     if (m_evacuations.expire(now()))
         applyEvacuations("missing-after-restore");
+    m_streams.dropExpired(now());
     m_crashes.dropExpired(now());
     m_upstreams.limits().dropExpired(now());
     m_upstreams.backoffs().dropExpired(now());
--- a/src/libreachlead/requestdigest.cpp
+++ b/src/libreachlead/requestdigest.cpp
@@ -3,31 +3,19 @@
 
 #include <reachlead/requestdigest.h>
 
-#include <array>
 #include <charconv>
-#include <cstring>
-#include <memory>
 
 #include <fmt/format.h>
-#include <openssl/evp.h>
 #include <xxhash.h>
 
+#include "fieldhash.h"
+
 namespace reachlead {
 
 namespace {
 
 constexpr std::size_t hexDigitsPerWord = 16;
 
-using Hash = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
-
-/// Hashes a field after its length, so that different lists of fields never give the same input.
-void hashField(const Hash &hash, std::string_view text)
-{
-    const std::uint64_t size = text.size();
-    EVP_DigestUpdate(hash.get(), &size, sizeof size);
-    EVP_DigestUpdate(hash.get(), text.data(), text.size());
-}
-
 std::optional<std::uint64_t> parseHexWord(std::string_view text)
 {
     constexpr int base = 16;
@@ -42,17 +30,10 @@
 
 RequestDigest computeDigest(const RequestContent &content)
 {
-    const Hash hash(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
-    EVP_DigestInit_ex(hash.get(), EVP_sha256(), nullptr);
-    hashField(hash, content.account.text);
-    hashField(hash, content.host);
-    hashField(hash, content.target);
-    hashField(hash, content.body);
-    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
-    EVP_DigestFinal_ex(hash.get(), bytes.data(), nullptr);
     RequestDigest digest;
     digest.fastHash = computeFastHash(content);
-    std::memcpy(&digest.secureHash, bytes.data(), sizeof digest.secureHash);
+    digest.secureHash =
+        pvt::hashFields({content.account.text, content.host, content.target, content.body})[0];
     return digest;
 }
 
--- a/src/libreachlead/upstreamdirectory.cpp
+++ b/src/libreachlead/upstreamdirectory.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <ranges>
 #include <set>
 #include <tuple>
@@ -14,6 +15,13 @@
 
 namespace reachlead {
 
+namespace {
+
+/// Interval at which the versions of all entries are recorded as seen.
+constexpr Duration versionInterval = seconds(10);
+
+} // namespace
+
 UpstreamHash upstreamHash(const UpstreamId &id)
 {
     const std::uint64_t seed = XXH64(&id.startedAt, sizeof id.startedAt, 0);
@@ -240,6 +248,7 @@
 UpstreamDirectory::UsableChanges UpstreamDirectory::expire(Time now)
 {
     UsableChanges changed;
+    recordVersions(now);
     for (auto it = m_missing.begin(); it != m_missing.end();) {
         if (it->second > now) {
             ++it;
@@ -292,6 +301,30 @@
     return it == m_usable.end() ? none : it->second;
 }
 
+std::set<SoftwareVersion> UpstreamDirectory::recentVersions(const ServiceName &service) const
+{
+    std::set<SoftwareVersion> versions;
+    if (const auto it = m_versions.find(service); it != m_versions.end())
+        std::ranges::copy(it->second | std::views::keys, std::inserter(versions, versions.end()));
+    return versions;
+}
+
+/// Records the versions of all entries as seen, and forgets those not seen within versionRetention.
+void UpstreamDirectory::recordVersions(Time now)
+{
+    if (now < m_versionsRecordedAt + versionInterval)
+        return;
+    m_versionsRecordedAt = now;
+    for (const UpstreamEntry &entry : m_entries | std::views::values)
+        m_versions[entry.service][entry.softwareVersion] = now;
+    for (auto &versions : m_versions | std::views::values) {
+        std::erase_if(versions, [now](const auto &it) {
+            return it.second + versionRetention + versionInterval < now;
+        });
+    }
+    std::erase_if(m_versions, [](const auto &it) { return it.second.empty(); });
+}
+
 const UpstreamEntry *UpstreamDirectory::findByHash(UpstreamHash hash) const
 {
     buildIndex();
@@ -435,6 +468,7 @@
     const bool wasLeaving = !isNew && it->second.leaving;
     keepLeaving(it->second, entry, now);
     it->second = entry;
+    m_versions[entry.service][entry.softwareVersion] = now;
     if (isNew && !entry.leaving && !m_withheld.contains(entry.id))
         changed->added.push_back(entry.id);
     if (entry.leaving && !wasLeaving)
--- a/src/libreachlead/upstreamdirectory_test.cpp
+++ b/src/libreachlead/upstreamdirectory_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(holdIsNotExtendedByForwarding);
     CPPUNIT_TEST(changesAreNotSentAcrossAList);
     CPPUNIT_TEST(removalOfTheUnknownIsForwarded);
+    CPPUNIT_TEST(versionsAreRememberedAfterTheirUpstreams);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -57,6 +58,24 @@
         return made;
     }
 
+    void versionsAreRememberedAfterTheirUpstreams()
+    {
+        const ServiceName service("s");
+        UpstreamEntry first = entry("a", 5);
+        first.softwareVersion = SoftwareVersion("v1");
+        UpstreamEntry second = entry("b", 6);
+        second.softwareVersion = SoftwareVersion("v2");
+        UpstreamDirectory directory;
+        directory.replaceAll({first}, 5, start);
+        directory.applyChanges({{second, false}, removal("a")}, 6, start + seconds(60));
+        const std::set both{SoftwareVersion("v1"), SoftwareVersion("v2")};
+        CPPUNIT_ASSERT(directory.recentVersions(service) == both);
+        for (int n = 0; n < 13; ++n)
+            directory.expire(start + seconds(60 + 10 * n));
+        CPPUNIT_ASSERT(directory.recentVersions(service) == std::set{SoftwareVersion("v2")});
+        CPPUNIT_ASSERT(directory.recentVersions(ServiceName("other")).empty());
+    }
+
     void changesTakeEffectAtOnce()
     {
         UpstreamDirectory directory = known();
--- a/src/libreachlead/upstreamtable_test.cpp
+++ b/src/libreachlead/upstreamtable_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(burstOfShortPromptsFindsSlots);
     CPPUNIT_TEST(manyChunksAreNotPrefilledBesideManyStreams);
     CPPUNIT_TEST(hintsAreSentForALimitedTimeAndBounded);
+    CPPUNIT_TEST(continuedStreamKeepsToItsVersion);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -77,6 +78,42 @@
         return {ServiceName("llm"), "m", prompt, nullptr};
     }
 
+    /// Upstreams of two versions; those of v1 are the more expensive ones. What is said of v2 must
+    /// not count.
+    void continuedStreamKeepsToItsVersion()
+    {
+        const auto parts = prompt(1);
+        std::vector<UpstreamEntry> entries;
+        for (const UpstreamEntry &known : directory(6).registered()) {
+            entries.push_back(known);
+            entries.back().softwareVersion = SoftwareVersion(entries.size() <= 2 ? "v1" : "v2");
+        }
+        UpstreamDirectory upstreams;
+        upstreams.replaceAll(entries, 1, start);
+        UpstreamTable table = makeTable();
+        table.setPeerLoad(VmName("g"),
+                          {{{entries[0].id, {60, 200'000, 0}}, {entries[1].id, {60, 200'000, 0}}}},
+                          start);
+        const SoftwareVersion v1("v1");
+        const SoftwareVersion v3("v3");
+        SelectionQuery bound = query(parts);
+        CPPUNIT_ASSERT(
+            upstreams.find(table.select(bound, upstreams, start)->upstream)->softwareVersion != v1);
+        bound.softwareVersion = &v1;
+        const auto selection = table.select(bound, upstreams, start);
+        CPPUNIT_ASSERT(upstreams.find(selection->upstream)->softwareVersion == v1);
+        CPPUNIT_ASSERT(selection->minQueueWait > Duration{});
+        table.backoffs().add(entries[5].id, seconds(1), start);
+        CPPUNIT_ASSERT(!table.isBlockedByBackoff(bound, upstreams, start));
+        const std::set<UpstreamId> tried{entries[0].id, entries[1].id};
+        bound.tried = &tried;
+        CPPUNIT_ASSERT(!table.hasAlternative(bound, upstreams, start));
+        CPPUNIT_ASSERT(!table.select(bound, upstreams, start));
+        bound.tried = nullptr;
+        bound.softwareVersion = &v3;
+        CPPUNIT_ASSERT(!table.select(bound, upstreams, start));
+    }
+
     void gatewaysAgreeOnThePreferredUpstream()
     {
         const UpstreamDirectory upstreams = directory(9);
--- a/src/peer/messageauth.h
+++ b/src/peer/messageauth.h
@@ -37,7 +37,10 @@
     UsageQuery = 'v',
     UsageReport = 'u',
     CrashReport = 'c',
-    Quarantine = 'k'
+    Quarantine = 'k',
+    StreamCopy = 's',
+    StreamQuery = 'w',
+    StreamReply = 'r'
 };
 
 /// Returns a message between gateways followed by its authentication tag; without keys, the message
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -298,6 +298,8 @@
     query.mayRefuse = selectionQuery.mayRefuse;
     if (selectionQuery.permittedZones != nullptr)
         query.permittedZones = *selectionQuery.permittedZones;
+    if (selectionQuery.softwareVersion != nullptr)
+        query.softwareVersion = *selectionQuery.softwareVersion;
     return query;
 }
 
@@ -439,6 +441,7 @@
                             query.isMostUrgent, query.urgencyRank};
     selectionQuery.mayRefuse = query.mayRefuse;
     selectionQuery.permittedZones = query.permittedZones ? &*query.permittedZones : nullptr;
+    selectionQuery.softwareVersion = query.softwareVersion ? &*query.softwareVersion : nullptr;
     selectionQuery.isLocal = false;
     selectionQuery.isGroupScheduler = true;
     selectionQuery.ownsLimits = ownsGroupLimits(group);
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(callThatCannotBeginInTimeIsRefused);
     CPPUNIT_TEST(withoutItsSchedulerNothingIsRefused);
     CPPUNIT_TEST(rateSamplesReachTheScheduler);
+    CPPUNIT_TEST(continuedStreamIsPlacedAtItsVersion);
     CPPUNIT_TEST_SUITE_END();
 
     using Pair = PlacementPair;
@@ -94,6 +95,38 @@
         CPPUNIT_ASSERT_EQUAL(1U, pair.scheduler->running(at));
     }
 
+    /// By the scheduler, and by the querying gateway when the scheduler is gone or knows no
+    /// upstream.
+    void continuedStreamIsPlacedAtItsVersion()
+    {
+        Pair pair;
+        std::vector<UpstreamEntry> versions = upstreams(upstreamCount);
+        for (UpstreamEntry &entry : versions)
+            entry.softwareVersion = SoftwareVersion(entry.id == versions.back().id ? "v1" : "v2");
+        for (Node *node : {pair.scheduler.get(), pair.querier.get()})
+            node->state.upstreamsListed(versions, 2);
+        const UpstreamId only = versions.back().id;
+        pair.prompt = {{1, 100}, {2, 50}};
+        pair.softwareVersion = SoftwareVersion("v1");
+        const auto isPlacedAtOnly = [&] {
+            pair.query();
+            pair.advance(milliseconds(80));
+            return pair.placed && pair.placed->selection
+                && pair.placed->selection->upstream == only;
+        };
+        for (int n = 0; n < 5; ++n)
+            CPPUNIT_ASSERT(isPlacedAtOnly());
+        CPPUNIT_ASSERT(pair.placed->placedBy == pair.scheduler->state.vm());
+        pair.scheduler->state.upstreamsListed({versions.begin(), versions.end() - 1}, 2);
+        CPPUNIT_ASSERT(isPlacedAtOnly());
+        pair.scheduler->peers.stop();
+        CPPUNIT_ASSERT(isPlacedAtOnly());
+        pair.softwareVersion = SoftwareVersion("v3");
+        pair.query();
+        pair.advance(milliseconds(80));
+        CPPUNIT_ASSERT(pair.placed && !pair.placed->selection && !pair.placed->retryAfter);
+    }
+
     void completionIsReportedToScheduler()
     {
         Pair pair;
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -64,11 +64,12 @@
     std::uint8_t urgencyRank = 0; ///< as in LatencySlack
     bool mayRefuse = false; ///< as in SelectionQuery
     std::optional<ZoneSet> permittedZones; ///< as in SelectionQuery
+    std::optional<SoftwareVersion> softwareVersion; ///< as in SelectionQuery
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(report, queryId, zone, model, prompt, excluded, failing, targetMs, timeLeftMs,
-           isMostUrgent, urgencyRank, mayRefuse, permittedZones);
+           isMostUrgent, urgencyRank, mayRefuse, permittedZones, softwareVersion);
     }
 };
 
--- a/src/peer/placementpair.h
+++ b/src/peer/placementpair.h
@@ -139,6 +139,7 @@
         SelectionQuery selectionQuery{ServiceName("llm"), "m", prompt, nullptr};
         selectionQuery.slack = {milliseconds(600), seconds(6), false};
         selectionQuery.mayRefuse = true;
+        selectionQuery.softwareVersion = softwareVersion ? &*softwareVersion : nullptr;
         PlacementResult result = co_await querier->link.select(selectionQuery);
         if (result.selection)
             querier->state.upstreams().sent(result.selection->upstream, selectionQuery,
@@ -160,6 +161,7 @@
     std::unique_ptr<Node> scheduler;
     std::unique_ptr<Node> querier;
     std::optional<PlacementResult> placed;
+    std::optional<SoftwareVersion> softwareVersion; ///< of the queries
 };
 
 } // namespace reachlead
--- /dev/null
+++ b/src/peer/streamlink.cpp
@@ -0,0 +1,192 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/streamlink.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <ranges>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <xxhash.h>
+
+#include <reachlead/log.h>
+
+#include "peer/payload.h"
+
+namespace reachlead {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Minimum interval between updates of the known gateways.
+constexpr Duration minFleetReadInterval = milliseconds(500);
+
+/// A service has a few versions at a time.
+constexpr std::size_t maxReportedVersions = 8;
+
+std::uint64_t rank(const StreamKey &stream, const VmName &vm)
+{
+    return XXH64(vm.text.data(), vm.text.size(), stream.high);
+}
+
+} // namespace
+
+StreamLink::StreamLink(asio::io_context &io, GatewayState &state, GatewayPeers &peers,
+                       Counters *counters)
+    : m_io(io), m_state(state), m_peers(peers), m_counters(counters)
+{
+    m_peers.onDatagram(
+        {PeerMessageKind::StreamCopy, PeerMessageKind::StreamQuery, PeerMessageKind::StreamReply},
+        [this](PeerMessageKind kind, std::string_view message, const UdpEndpoint &from) {
+            handleDatagram(kind, message, from);
+        });
+}
+
+void StreamLink::refreshFleet()
+{
+    const Time now = RuntimeClock::now();
+    if (m_fleetReadAt && now < *m_fleetReadAt + minFleetReadInterval)
+        return;
+    m_fleetReadAt = now;
+    const std::set<VmName> live = m_peers.livePeers();
+    m_gateways.clear();
+    for (auto &[vm, entry] : m_peers.fleet()) {
+        if (vm != m_state.vm())
+            m_gateways.push_back({entry, live.contains(vm)});
+    }
+}
+
+/// The first \p n of the other gateways in the rendezvous order of the stream.
+std::vector<const StreamLink::Gateway *> StreamLink::rankedGateways(const StreamKey &stream,
+                                                                    std::size_t n, bool liveFirst)
+{
+    refreshFleet();
+    using Ranked = std::tuple<bool, std::uint64_t, const Gateway *>;
+    std::vector<Ranked> ranked;
+    ranked.reserve(m_gateways.size());
+    std::ranges::transform(m_gateways, std::back_inserter(ranked), [&](const Gateway &gateway) {
+        return Ranked{liveFirst && !gateway.isLive, rank(stream, gateway.entry.vm), &gateway};
+    });
+    n = std::min(n, ranked.size());
+    std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(n));
+    ranked.resize(n);
+    std::vector<const Gateway *> first;
+    std::ranges::transform(ranked, std::back_inserter(first),
+                           [](const Ranked &it) { return std::get<const Gateway *>(it); });
+    return first;
+}
+
+void StreamLink::store(const StreamKey &stream, const StreamBinding &binding, Duration retention)
+{
+    const bool hadRoom = m_state.streams().record(stream, binding, retention, RuntimeClock::now());
+    if (!hadRoom && m_counters != nullptr)
+        m_counters->add(Counter::StreamsEvicted);
+}
+
+void StreamLink::record(const StreamKey &stream, const StreamBinding &binding, Duration retention)
+{
+    store(stream, binding, retention);
+    const std::string payload =
+        pvt::encodePayload(Copy{stream, binding, static_cast<std::uint32_t>(toMillis(retention))});
+    for (const Gateway *gateway : rankedGateways(stream, copyCount, true))
+        m_peers.sendTo(gateway->entry.address, PeerMessageKind::StreamCopy, payload);
+}
+
+asio::awaitable<StreamLookup> StreamLink::find(StreamKey stream, ServiceName service)
+{
+    const Time now = RuntimeClock::now();
+    if (const StreamBindings::Record *known = m_state.streams().find(stream, now)) {
+        StreamLookup found;
+        found.binding = known->binding;
+        found.age = now - known->recordedAt;
+        found.source = m_state.vm();
+        co_return found;
+    }
+    const Query query{m_peers.incarnation(), ++m_lastQuery, stream, service};
+    Lookup lookup(m_io);
+    for (const Gateway *gateway : rankedGateways(stream, queryCount, false))
+        lookup.unanswered.insert(gateway->entry.vm);
+    const auto lookups = m_lookups; // may outlive the link
+    lookups->emplace(query.number, &lookup);
+    constexpr std::array timeouts{replyTimeout, repeatTimeout};
+    for (const Duration timeout : timeouts) {
+        if (lookup.found.binding || lookup.unanswered.empty())
+            break;
+        sendQueries(query, lookup.unanswered);
+        boost::system::error_code ec;
+        lookup.timer.expires_after(timeout);
+        co_await lookup.timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    lookups->erase(query.number);
+    co_return lookup.found;
+}
+
+void StreamLink::sendQueries(const Query &query, const std::set<VmName> &to)
+{
+    const std::string payload = pvt::encodePayload(query);
+    for (const Gateway &gateway : m_gateways) {
+        if (to.contains(gateway.entry.vm))
+            m_peers.sendTo(gateway.entry.address, PeerMessageKind::StreamQuery, payload);
+    }
+}
+
+void StreamLink::handleDatagram(PeerMessageKind kind, std::string_view message,
+                                const UdpEndpoint &from)
+{
+    std::string reason;
+    if (kind == PeerMessageKind::StreamCopy) {
+        if (const auto copy = pvt::decodePayload<Copy>(message, &reason))
+            store(copy->stream, copy->binding, milliseconds(copy->retentionMs));
+    } else if (kind == PeerMessageKind::StreamQuery) {
+        if (const auto query = pvt::decodePayload<Query>(message, &reason))
+            answer(*query, from);
+    } else if (const auto reply = pvt::decodePayload<Reply>(message, &reason)) {
+        handleReply(*reply);
+    }
+    if (!reason.empty())
+        LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
+}
+
+void StreamLink::answer(const Query &query, const UdpEndpoint &from)
+{
+    const Time now = RuntimeClock::now();
+    Reply reply;
+    reply.from = m_state.vm();
+    reply.querier = query.querier;
+    reply.number = query.number;
+    if (const StreamBindings::Record *known = m_state.streams().find(query.stream, now)) {
+        reply.binding = known->binding;
+        reply.ageMs = static_cast<std::uint32_t>(toMillis(now - known->recordedAt));
+    } else {
+        std::ranges::copy(m_state.directory().recentVersions(query.service)
+                              | std::views::take(maxReportedVersions),
+                          std::back_inserter(reply.versions));
+    }
+    m_peers.sendTo(from, PeerMessageKind::StreamReply, pvt::encodePayload(reply));
+}
+
+void StreamLink::handleReply(const Reply &reply)
+{
+    const auto it = m_lookups->find(reply.number);
+    if (reply.querier != m_peers.incarnation() || it == m_lookups->end())
+        return;
+    Lookup &lookup = *it->second;
+    if (lookup.unanswered.erase(reply.from) == 0)
+        return;
+    lookup.found.versions.insert(reply.versions.begin(), reply.versions.end());
+    const bool isNewer = reply.binding
+        && (!lookup.found.binding || lookup.found.binding->send < reply.binding->send);
+    if (isNewer) {
+        lookup.found.binding = reply.binding;
+        lookup.found.age = milliseconds(reply.ageMs);
+        lookup.found.source = reply.from;
+    }
+    if (lookup.found.binding || lookup.unanswered.empty())
+        lookup.timer.cancel();
+}
+
+} // namespace reachlead
--- /dev/null
+++ b/src/peer/streamlink_test.cpp
@@ -0,0 +1,233 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "peer/streamlink.h"
+
+namespace reachlead {
+
+/// Gateways that keep copies of stream bindings for each other over real datagrams, on a paused
+/// clock.
+class StreamLinkTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StreamLinkTest);
+    CPPUNIT_TEST(streamIsKnownAtEveryGateway);
+    CPPUNIT_TEST(gatewayThatStartsLaterFindsTheStream);
+    CPPUNIT_TEST(streamsSurviveTheLossOfHalfOfTheGateways);
+    CPPUNIT_TEST(lastSendIsFoundAfterAMove);
+    CPPUNIT_TEST(unknownStreamBringsTheVersionsInUse);
+    CPPUNIT_TEST(singleGatewayDoesNotWait);
+    CPPUNIT_TEST(copyWithAnotherKeyIsIgnored);
+    CPPUNIT_TEST(datagramsPerStreamDoNotGrowWithTheFleet);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr Time start{seconds(1000)};
+    static constexpr const char *fleetKey = "the key of this fleet";
+    static constexpr Duration retention = seconds(15);
+
+    static StreamKey stream(std::size_t n)
+    {
+        return computeStreamKey(AccountName("t"), std::to_string(n));
+    }
+    static StreamBinding binding(const std::string &version, std::uint32_t send = 1)
+    {
+        return {ServiceName("s"), SoftwareVersion(version), send};
+    }
+
+    struct Node
+    {
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
+             std::vector<Endpoint> seeds)
+            : state(stateOptions(vm)), peers(io, options(vm, key, std::move(seeds)), state),
+              link(io, state, peers, &counters)
+        { }
+        ~Node() { peers.stop(); }
+        Node(const Node &) = delete;
+        Node &operator=(const Node &) = delete;
+
+        static GatewayState::Options stateOptions(const std::string &vm)
+        {
+            GatewayState::Options options;
+            options.vm = VmName(vm);
+            return options;
+        }
+        static GatewayPeers::Options options(const std::string &vm, const std::string &key,
+                                             std::vector<Endpoint> seeds)
+        {
+            GatewayPeers::Options options;
+            options.self = {VmName(vm), {"127.0.0.1", 0}};
+            options.seeds = std::move(seeds);
+            std::string reason;
+            options.keys = FleetKeys::parse(key, &reason).value();
+            return options;
+        }
+
+        Counters counters;
+        GatewayState state;
+        GatewayPeers peers;
+        StreamLink link;
+    };
+
+    /// Gateways of one fleet on a paused clock, each with the first as its seed.
+    struct Fleet
+    {
+        explicit Fleet(std::size_t n)
+        {
+            RuntimeClock::pause(start);
+            for (std::size_t it = 0; it < n; ++it)
+                add("g" + std::to_string(it));
+            advance(seconds(2));
+        }
+        ~Fleet()
+        {
+            nodes.clear();
+            io.stop();
+            RuntimeClock::resume();
+        }
+
+        Node &add(const std::string &vm, const std::string &key = fleetKey)
+        {
+            std::vector<Endpoint> seeds;
+            if (!nodes.empty())
+                seeds.push_back({"127.0.0.1", nodes.front()->peers.port()});
+            nodes.push_back(std::make_unique<Node>(io, vm, key, seeds));
+            return *nodes.back();
+        }
+
+        void advance(Duration d)
+        {
+            constexpr Duration step = milliseconds(10);
+            for (Duration elapsed{}; elapsed < d; elapsed += step) {
+                RuntimeClock::advance(step);
+                io.restart();
+                io.run_for(std::chrono::milliseconds(2));
+            }
+        }
+
+        StreamLookup find(Node &node, std::size_t n)
+        {
+            std::optional<StreamLookup> found;
+            boost::asio::co_spawn(io, lookUp(&node.link, n, &found), boost::asio::detached);
+            const Duration limit =
+                StreamLink::replyTimeout + StreamLink::repeatTimeout + seconds(1);
+            for (Duration elapsed{}; !found && elapsed < limit; elapsed += milliseconds(10))
+                advance(milliseconds(10));
+            CPPUNIT_ASSERT(found);
+            return *found;
+        }
+        static boost::asio::awaitable<void> lookUp(StreamLink *link, std::size_t n,
+                                                   std::optional<StreamLookup> *found)
+        {
+            *found = co_await link->find(stream(n), ServiceName("s"));
+        }
+
+        boost::asio::io_context io{1};
+        std::vector<std::unique_ptr<Node>> nodes;
+    };
+
+    static std::string version(const StreamLookup &found)
+    {
+        return found.binding ? found.binding->version.text : "-";
+    }
+
+    void streamIsKnownAtEveryGateway()
+    {
+        Fleet fleet(7);
+        fleet.nodes[2]->link.record(stream(1), binding("v1"), retention);
+        fleet.advance(milliseconds(30));
+        for (const auto &node : fleet.nodes)
+            CPPUNIT_ASSERT_EQUAL(std::string("v1"), version(fleet.find(*node, 1)));
+    }
+
+    void gatewayThatStartsLaterFindsTheStream()
+    {
+        Fleet fleet(3);
+        fleet.nodes[2]->link.record(stream(1), binding("v1"), retention);
+        fleet.advance(milliseconds(30));
+        fleet.nodes.pop_back();
+        Node &newGateway = fleet.add("late");
+        fleet.advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), version(fleet.find(newGateway, 1)));
+    }
+
+    /// Half of the gateways, with the one that began the streams, are lost at once. At least nine
+    /// tenths of the streams must remain known, by the expectation 15/16.
+    void streamsSurviveTheLossOfHalfOfTheGateways()
+    {
+        constexpr std::size_t streamCount = 120;
+        Fleet fleet(16);
+        for (std::size_t n = 0; n < streamCount; ++n)
+            fleet.nodes[8 + n % 8]->link.record(stream(n), binding("v1"), retention);
+        fleet.advance(milliseconds(50));
+        fleet.nodes.resize(8);
+        std::size_t known = 0;
+        for (std::size_t n = 0; n < streamCount; ++n)
+            known += fleet.find(*fleet.nodes[n % 8], n).binding ? 1 : 0;
+        CPPUNIT_ASSERT(known * 10 >= streamCount * 9);
+    }
+
+    void lastSendIsFoundAfterAMove()
+    {
+        Fleet fleet(3);
+        fleet.nodes[0]->link.record(stream(1), binding("v1", 1), retention);
+        fleet.nodes[0]->link.record(stream(1), binding("v2", 2), retention);
+        fleet.advance(milliseconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), version(fleet.find(*fleet.nodes[1], 1)));
+    }
+
+    void unknownStreamBringsTheVersionsInUse()
+    {
+        Fleet fleet(3);
+        UpstreamEntry entry;
+        entry.id = UpstreamId("u");
+        entry.service = ServiceName("s");
+        entry.softwareVersion = SoftwareVersion("v7");
+        fleet.nodes[2]->state.upstreamsListed({entry}, 1);
+        const StreamLookup found = fleet.find(*fleet.nodes[0], 1);
+        CPPUNIT_ASSERT(!found.binding);
+        CPPUNIT_ASSERT(found.versions == std::set{SoftwareVersion("v7")});
+    }
+
+    void singleGatewayDoesNotWait()
+    {
+        Fleet fleet(1);
+        const Time before = RuntimeClock::now();
+        CPPUNIT_ASSERT(!fleet.find(*fleet.nodes[0], 1).binding);
+        CPPUNIT_ASSERT(RuntimeClock::now() - before <= milliseconds(10));
+    }
+
+    void copyWithAnotherKeyIsIgnored()
+    {
+        Fleet fleet(1);
+        Node &other = fleet.add("stranger", "a key of somebody else");
+        other.link.record(stream(1), binding("v1"), retention);
+        fleet.advance(milliseconds(30));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.nodes[0]->state.streams().size());
+    }
+
+    /// The number of copies is that of copyCount, with twice as many gateways too.
+    void datagramsPerStreamDoNotGrowWithTheFleet()
+    {
+        for (const std::size_t gateways : {8, 16}) {
+            Fleet fleet(gateways);
+            fleet.nodes[0]->link.record(stream(1), binding("v1"), retention);
+            fleet.advance(milliseconds(30));
+            std::size_t copies = 0;
+            for (std::size_t n = 1; n < gateways; ++n)
+                copies += fleet.nodes[n]->state.streams().size();
+            CPPUNIT_ASSERT_EQUAL(StreamLink::copyCount, copies);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamLinkTest);
+
+} // namespace reachlead
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -79,6 +79,7 @@
                           m_crashLink.upstreamCrashed(request, upstream);
                       }),
       m_placementLink(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
+      m_streamLink(m_io, m_state, m_peers, &m_counters),
       m_usageLink(m_io, usageOptions(settings, &m_counters), m_peers, usagePlatform(m_io)),
       m_readyServer(m_io, settings.ready,
                     [this](HttpRequest request) { return handleReady(std::move(request)); }),
@@ -88,6 +89,7 @@
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
     m_context.selector = &m_placementLink;
+    m_context.streams = &m_streamLink;
     m_context.crashDetector = &m_crashDetector;
     m_context.onRequestCleared = [this](const RequestDigest &request) {
         m_crashLink.requestCompleted(request);
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -22,6 +22,7 @@
 #include "peer/crashlink.h"
 #include "peer/gatewaypeers.h"
 #include "peer/placementlink.h"
+#include "peer/streamlink.h"
 #include "peer/usagelink.h"
 
 namespace reachlead {
@@ -68,6 +69,7 @@
     CrashLink m_crashLink;
     CrashDetector m_crashDetector;
     PlacementLink m_placementLink;
+    StreamLink m_streamLink;
     UsageLink m_usageLink;
     HttpServer m_readyServer;
     HttpServer m_operatorServer;
