router: an answer that has begun goes on only at its software version

Change: an agent names the version of its upstream in its Welcome (setting software_version); the router remembers the one that brought the first token and dispatches what is left only to agents of that version. If they have no room the request waits, 20 ms at a time; if none is available it ends as no-upstream-of-version, outcome ran. Before the first token it may go to any. The protocol's version is 5.

With the new check taken out, three of the four new tests of RouterCoreTest fail; with it all 25 pass. Not covered: an engine that is replaced by another version under a running agent (the setting is the agent's).

--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -106,6 +106,7 @@
         Builder &zone(ZoneName z);
         Builder &incarnation(Incarnation i);
         Builder &target(TargetName t);
+        Builder &softwareVersion(SoftwareVersion v);
         Builder &tuning(AgentTuning t);
         Builder &counters(Counters *c);
         std::unique_ptr<AgentCore> build() const;
@@ -116,6 +117,7 @@
         ZoneName m_zone;
         Incarnation m_incarnation{1};
         TargetName m_target;
+        SoftwareVersion m_softwareVersion;
         AgentTuning m_tuning;
         Counters *m_counters = nullptr;
     };
@@ -228,6 +230,7 @@
     ZoneName m_zone;
     Incarnation m_incarnation;
     TargetName m_target;
+    SoftwareVersion m_softwareVersion;
     AgentTuning m_tuning;
     Counters *m_counters;
     std::unique_ptr<Counters> m_ownCounters;
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -21,7 +21,7 @@
 
 /// Incremented whenever the layout of a message changes. Sessions between different versions are
 /// refused.
-inline constexpr std::uint32_t protocolVersion = 4;
+inline constexpr std::uint32_t protocolVersion = 5;
 
 /// The largest frame that either side accepts, in bytes.
 inline constexpr std::size_t maxFrameBytes = 2U << 20U;
@@ -185,12 +185,13 @@
     ZoneName zone;
     Incarnation incarnation;
     TargetName target;
+    SoftwareVersion softwareVersion; ///< of the upstream
     Load load;
     std::string proof; ///< of fleet membership
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(version, vm, zone, incarnation, target, load, proof);
+        ar(version, vm, zone, incarnation, target, softwareVersion, load, proof);
     }
 };
 
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -236,6 +236,8 @@
     void enqueue(Request &request, Time now);
     void dispatchQueued(Target &target, Time now);
     void dispatchAllQueued(Time now);
+    bool keepVersion(Request &request, Target &target, std::vector<Candidate> *eligible,
+                     std::vector<Agent *> *agents, Time now);
     bool dispatchNext(Target &target, Time now);
     void dispatch(Request &request, Agent &agent);
     std::vector<Candidate> candidates(const Target &target, Time now, std::vector<Agent *> *agents);
@@ -274,6 +276,7 @@
     void attemptFailed(Request &request, ErrorKind kind, Outcome outcome, const std::string &reason,
                        Time now);
     ErrorKind retryRefusal(Request &request, ErrorKind kind, Outcome outcome, Time now);
+    void delayDispatch(Request &request, Time retryAt, Time now);
     void requeue(Request &request, ErrorKind kind, Time now);
     void cancelAtAgent(Request &request);
     void unassign(Request &request);
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -47,6 +47,12 @@
     return *this;
 }
 
+AgentCore::Builder &AgentCore::Builder::softwareVersion(SoftwareVersion v)
+{
+    m_softwareVersion = std::move(v);
+    return *this;
+}
+
 AgentCore::Builder &AgentCore::Builder::tuning(AgentTuning t)
 {
     m_tuning = t;
@@ -66,8 +72,8 @@
 
 AgentCore::AgentCore(const Builder &from)
     : m_vm(from.m_vm), m_zone(from.m_zone), m_incarnation(from.m_incarnation),
-      m_target(from.m_target), m_tuning(from.m_tuning), m_counters(from.m_counters),
-      m_window(from.m_tuning.window)
+      m_target(from.m_target), m_softwareVersion(from.m_softwareVersion), m_tuning(from.m_tuning),
+      m_counters(from.m_counters), m_window(from.m_tuning.window)
 {
     if (!m_counters) {
         m_ownCounters = std::make_unique<Counters>();
@@ -121,6 +127,7 @@
     welcome.zone = m_zone;
     welcome.incarnation = m_incarnation;
     welcome.target = m_target;
+    welcome.softwareVersion = m_softwareVersion;
     welcome.load = load(session);
     m_actions.emplace_back(SendToRouter{session, welcome});
 }
--- a/src/libreachlead/routercore_agents.cpp
+++ b/src/libreachlead/routercore_agents.cpp
@@ -27,6 +27,7 @@
     }
     agent->zone = welcome.zone;
     agent->target = welcome.target;
+    agent->softwareVersion = welcome.softwareVersion;
     agent->incarnation = welcome.incarnation;
     agent->up = true;
     agent->lastReceived = now;
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -95,6 +95,8 @@
     if (request->lifecycle.state() == RequestState::Sent
         && !apply(*request, RequestEvent::ExecutionStarted))
         return;
+    if (request->tokens == 0)
+        request->startedBy = agent.softwareVersion;
     request->tokens += message.count;
     request->attemptTokens += message.count;
     XXH64_update(&request->hashState, message.text.data(), message.text.size());
@@ -252,8 +254,13 @@
         ++request.preemptions;
     if (!isFreeRetry(kind))
         ++request.retries;
+    delayDispatch(request, now + drawRetryDelay(std::max(1U, request.retries)), now);
+}
+
+/// Returns a request to its queue at \p retryAt, or ends it if that is too late for its class.
+void RouterCore::delayDispatch(Request &request, Time retryAt, Time now)
+{
     m_deadlines.erase({request.nextCheckAt, request.callerRequest.id});
-    const Time retryAt = now + drawRetryDelay(std::max(1U, request.retries));
     if (retryAt >= request.deadline && request.cls.late == LatePolicy::Drop) {
         finish(request,
                {ErrorKind::DeadlineQueued, request.tokens > 0 ? Outcome::Ran : Outcome::NotRun, "",
--- a/src/libreachlead/routercore_dispatch.cpp
+++ b/src/libreachlead/routercore_dispatch.cpp
@@ -11,6 +11,13 @@
 
 namespace reachlead {
 
+namespace {
+
+/// Interval at which an answer that has begun looks for room at its version: a few decoding steps.
+constexpr Duration versionRetryInterval = milliseconds(20);
+
+} // namespace
+
 void RouterCore::dispatchAllQueued(Time now)
 {
     for (auto &[name, target] : m_targets)
@@ -29,7 +36,7 @@
 bool RouterCore::dispatchNext(Target &target, Time now)
 {
     std::vector<Agent *> agents;
-    const std::vector<Candidate> eligible = candidates(target, now, &agents);
+    std::vector<Candidate> eligible = candidates(target, now, &agents);
     if (eligible.empty()) {
         target.backlogged = true;
         return false;
@@ -61,6 +68,8 @@
                now);
         return true;
     }
+    if (!keepVersion(*request, target, &eligible, &agents, now))
+        return true;
     const std::string &key = request->callerRequest.idempotencyKey;
     if (key.empty())
         dispatch(*request, *agents[*target.placement->select(eligible, m_random)]);
@@ -69,6 +78,36 @@
     return true;
 }
 
+/// Removes the agents at which an answer that has begun cannot go on, as another software version
+/// began it. Returns false if none is left: the request waits for room at its version, or ends if
+/// no agent of that version is available.
+bool RouterCore::keepVersion(Request &request, Target &target, std::vector<Candidate> *eligible,
+                             std::vector<Agent *> *agents, Time now)
+{
+    if (request.tokens == 0)
+        return true;
+    const auto isOther = [&](const VmName &name) {
+        return m_agents.at(name)->softwareVersion != request.startedBy;
+    };
+    std::erase_if(*agents, [&](const Agent *agent) { return isOther(agent->name); });
+    std::erase_if(*eligible, [&](const Candidate &it) { return isOther(it.agent); });
+    if (!agents->empty())
+        return true;
+    const bool isAvailable = std::ranges::any_of(target.agents, [&](const VmName &name) {
+        return !isOther(name) && exclusionReason(*m_agents.at(name), now).empty();
+    });
+    if (!isAvailable) {
+        finish(request,
+               {ErrorKind::NoUpstreamOfVersion, Outcome::Ran,
+                "no upstream of the version that began the answer", 0},
+               now);
+        return false;
+    }
+    target.queue->charge(request.cls.name, request.callerRequest.account, -request.cost);
+    delayDispatch(request, now + versionRetryInterval, now);
+    return false;
+}
+
 std::string RouterCore::exclusionReason(Agent &agent, Time now) const
 {
     if (!agent.up)
--- a/src/libreachlead/routercore_pvt.h
+++ b/src/libreachlead/routercore_pvt.h
@@ -32,6 +32,8 @@
     double cost = 1; ///< predicted tokens, including the prompt; charged at each dispatch
     bool mayHaveRun = false; ///< a failed attempt ran, or its outcome is unknown
     std::uint64_t tokens = 0; ///< tokens of the answer received so far
+    /// Version of the upstream that began the answer; set once there are tokens.
+    SoftwareVersion startedBy;
     std::uint64_t attemptTokens = 0; ///< of these, the tokens of the current attempt
     std::uint64_t hash = 0; ///< final hash of the text of the current attempt
     XXH64_state_t hashState{};
@@ -48,6 +50,7 @@
     VmName name;
     ZoneName zone;
     TargetName target;
+    SoftwareVersion softwareVersion; ///< of its upstream
     Incarnation incarnation;
     bool up = false;
     bool isLeavingInMembership = false;
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -18,6 +18,10 @@
     CPPUNIT_TEST(staleAttemptIsDropped);
     CPPUNIT_TEST(refusedAttemptIsRetried);
     CPPUNIT_TEST(lostUpstreamIsResumedAtTheToken);
+    CPPUNIT_TEST(begunAnswerStaysAtItsVersion);
+    CPPUNIT_TEST(answerMayMoveBeforeItsFirstToken);
+    CPPUNIT_TEST(begunAnswerWaitsForRoomAtItsVersion);
+    CPPUNIT_TEST(begunAnswerWithoutItsVersionEnds);
     CPPUNIT_TEST(notRepeatableIsNeverSentTwice);
     CPPUNIT_TEST(neverReceivedIsProof);
     CPPUNIT_TEST(restartedAgentCannotProve);
@@ -257,6 +261,71 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, singleResult().tokens);
     }
 
+    void connectVersion(const std::string &vm, const std::string &version, std::uint32_t window = 4)
+    {
+        Welcome message = welcome(vm, window);
+        message.softwareVersion = SoftwareVersion(version);
+        m_core->agentConnected(message, m_now);
+        collect();
+    }
+
+    /// Begins an answer at agent `a`, whose upstream has version v1, and loses the upstream.
+    RequestId beginAndLose(std::uint64_t tokens)
+    {
+        connectVersion("a", "v1");
+        const RequestId id = submit();
+        if (tokens > 0)
+            receive("a", Chunk{id, 1, 0, tokens, "x"});
+        m_core->setAgentLeaving(VmName("a"), true, m_now);
+        receive("a", makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::Ran));
+        return id;
+    }
+
+    void begunAnswerStaysAtItsVersion()
+    {
+        beginAndLose(2);
+        for (const char *other : {"b", "c", "d"})
+            connectVersion(other, "v2");
+        connectVersion("e", "v1");
+        advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<Dispatch>().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), sent<Dispatch>().at(0).first);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, sent<Dispatch>().at(0).second.resumeFrom);
+    }
+
+    void answerMayMoveBeforeItsFirstToken()
+    {
+        beginAndLose(0);
+        connectVersion("b", "v2");
+        advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), sent<Dispatch>().at(0).first);
+    }
+
+    void begunAnswerWaitsForRoomAtItsVersion()
+    {
+        connectVersion("e", "v1", 1);
+        const RequestId before = submit(); // takes the only place
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), sent<Dispatch>().at(0).first);
+        beginAndLose(2);
+        connectVersion("b", "v2");
+        advance(milliseconds(500));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+        receive("e", Chunk{before, 1, 0, 1, "y"});
+        receive("e", makeResult(before, 1, "y", 1));
+        advance(milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(std::string("e"), sent<Dispatch>().at(0).first);
+    }
+
+    void begunAnswerWithoutItsVersionEnds()
+    {
+        beginAndLose(2);
+        connectVersion("b", "v2");
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+        CPPUNIT_ASSERT(singleResult().kind == ErrorKind::NoUpstreamOfVersion);
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+    }
+
     void notRepeatableIsNeverSentTwice()
     {
         connect("a");
--- a/src/peer/messageauth.cpp
+++ b/src/peer/messageauth.cpp
@@ -18,8 +18,9 @@
 
 std::string welcomeSigningInput(const std::string &routerNonce, const Welcome &welcome)
 {
-    return fmt::format("welcome\n{}\n{}\n{:x}\n{}", routerNonce, welcome.vm.text,
-                       welcome.incarnation.value, welcome.target.text);
+    return fmt::format("welcome\n{}\n{}\n{:x}\n{}\n{}", routerNonce, welcome.vm.text,
+                       welcome.incarnation.value, welcome.target.text,
+                       welcome.softwareVersion.text);
 }
 
 std::string heartbeatSigningInput(Heartbeat heartbeat)
--- a/src/peer/sessionserver.h
+++ b/src/peer/sessionserver.h
@@ -35,6 +35,7 @@
         VmName vm;
         ZoneName zone;
         TargetName target;
+        SoftwareVersion softwareVersion; ///< of the upstream
         Incarnation incarnation;
         AgentTuning tuning;
         std::string address = "127.0.0.1"; ///< local IP address to listen on
