forward: an exit is recognized while the exiting upstream still listens

What callers saw: nothing on record at the gateways; at the agents three engines were killed under one request and it was sent to a fourth. The cause is the same: one accepted connection was taken for life, and went into the pool.

Change: the probe's connection must stay open for 100 ms; one that is closed is followed by another, 5 ms later and then at doubled intervals, until one is refused, one stays open or 300 ms are over. The pool gets the connection of a living upstream 100 ms later than before.

The other tests of crashes and broken connections pass as before.

--- a/src/forward/crashdetector.cpp
+++ b/src/forward/crashdetector.cpp
@@ -9,11 +9,23 @@
 #include <boost/asio/detached.hpp>
 
 #include <reachlead/log.h>
+#include <reachlead/sleep.h>
 
 namespace reachlead {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Interval at which an open connection is checked.
+constexpr Duration checkInterval = milliseconds(10);
+
+/// Delay before the next connection to an upstream that closed the last one; doubled each time, as
+/// an upstream at its limit of connections closes them too.
+constexpr Duration firstReconnectDelay = milliseconds(5);
+
+} // namespace
+
 void CrashDetector::connectionLost(const UpstreamEntry &entry, const RequestDigest &request)
 {
     dropExpired(RuntimeClock::now());
@@ -30,7 +42,7 @@
 asio::awaitable<void> CrashDetector::probe(UpstreamEntry entry)
 {
     ConnectFailure failure;
-    UpstreamChannelPtr channel = co_await m_pool.connect(entry, connectTimeout, &failure);
+    UpstreamChannelPtr channel = co_await connectLasting(entry, &failure);
     const auto it = m_lostCalls.find(entry.id);
     const std::vector<RequestDigest> requests = std::move(it->second);
     m_lostCalls.erase(it);
@@ -51,6 +63,38 @@
         m_onCrash(request, entry.id);
 }
 
+/// Returns a connection that the upstream keeps open; null if one is refused, or the time is over.
+asio::awaitable<UpstreamChannelPtr> CrashDetector::connectLasting(UpstreamEntry entry,
+                                                                  ConnectFailure *failure)
+{
+    const Time limit = RuntimeClock::now() + connectTimeout;
+    Duration delay = firstReconnectDelay;
+    while (RuntimeClock::now() < limit) {
+        UpstreamChannelPtr channel =
+            co_await m_pool.connect(entry, limit - RuntimeClock::now(), failure);
+        if (!channel)
+            co_return nullptr;
+        const bool isLasting = co_await staysOpen(channel);
+        if (isLasting)
+            co_return channel;
+        channel->close();
+        co_await sleepFor(m_io, delay);
+        delay *= 2;
+    }
+    co_return nullptr;
+}
+
+asio::awaitable<bool> CrashDetector::staysOpen(UpstreamChannelPtr channel)
+{
+    const Time until = RuntimeClock::now() + minOpenTime;
+    while (RuntimeClock::now() < until) {
+        co_await sleepFor(m_io, checkInterval);
+        if (!channel->isClean())
+            co_return false;
+    }
+    co_return true;
+}
+
 void CrashDetector::dropExpired(Time now)
 {
     std::erase_if(m_crashedAt, [&](const auto &it) { return it.second + crashRetention < now; });
--- a/src/forward/crashdetector.h
+++ b/src/forward/crashdetector.h
@@ -22,9 +22,11 @@
 namespace reachlead {
 
 /// Probes upstreams after calls have lost their connections. A broken connection does not tell
-/// whether the upstream's process still runs, but one connection attempt does: if it is refused,
-/// the process has exited, and the crash is reported for all calls that lost it. If it succeeds,
-/// the connection goes to the pool for the next call. There is one attempt at a time for each
+/// whether the upstream's process still runs, but new ones do: if one is refused, the process has
+/// exited, and the crash is reported for all calls that lost it. If one stays open, the process
+/// runs, and the connection goes to the pool for the next call. An exiting process may accept
+/// connections for some time after it has lost those in use, and closes them, so a connection that
+/// is closed proves nothing and is followed by another one. There is one probe at a time for each
 /// upstream, however many calls were lost. Not thread-safe.
 class CrashDetector
 {
@@ -44,12 +46,18 @@
     /// If only the process has exited, its VM refuses the connection within a few round trips
     /// between availability zones. A time-out is therefore not reported as a crash.
     static constexpr Duration connectTimeout = milliseconds(300);
+    /// How long a connection must stay open: several times what the exit of a process takes on a
+    /// busy VM.
+    static constexpr Duration minOpenTime = milliseconds(100);
     /// Calls that lose an upstream within this time after its crash was detected are reported
     /// without another probe.
     static constexpr Duration crashRetention = seconds(2);
 
 private:
     boost::asio::awaitable<void> probe(UpstreamEntry entry);
+    boost::asio::awaitable<UpstreamChannelPtr> connectLasting(UpstreamEntry entry,
+                                                              ConnectFailure *failure);
+    boost::asio::awaitable<bool> staysOpen(UpstreamChannelPtr channel);
     void dropExpired(Time now);
 
     boost::asio::io_context &m_io;
