--- a/src/forward/forwardcall_streams.cpp
+++ b/src/forward/forwardcall_streams.cpp
@@ -7,7 +7,6 @@
 #include "forwardcall.h"
 
 #include <algorithm>
-#include <iterator>
 
 #include <reachlead/log.h>
 
@@ -37,16 +36,16 @@
     if (!m_metadata.resumedAttempt.empty())
         found = co_await lookUpStream();
     m_binding = found.binding ? found.binding : onlyKnownVersion(std::move(found.versions));
+    std::string_view knownBy = m_binding ? "only-version" : "-";
+    if (found.binding)
+        knownBy = found.source.text;
     LogLine(LogLevel::Info, "stream-resumed")
         .with("attempt", m_metadata.attemptId)
         .with("resumes", m_metadata.resumedAttempt)
         .with("resume_after", m_metadata.resumeAfter.value_or(0))
         .with("service", m_binding ? m_binding->service.text : "-")
         .with("version", m_binding ? m_binding->version.text : "-")
-        .with("known_by",
-              found.binding   ? found.source.text
-                  : m_binding ? "only-version"
-                              : "-")
+        .with("known_by", knownBy)
         .with("age_ms", found.binding ? static_cast<std::int64_t>(toMillis(found.age)) : -1);
     if (!m_binding) {
         m_context.counters.add(Counter::StreamsUnknown);
--- a/src/include/reachlead/streambindings.h
+++ b/src/include/reachlead/streambindings.h
@@ -37,8 +37,8 @@
 
 StreamKey computeStreamKey(const AccountName &account, std::string_view attemptId);
 
-/// The service and the software version that began a stream. Only upstreams of both may continue
-/// it, since the output of two versions does not fit together.
+/// The service and the software version that began a stream. Only upstreams of that version may
+/// continue it, since the output of two versions does not fit together.
 struct StreamBinding
 {
     ServiceName service;
--- a/src/peer/streamlink.h
+++ b/src/peer/streamlink.h
@@ -101,7 +101,6 @@
     };
     using Lookups = std::map<QueryNumber, Lookup *>;
 
-    /// The other gateways as of m_fleetReadAt.
     struct Gateway
     {
         GatewayEntry entry;
@@ -113,7 +112,6 @@
                                                 bool liveFirst);
     void sendQueries(const Query &query, const std::set<VmName> &to);
     void handleDatagram(PeerMessageKind kind, std::string_view message, const UdpEndpoint &from);
-
     void answer(const Query &query, const UdpEndpoint &from);
     void handleReply(const Reply &reply);
     void store(const StreamKey &stream, const StreamBinding &binding, Duration retention);
@@ -122,7 +120,7 @@
     GatewayState &m_state;
     GatewayPeers &m_peers;
     Counters *m_counters; ///< may be null
-    std::vector<Gateway> m_gateways;
+    std::vector<Gateway> m_gateways; ///< the other ones, as of m_fleetReadAt
     std::optional<Time> m_fleetReadAt;
     QueryNumber m_lastQuery = 0;
     std::shared_ptr<Lookups> m_lookups = std::make_shared<Lookups>();
