--- a/src/peer/streamlink_test.cpp
+++ b/src/peer/streamlink_test.cpp
@@ -105,10 +105,14 @@
         void advance(Duration d)
         {
             constexpr Duration step = milliseconds(10);
+            constexpr int maxPolls = 1000;
             for (Duration elapsed{}; elapsed < d; elapsed += step) {
                 RuntimeClock::advance(step);
                 io.restart();
                 io.run_for(std::chrono::milliseconds(2));
+                // Datagrams arrive when they are sent, so that all effects of this step are seen in
+                // it however little processor time this process gets.
+                for (int n = 0; n < maxPolls && io.poll() > 0; ++n) { }
             }
         }
 
