forward: a resumed stream is shared again with the gateways that are live now

Found by a run of all checks: testsuite/stream-versions printed stream-version-unknown at the third return of a caller, where a gateway had found the binding twice before. 12 runs at four at once did not show it again. The second and third lookup depend on the gateways that knew the stream at first, by a reply within 180 ms, although the gateway that resumed it knew the answer; which of them failed to answer on the busy machine the run did not keep. That the copies had expired (22 s) is ruled out by the times of the run's files.

Change: the gateway that resumes a stream records the binding under the attempt that the caller names, here and at four live gateways. So lost copies are made up for with each return of the caller.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -84,7 +84,7 @@
     std::optional<StreamBinding> onlyKnownVersion(std::set<SoftwareVersion> versions) const;
     bool checkVersion(const UpstreamEntry &entry);
     void recordStream();
-    void shareStream();
+    void shareBinding(std::string_view attemptId, const StreamBinding &binding);
     void bindToVersion();
     Duration timeUntilCallerGivesUp() const;
 
--- a/src/forward/forwardcall_streams.cpp
+++ b/src/forward/forwardcall_streams.cpp
@@ -57,6 +57,9 @@
     });
     if (isServed)
         m_service = m_binding->service;
+    // The caller may return once more, when those that knew it are gone.
+    if (!m_metadata.resumedAttempt.empty())
+        shareBinding(m_metadata.resumedAttempt, *m_binding);
     co_return std::nullopt;
 }
 
@@ -106,13 +109,12 @@
         return;
     m_wasMoved = m_sharedVersion.has_value();
     m_sharedVersion = m_lastVersion;
-    shareStream();
+    shareBinding(m_metadata.attemptId, {m_service, m_lastVersion, m_sends});
 }
 
-void ForwardCall::shareStream()
+void ForwardCall::shareBinding(std::string_view attemptId, const StreamBinding &binding)
 {
-    const StreamKey stream = streamKey(m_metadata.attemptId);
-    const StreamBinding binding{m_service, m_lastVersion, m_sends};
+    const StreamKey stream = streamKey(attemptId);
     const Duration retention = timeUntilCallerGivesUp() + StreamBindings::retentionSlack;
     if (m_context.streams != nullptr)
         m_context.streams->record(stream, binding, retention);
@@ -128,7 +130,7 @@
     m_binding = StreamBinding{m_service, m_lastVersion, m_sends};
     // A gateway that missed the datagram of a move would report the version of the earlier send.
     if (m_wasMoved)
-        shareStream();
+        shareBinding(m_metadata.attemptId, *m_binding);
 }
 
 /// The caller's own timeout may exceed the route's, and it may return until then.
