peer: one fixture for the tests of gateways that exchange datagrams

The fleets of CrashLinkTest and StreamLinkTest were the same lines. CrashLinkTest waits for all effects of a step now, as StreamLinkTest did. 6 and 8 tests pass.

--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -3,10 +3,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "peer/crashlink.h"
+#include "peer/testfleet.h"
 
 namespace reachlead {
 
@@ -22,9 +24,6 @@
     CPPUNIT_TEST(allGatewaysSelectTheSameCollectors);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Time start{seconds(1000)};
-    static constexpr const char *fleetKey = "the key of this fleet";
-
     static RequestDigest request(std::string_view body)
     {
         return computeDigest({AccountName("a"), "h", "/p", body});
@@ -34,7 +33,8 @@
     {
         Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
              std::vector<Endpoint> seeds)
-            : state(stateOptions(vm)), peers(io, options(vm, key, std::move(seeds)), state),
+            : state(testStateOptions(vm)),
+              peers(io, testPeerOptions(vm, key, std::move(seeds)), state),
               link(state, peers, &counters,
                    [this](const QuarantinedRequest &it) { published.push_back(it); })
         { }
@@ -42,22 +42,6 @@
         Node(const Node &) = delete;
         Node &operator=(const Node &) = delete;
 
-        static GatewayState::Options stateOptions(const std::string &vm)
-        {
-            GatewayState::Options options;
-            options.vm = VmName(vm);
-            return options;
-        }
-        static GatewayPeers::Options options(const std::string &vm, const std::string &key,
-                                             std::vector<Endpoint> seeds)
-        {
-            GatewayPeers::Options options;
-            options.self = {VmName(vm), {"127.0.0.1", 0}};
-            options.seeds = std::move(seeds);
-            std::string reason;
-            options.keys = FleetKeys::parse(key, &reason).value();
-            return options;
-        }
         bool isQuarantined(const RequestDigest &it)
         {
             return state.crashes().remainingQuarantine(it, RuntimeClock::now()).has_value();
@@ -70,44 +54,7 @@
         CrashLink link;
     };
 
-    /// Gateways of one fleet on a paused clock, each with the first as its seed.
-    struct Fleet
-    {
-        explicit Fleet(std::size_t n)
-        {
-            RuntimeClock::pause(start);
-            for (std::size_t it = 0; it < n; ++it)
-                add("g" + std::to_string(it), fleetKey);
-            advance(seconds(2));
-        }
-        ~Fleet()
-        {
-            nodes.clear();
-            io.stop();
-            RuntimeClock::resume();
-        }
-
-        Node &add(const std::string &vm, const std::string &key)
-        {
-            std::vector<Endpoint> seeds;
-            if (!nodes.empty())
-                seeds.push_back({"127.0.0.1", nodes.front()->peers.port()});
-            nodes.push_back(std::make_unique<Node>(io, vm, key, seeds));
-            return *nodes.back();
-        }
-        void advance(Duration d)
-        {
-            constexpr Duration step = milliseconds(10);
-            for (Duration elapsed{}; elapsed < d; elapsed += step) {
-                RuntimeClock::advance(step);
-                io.restart();
-                io.run_for(std::chrono::milliseconds(2));
-            }
-        }
-
-        boost::asio::io_context io{1};
-        std::vector<std::unique_ptr<Node>> nodes;
-    };
+    using Fleet = TestFleet<Node>;
 
     /// Three gateways see one crash each, which none would quarantine on its own. If their reports
     /// are not added up, the request goes on crashing upstreams.
@@ -133,7 +80,7 @@
         Fleet fleet(2);
         for (const char *upstream : {"u0", "u1", "u2"})
             fleet.nodes[1]->link.upstreamCrashed(request("bad"), UpstreamId(upstream));
-        Node &newGateway = fleet.add("late", fleetKey);
+        Node &newGateway = fleet.add("late", testFleetKey);
         CPPUNIT_ASSERT(!newGateway.isQuarantined(request("bad")));
         fleet.advance(seconds(2));
         CPPUNIT_ASSERT(newGateway.isQuarantined(request("bad")));
--- a/src/peer/streamlink_test.cpp
+++ b/src/peer/streamlink_test.cpp
@@ -3,14 +3,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <memory>
 #include <optional>
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "peer/streamlink.h"
+#include "peer/testfleet.h"
 
 namespace reachlead {
 
@@ -29,8 +32,6 @@
     CPPUNIT_TEST(datagramsPerStreamDoNotGrowWithTheFleet);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Time start{seconds(1000)};
-    static constexpr const char *fleetKey = "the key of this fleet";
     static constexpr Duration retention = seconds(15);
 
     static StreamKey stream(std::size_t n)
@@ -46,75 +47,23 @@
     {
         Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
              std::vector<Endpoint> seeds)
-            : state(stateOptions(vm)), peers(io, options(vm, key, std::move(seeds)), state),
+            : state(testStateOptions(vm)),
+              peers(io, testPeerOptions(vm, key, std::move(seeds)), state),
               link(io, state, peers, &counters)
         { }
         ~Node() { peers.stop(); }
         Node(const Node &) = delete;
         Node &operator=(const Node &) = delete;
 
-        static GatewayState::Options stateOptions(const std::string &vm)
-        {
-            GatewayState::Options options;
-            options.vm = VmName(vm);
-            return options;
-        }
-        static GatewayPeers::Options options(const std::string &vm, const std::string &key,
-                                             std::vector<Endpoint> seeds)
-        {
-            GatewayPeers::Options options;
-            options.self = {VmName(vm), {"127.0.0.1", 0}};
-            options.seeds = std::move(seeds);
-            std::string reason;
-            options.keys = FleetKeys::parse(key, &reason).value();
-            return options;
-        }
-
         Counters counters;
         GatewayState state;
         GatewayPeers peers;
         StreamLink link;
     };
 
-    /// Gateways of one fleet on a paused clock, each with the first as its seed.
-    struct Fleet
+    struct Fleet : TestFleet<Node>
     {
-        explicit Fleet(std::size_t n)
-        {
-            RuntimeClock::pause(start);
-            for (std::size_t it = 0; it < n; ++it)
-                add("g" + std::to_string(it));
-            advance(seconds(2));
-        }
-        ~Fleet()
-        {
-            nodes.clear();
-            io.stop();
-            RuntimeClock::resume();
-        }
-
-        Node &add(const std::string &vm, const std::string &key = fleetKey)
-        {
-            std::vector<Endpoint> seeds;
-            if (!nodes.empty())
-                seeds.push_back({"127.0.0.1", nodes.front()->peers.port()});
-            nodes.push_back(std::make_unique<Node>(io, vm, key, seeds));
-            return *nodes.back();
-        }
-
-        void advance(Duration d)
-        {
-            constexpr Duration step = milliseconds(10);
-            constexpr int maxPolls = 1000;
-            for (Duration elapsed{}; elapsed < d; elapsed += step) {
-                RuntimeClock::advance(step);
-                io.restart();
-                io.run_for(std::chrono::milliseconds(2));
-                // Datagrams arrive when they are sent, so that all effects of this step are seen in
-                // it however little processor time this process gets.
-                for (int n = 0; n < maxPolls && io.poll() > 0; ++n) { }
-            }
-        }
+        using TestFleet<Node>::TestFleet;
 
         StreamLookup find(Node &node, std::size_t n)
         {
@@ -132,9 +81,6 @@
         {
             *found = co_await link->find(stream(n), ServiceName("s"));
         }
-
-        boost::asio::io_context io{1};
-        std::vector<std::unique_ptr<Node>> nodes;
     };
 
     static std::string version(const StreamLookup &found)
