peer: lost gateways of a test are destroyed with their fleet

ASan: heap-use-after-free in GatewayPeers::receiveLoop, as StreamLinkTest destroyed a gateway while its event loop went on. Gateways in production live as long as the loop; only the test was wrong. They are stopped now and kept.

--- a/src/peer/streamlink_test.cpp
+++ b/src/peer/streamlink_test.cpp
@@ -102,7 +102,7 @@
         Fleet fleet(3);
         fleet.nodes[2]->link.record(stream(1), binding("v1"), retention);
         fleet.advance(milliseconds(30));
-        fleet.nodes.pop_back();
+        fleet.keepFirst(2);
         Node &newGateway = fleet.add("late");
         fleet.advance(seconds(1));
         CPPUNIT_ASSERT_EQUAL(std::string("v1"), version(fleet.find(newGateway, 1)));
@@ -117,7 +117,7 @@
         for (std::size_t n = 0; n < streamCount; ++n)
             fleet.nodes[8 + n % 8]->link.record(stream(n), binding("v1"), retention);
         fleet.advance(milliseconds(50));
-        fleet.nodes.resize(8);
+        fleet.keepFirst(8);
         std::size_t known = 0;
         for (std::size_t n = 0; n < streamCount; ++n)
             known += fleet.find(*fleet.nodes[n % 8], n).binding ? 1 : 0;
--- a/src/peer/testfleet.h
+++ b/src/peer/testfleet.h
@@ -54,6 +54,7 @@
     ~TestFleet()
     {
         nodes.clear();
+        lost.clear();
         io.stop();
         RuntimeClock::resume();
     }
@@ -69,6 +70,16 @@
         return *nodes.back();
     }
 
+    /// Stops the last gateways, so that \p n are left. They are destroyed with the fleet, since
+    /// coroutines of theirs may still be resumed.
+    void keepFirst(std::size_t n)
+    {
+        for (; nodes.size() > n; nodes.pop_back()) {
+            nodes.back()->peers.stop();
+            lost.push_back(std::move(nodes.back()));
+        }
+    }
+
     void advance(Duration d)
     {
         constexpr Duration step = milliseconds(10);
@@ -85,6 +96,7 @@
 
     boost::asio::io_context io{1};
     std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::unique_ptr<Node>> lost;
 };
 
 } // namespace reachlead
