forward: log the parts of the prompt of a call that lost its upstream

The logs could not tell whether a part of the prompt, or the account and the route, is common to the calls under which engines crash: `upstream-lost-under-call` named a digest of the whole request only.

--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -7,7 +7,14 @@
 #include "forwardcall.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <reachlead/log.h>
 
@@ -26,6 +33,18 @@
 constexpr int targetDivisorForRetry = 8;
 constexpr Duration minTimeForRetry = milliseconds(20);
 
+/// Parts of a prompt in a log line, which bounds its length.
+constexpr std::size_t maxLoggedParts = 16;
+
+/// Returns the ids of a prompt's parts as hexadecimal numbers, separated by '+'.
+std::string formatParts(std::span<const PromptPart> prompt)
+{
+    std::vector<std::string> ids;
+    std::ranges::transform(prompt | std::views::take(maxLoggedParts), std::back_inserter(ids),
+                           [](const PromptPart &part) { return fmt::format("{:x}", part.id); });
+    return fmt::format("{}", fmt::join(ids, "+"));
+}
+
 } // namespace
 
 SelectionQuery ForwardCall::makeSelectionQuery() const
@@ -289,12 +308,15 @@
 }
 
 /// Logs that the call lost its upstream. The digest in the log line identifies a request that is
-/// sent again and again.
+/// sent again and again, and the parts show what different requests have in common.
 void ForwardCall::recordUpstreamLost(const UpstreamEntry &entry)
 {
     LogLine(LogLevel::Info, "upstream-lost-under-call")
         .with("attempt", m_metadata.attemptId)
         .with("request", toString(digest()))
+        .with("route", m_route->name)
+        .with("account", m_account != nullptr ? m_account->name.text : "-")
+        .with("parts", formatParts(m_metadata.prompt))
         .with("upstream", entry.id.text)
         .with("born", entry.id.startedAt)
         .with("version", entry.softwareVersion.text)
