tree: a digest of content and a quarantine no longer name requests

`RequestDigest` is `ContentDigest` and `QuarantinedRequest` is `Quarantine`, since parts of prompts are to have both, too. Names only; messages and stored objects keep their bytes.

--- a/src/forward/crashdetector.cpp
+++ b/src/forward/crashdetector.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void CrashDetector::connectionLost(const UpstreamEntry &entry, const RequestDigest &request)
+void CrashDetector::connectionLost(const UpstreamEntry &entry, const ContentDigest &request)
 {
     dropExpired(RuntimeClock::now());
     if (m_crashedAt.contains(entry.id)) {
@@ -44,7 +44,7 @@
     ConnectFailure failure;
     UpstreamChannelPtr channel = co_await connectLasting(entry, &failure);
     const auto it = m_lostCalls.find(entry.id);
-    const std::vector<RequestDigest> requests = std::move(it->second);
+    const std::vector<ContentDigest> requests = std::move(it->second);
     m_lostCalls.erase(it);
     if (channel)
         m_pool.giveBack(entry.id, std::move(channel));
@@ -59,7 +59,7 @@
         .with("born", entry.id.startedAt)
         .with("service", entry.service.text)
         .with("calls", requests.size());
-    for (const RequestDigest &request : requests)
+    for (const ContentDigest &request : requests)
         m_onCrash(request, entry.id);
 }
 
--- a/src/forward/crashdetector.h
+++ b/src/forward/crashdetector.h
@@ -15,7 +15,7 @@
 
 #include <reachlead/counters.h>
 #include <reachlead/gatewaystate.h>
-#include <reachlead/requestdigest.h>
+#include <reachlead/contentdigest.h>
 
 #include "upstream/upstreamchannel.h"
 
@@ -32,7 +32,7 @@
 {
 public:
     /// Called for each call whose upstream's process crashed.
-    using OnCrash = std::function<void(const RequestDigest &, const UpstreamId &)>;
+    using OnCrash = std::function<void(const ContentDigest &, const UpstreamId &)>;
 
     CrashDetector(boost::asio::io_context &io, ConnectionPool &pool, GatewayState &state,
                   Counters &counters, OnCrash onCrash)
@@ -41,7 +41,7 @@
     { }
 
     /// A call lost its connection to an upstream.
-    void connectionLost(const UpstreamEntry &entry, const RequestDigest &request);
+    void connectionLost(const UpstreamEntry &entry, const ContentDigest &request);
 
     /// If only the process has exited, its VM refuses the connection within a few round trips
     /// between availability zones. A time-out is therefore not reported as a crash.
@@ -65,7 +65,7 @@
     GatewayState &m_state;
     Counters &m_counters;
     OnCrash m_onCrash;
-    std::map<UpstreamId, std::vector<RequestDigest>>
+    std::map<UpstreamId, std::vector<ContentDigest>>
         m_lostCalls; ///< lost calls of upstreams being probed
     std::map<UpstreamId, Time> m_crashedAt; ///< when each recent crash was detected
 };
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -135,7 +135,7 @@
     return content;
 }
 
-const RequestDigest &ForwardCall::digest()
+const ContentDigest &ForwardCall::digest()
 {
     if (!m_digest)
         m_digest = computeDigest(content());
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -14,7 +14,7 @@
 
 #include <reachlead/eventsplitter.h>
 #include <reachlead/forwardpolicy.h>
-#include <reachlead/requestdigest.h>
+#include <reachlead/contentdigest.h>
 
 #include "forwarder.h"
 #include "upstream/upstreamexchange.h"
@@ -73,7 +73,7 @@
     void recordTokenGap(Time now);
     std::string_view missedTarget() const;
     RequestContent content() const;
-    const RequestDigest &digest();
+    const ContentDigest &digest();
     bool mayBeSuspect() const;
 
     // Versions of streams
@@ -105,7 +105,7 @@
     CallerStream &m_caller;
     CallerHttpRequest m_request;
     CallMetadata m_metadata;
-    std::optional<RequestDigest> m_digest; ///< computed on first use, as bodies may be long
+    std::optional<ContentDigest> m_digest; ///< computed on first use, as bodies may be long
     RouteTablePtr m_table; ///< in force when the request arrived
     const Route *m_route = nullptr;
     const AccountKeys *m_account = nullptr;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -49,7 +49,7 @@
         nullptr; ///< receives calls that lost their upstream; may be null
     /// Called for a request that completed although an upstream had crashed while running it; may
     /// be empty.
-    std::function<void(const RequestDigest &)> onRequestCleared = {};
+    std::function<void(const ContentDigest &)> onRequestCleared = {};
     /// Called when an upstream starts execution of a call of an account; may be empty.
     std::function<void(const AccountName &)> onExecutionStarted = {};
     bool stopping = false;
--- a/src/include/reachlead/requestdigest.h
+++ b/src/include/reachlead/contentdigest.h
@@ -19,7 +19,7 @@
 
 /// A digest of a request's content. Equal for equal requests of one account, whatever the attempt,
 /// the connection and the gateway.
-struct RequestDigest
+struct ContentDigest
 {
     /// A fast hash of path and body. Rules out most other requests before the secure hash is
     /// computed, which takes some twenty times as long.
@@ -28,7 +28,7 @@
     /// forge a request that is counted as another account's.
     std::uint64_t secureHash = 0;
 
-    auto operator<=>(const RequestDigest &) const = default;
+    auto operator<=>(const ContentDigest &) const = default;
 
     template <class Archive> void serialize(Archive &ar) { ar(fastHash, secureHash); }
 };
@@ -43,22 +43,22 @@
     std::string_view body;
 };
 
-RequestDigest computeDigest(const RequestContent &content);
+ContentDigest computeDigest(const RequestContent &content);
 
-/// Computes RequestDigest::fastHash only.
+/// Computes ContentDigest::fastHash only.
 std::uint64_t computeFastHash(const RequestContent &content);
 
 /// 32 hex digits, as used in logs and in the platform's store.
-std::string toString(const RequestDigest &digest);
+std::string toString(const ContentDigest &digest);
 
 /// Parses the format of toString(); returns nothing for any other text.
-std::optional<RequestDigest> parseRequestDigest(std::string_view text);
+std::optional<ContentDigest> parseContentDigest(std::string_view text);
 
 } // namespace reachlead
 
-template <> struct std::hash<reachlead::RequestDigest>
+template <> struct std::hash<reachlead::ContentDigest>
 {
-    std::size_t operator()(const reachlead::RequestDigest &digest) const noexcept
+    std::size_t operator()(const reachlead::ContentDigest &digest) const noexcept
     {
         return digest.fastHash;
     }
--- a/src/include/reachlead/crashtracker.h
+++ b/src/include/reachlead/crashtracker.h
@@ -14,16 +14,16 @@
 #include <vector>
 
 #include <reachlead/clock.h>
-#include <reachlead/requestdigest.h>
+#include <reachlead/contentdigest.h>
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
 
 /// A quarantined request, as exchanged between gateways. Holds the remaining time, as their clocks
 /// differ.
-struct QuarantinedRequest
+struct Quarantine
 {
-    RequestDigest request;
+    ContentDigest request;
     std::uint32_t leftMs = 0; ///< remaining time of the quarantine
 
     template <class Archive> void serialize(Archive &ar) { ar(request, leftMs); }
@@ -61,13 +61,13 @@
 
     /// An upstream's process crashed while it ran the request. Returns true when this starts or
     /// renews the request's quarantine.
-    bool recordCrash(const RequestDigest &request, UpstreamHash upstream, Time now);
+    bool recordCrash(const ContentDigest &request, UpstreamHash upstream, Time now);
 
     /// An upstream completed the request.
-    void recordCompletion(const RequestDigest &request) { m_suspects.erase(request); }
+    void recordCompletion(const ContentDigest &request) { m_suspects.erase(request); }
 
     /// True when upstreams crashed under the request recently.
-    bool isSuspect(const RequestDigest &request) const { return m_suspects.contains(request); }
+    bool isSuspect(const ContentDigest &request) const { return m_suspects.contains(request); }
 
     /// False for the fast hash of a request that is neither suspect nor quarantined, so that its
     /// secure hash need not be computed.
@@ -75,16 +75,16 @@
 
     /// Adds a quarantine with \p remaining time, as received from another gateway or read from the
     /// platform's store. Returns true when it was unknown.
-    bool mergeQuarantine(const RequestDigest &request, Duration remaining, Time now);
+    bool mergeQuarantine(const ContentDigest &request, Duration remaining, Time now);
 
     /// The remaining time of a request's quarantine; nothing when it may be sent.
-    std::optional<Duration> remainingQuarantine(const RequestDigest &request, Time now) const;
+    std::optional<Duration> remainingQuarantine(const ContentDigest &request, Time now) const;
 
     bool isQuarantineEmpty(Time now) const;
     /// True when there are neither suspects nor quarantined requests.
     bool isEmpty() const { return m_suspects.empty() && m_quarantined.empty(); }
 
-    std::vector<QuarantinedRequest> quarantined(Time now) const;
+    std::vector<Quarantine> quarantined(Time now) const;
 
     /// Equal at gateways with the same quarantined requests; 0 for none.
     std::uint64_t checksum(Time now) const;
@@ -102,10 +102,10 @@
     };
 
     void evictOldestSuspect();
-    void addQuarantine(const RequestDigest &request, Time until, Time now);
+    void addQuarantine(const ContentDigest &request, Time until, Time now);
 
-    std::map<RequestDigest, Suspect> m_suspects;
-    std::map<RequestDigest, Time> m_quarantined; ///< with the end of the quarantine
+    std::map<ContentDigest, Suspect> m_suspects;
+    std::map<ContentDigest, Time> m_quarantined; ///< with the end of the quarantine
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -95,10 +95,10 @@
     virtual void caughtUp() = 0;
 
     /// Quarantined requests, which crash the upstreams that run them, as published by any gateway.
-    virtual void quarantineRead(std::vector<QuarantinedRequest> requests) = 0;
+    virtual void quarantineRead(std::vector<Quarantine> requests) = 0;
 
     /// All quarantined requests that are known by now.
-    virtual std::vector<QuarantinedRequest> quarantined() const = 0;
+    virtual std::vector<Quarantine> quarantined() const = 0;
 };
 
 /// Reads the configuration and the registry and follows their changes.
@@ -122,7 +122,7 @@
     virtual void publish(GatewayRoster roster) = 0;
 
     /// Stores a quarantine, which gateways that start later read.
-    virtual void publish(const QuarantinedRequest &request) = 0;
+    virtual void publish(const Quarantine &request) = 0;
 
     /// Cancels all calls.
     virtual void stop() = 0;
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -58,11 +58,11 @@
     void evacuationsRead(ZoneSet zones, StoreRevision revision) override;
     void contactChanged(bool inContact) override;
     void caughtUp() override;
-    void quarantineRead(std::vector<QuarantinedRequest> requests) override;
-    std::vector<QuarantinedRequest> quarantined() const override;
+    void quarantineRead(std::vector<Quarantine> requests) override;
+    std::vector<Quarantine> quarantined() const override;
 
     /// Adds requests that other gateways have quarantined.
-    void learnQuarantine(const std::vector<QuarantinedRequest> &requests, std::string_view source);
+    void learnQuarantine(const std::vector<Quarantine> &requests, std::string_view source);
 
     /// What an upstream's notice changed.
     struct NoticeChanges
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -15,7 +15,7 @@
 
 #include <reachlead/error.h>
 #include <reachlead/ids.h>
-#include <reachlead/requestdigest.h>
+#include <reachlead/contentdigest.h>
 
 namespace reachlead {
 
@@ -277,7 +277,7 @@
 /// The process of the upstream crashed while it had the request, whichever router had sent it.
 struct UpstreamCrash
 {
-    RequestDigest request;
+    ContentDigest request;
     /// Number of the crashed incarnation, counted by this agent from 1.
     std::uint64_t upstreamIncarnation = 0;
 
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -118,7 +118,7 @@
     if (!m_upstreamExitedAt || run->startedAt > *m_upstreamExitedAt)
         ++m_upstreamExits;
     m_upstreamExitedAt = now;
-    const RequestDigest request =
+    const ContentDigest request =
         computeDigest(requestContent(run->dispatch->account, run->dispatch->call));
     const UpstreamCrash crash{request, m_upstreamExits};
     for (const auto &[session, router] : m_sessions)
--- a/src/libreachlead/requestdigest.cpp
+++ b/src/libreachlead/contentdigest.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <reachlead/requestdigest.h>
+#include <reachlead/contentdigest.h>
 
 #include <charconv>
 
@@ -28,9 +28,9 @@
 
 } // namespace
 
-RequestDigest computeDigest(const RequestContent &content)
+ContentDigest computeDigest(const RequestContent &content)
 {
-    RequestDigest digest;
+    ContentDigest digest;
     digest.fastHash = computeFastHash(content);
     digest.secureHash =
         pvt::hashFields({content.account.text, content.host, content.target, content.body})[0];
@@ -43,12 +43,12 @@
     return XXH64(content.body.data(), content.body.size(), seed);
 }
 
-std::string toString(const RequestDigest &digest)
+std::string toString(const ContentDigest &digest)
 {
     return fmt::format("{:016x}{:016x}", digest.fastHash, digest.secureHash);
 }
 
-std::optional<RequestDigest> parseRequestDigest(std::string_view text)
+std::optional<ContentDigest> parseContentDigest(std::string_view text)
 {
     if (text.size() != 2 * hexDigitsPerWord)
         return std::nullopt;
@@ -56,7 +56,7 @@
     const auto second = parseHexWord(text.substr(hexDigitsPerWord));
     if (!first || !second)
         return std::nullopt;
-    return RequestDigest{*first, *second};
+    return ContentDigest{*first, *second};
 }
 
 } // namespace reachlead
--- a/src/libreachlead/crashtracker.cpp
+++ b/src/libreachlead/crashtracker.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-bool CrashTracker::recordCrash(const RequestDigest &request, UpstreamHash upstream, Time now)
+bool CrashTracker::recordCrash(const ContentDigest &request, UpstreamHash upstream, Time now)
 {
     dropExpired(now);
     if (!m_suspects.contains(request))
@@ -36,7 +36,7 @@
 bool CrashTracker::mayContain(std::uint64_t fastHash) const
 {
     const auto containsHash = [fastHash](const auto &requests) {
-        const auto it = requests.lower_bound(RequestDigest{fastHash, 0});
+        const auto it = requests.lower_bound(ContentDigest{fastHash, 0});
         return it != requests.end() && it->first.fastHash == fastHash;
     };
     return containsHash(m_suspects) || containsHash(m_quarantined);
@@ -59,7 +59,7 @@
     m_suspects.erase(oldest);
 }
 
-void CrashTracker::addQuarantine(const RequestDigest &request, Time until, Time now)
+void CrashTracker::addQuarantine(const ContentDigest &request, Time until, Time now)
 {
     dropExpired(now);
     m_quarantined[request] = until;
@@ -68,7 +68,7 @@
             std::ranges::min_element(m_quarantined, {}, [](const auto &it) { return it.second; }));
 }
 
-bool CrashTracker::mergeQuarantine(const RequestDigest &request, Duration remaining, Time now)
+bool CrashTracker::mergeQuarantine(const ContentDigest &request, Duration remaining, Time now)
 {
     if (remaining <= Duration::zero() || remainingQuarantine(request, now))
         return false;
@@ -76,7 +76,7 @@
     return true;
 }
 
-std::optional<Duration> CrashTracker::remainingQuarantine(const RequestDigest &request,
+std::optional<Duration> CrashTracker::remainingQuarantine(const ContentDigest &request,
                                                           Time now) const
 {
     const auto it = m_quarantined.find(request);
@@ -91,9 +91,9 @@
                                 [&](Time until) { return until > now; });
 }
 
-std::vector<QuarantinedRequest> CrashTracker::quarantined(Time now) const
+std::vector<Quarantine> CrashTracker::quarantined(Time now) const
 {
-    std::vector<QuarantinedRequest> all;
+    std::vector<Quarantine> all;
     for (const auto &[request, until] : m_quarantined) {
         if (until > now)
             all.push_back({request, static_cast<std::uint32_t>(toMillis(until - now))});
--- a/src/libreachlead/crashtracker_test.cpp
+++ b/src/libreachlead/crashtracker_test.cpp
@@ -31,7 +31,7 @@
 
     static constexpr Time start{seconds(1000)};
 
-    static RequestDigest request(std::string_view body, const std::string &account = "a")
+    static ContentDigest request(std::string_view body, const std::string &account = "a")
     {
         return computeDigest({AccountName(account), "h", "/p", body});
     }
@@ -50,16 +50,16 @@
         CPPUNIT_ASSERT(request("x") == request("x"));
         CPPUNIT_ASSERT(request("x") != request("y"));
         CPPUNIT_ASSERT(request("x", "a") != request("x", "b"));
-        const RequestDigest joined = computeDigest({AccountName("ah"), "", "/p", "x"});
+        const ContentDigest joined = computeDigest({AccountName("ah"), "", "/p", "x"});
         CPPUNIT_ASSERT(joined != request("x"));
     }
 
     void digestRoundTripsThroughText()
     {
-        const RequestDigest digest = request("x");
-        CPPUNIT_ASSERT(parseRequestDigest(toString(digest)) == digest);
+        const ContentDigest digest = request("x");
+        CPPUNIT_ASSERT(parseContentDigest(toString(digest)) == digest);
         for (const std::string_view text : {"", "12", "zz", "0123456789abcdef0123456789abcdeg"})
-            CPPUNIT_ASSERT(!parseRequestDigest(text));
+            CPPUNIT_ASSERT(!parseContentDigest(text));
     }
 
     void thirdCrashStartsQuarantine()
@@ -146,7 +146,7 @@
         CrashTracker other;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, other.checksum(start));
         CPPUNIT_ASSERT(one.checksum(start) != other.checksum(start));
-        for (const QuarantinedRequest &it : one.quarantined(start))
+        for (const Quarantine &it : one.quarantined(start))
             other.mergeQuarantine(it.request, milliseconds(it.leftMs), start);
         CPPUNIT_ASSERT_EQUAL(one.checksum(start), other.checksum(start));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -168,20 +168,20 @@
         m_onChange();
 }
 
-void GatewayState::quarantineRead(std::vector<QuarantinedRequest> requests)
+void GatewayState::quarantineRead(std::vector<Quarantine> requests)
 {
     learnQuarantine(requests, "platform");
 }
 
-std::vector<QuarantinedRequest> GatewayState::quarantined() const
+std::vector<Quarantine> GatewayState::quarantined() const
 {
     return m_crashes.quarantined(now());
 }
 
-void GatewayState::learnQuarantine(const std::vector<QuarantinedRequest> &requests,
+void GatewayState::learnQuarantine(const std::vector<Quarantine> &requests,
                                    std::string_view source)
 {
-    for (const QuarantinedRequest &it : requests) {
+    for (const Quarantine &it : requests) {
         if (!m_crashes.mergeQuarantine(it.request, milliseconds(it.leftMs), now()))
             continue;
         LogLine(LogLevel::Warn, "quarantine-learned")
--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -18,7 +18,7 @@
 
 namespace reachlead {
 
-std::vector<VmName> selectCollectors(const RequestDigest &request, const std::vector<VmName> &all,
+std::vector<VmName> selectCollectors(const ContentDigest &request, const std::vector<VmName> &all,
                                      std::size_t n)
 {
     std::vector<std::pair<std::uint64_t, VmName>> scored;
@@ -43,14 +43,14 @@
         [this](std::uint64_t checksum, const Endpoint &peer) { compareChecksum(checksum, peer); });
 }
 
-void CrashLink::upstreamCrashed(const RequestDigest &request, const UpstreamId &upstream)
+void CrashLink::upstreamCrashed(const ContentDigest &request, const UpstreamId &upstream)
 {
     const CrashReport report{request, upstreamHash(upstream)};
     applyReport(report);
     sendToCollectors(report);
 }
 
-void CrashLink::requestCompleted(const RequestDigest &request)
+void CrashLink::requestCompleted(const ContentDigest &request)
 {
     const CrashReport report{request, std::nullopt};
     applyReport(report);
@@ -81,7 +81,7 @@
 }
 
 /// Starts the quarantine of a request at all gateways.
-void CrashLink::startQuarantine(const RequestDigest &request)
+void CrashLink::startQuarantine(const ContentDigest &request)
 {
     const auto leftMs = static_cast<std::uint32_t>(toMillis(CrashTracker::quarantineDuration));
     LogLine(LogLevel::Warn, "quarantine-began")
@@ -90,7 +90,7 @@
         .with("left_ms", leftMs);
     if (m_counters != nullptr)
         m_counters->add(Counter::QuarantinesStarted);
-    const QuarantinedRequest quarantined{request, leftMs};
+    const Quarantine quarantined{request, leftMs};
     const std::string payload = pvt::encodePayload(std::vector{quarantined});
     for (const auto &[vm, entry] : m_peers.fleet()) {
         if (vm != m_state.vm())
@@ -100,7 +100,7 @@
         m_publish(quarantined);
 }
 
-void CrashLink::mergeQuarantine(const std::vector<QuarantinedRequest> &requests)
+void CrashLink::mergeQuarantine(const std::vector<Quarantine> &requests)
 {
     m_state.learnQuarantine(requests, "peer");
 }
@@ -121,7 +121,7 @@
         if (const auto report = pvt::decodePayload<CrashReport>(message, &reason))
             applyReport(*report);
     } else {
-        using Requests = std::vector<QuarantinedRequest>;
+        using Requests = std::vector<Quarantine>;
         if (const auto requests = pvt::decodePayload<Requests>(message, &reason))
             mergeQuarantine(*requests);
     }
--- a/src/peer/crashlink.h
+++ b/src/peer/crashlink.h
@@ -24,7 +24,7 @@
 /// A gateway's report on one request to the gateways that count its crashes.
 struct CrashReport
 {
-    RequestDigest request;
+    ContentDigest request;
     std::optional<UpstreamHash> crashedUpstream; ///< while running it; none: it completed
 
     template <class Archive> void serialize(Archive &ar) { ar(request, crashedUpstream); }
@@ -41,15 +41,15 @@
 {
 public:
     /// Called for each quarantine that starts here, to store it outside the gateways.
-    using Publish = std::function<void(const QuarantinedRequest &)>;
+    using Publish = std::function<void(const Quarantine &)>;
 
     CrashLink(GatewayState &state, GatewayPeers &peers, Counters *counters, Publish publish);
 
     /// An upstream's process crashed while it ran a request of this gateway.
-    void upstreamCrashed(const RequestDigest &request, const UpstreamId &upstream);
+    void upstreamCrashed(const ContentDigest &request, const UpstreamId &upstream);
 
     /// A request of this gateway completed although an upstream had crashed while running it.
-    void requestCompleted(const RequestDigest &request);
+    void requestCompleted(const ContentDigest &request);
 
     /// Number of gateways that count the crashes of a request. More than one, as a datagram may be
     /// lost and a gateway may exit.
@@ -60,8 +60,8 @@
 
     void sendToCollectors(const CrashReport &report);
     void applyReport(const CrashReport &report);
-    void startQuarantine(const RequestDigest &request);
-    void mergeQuarantine(const std::vector<QuarantinedRequest> &requests);
+    void startQuarantine(const ContentDigest &request);
+    void mergeQuarantine(const std::vector<Quarantine> &requests);
     void compareChecksum(std::uint64_t checksum, const Endpoint &peer);
     void handleDatagram(PeerMessageKind kind, std::string_view message);
 
@@ -73,7 +73,7 @@
 
 /// Returns the first \p n of \p all in the rendezvous order of the request, which is the same at
 /// all gateways.
-std::vector<VmName> selectCollectors(const RequestDigest &request, const std::vector<VmName> &all,
+std::vector<VmName> selectCollectors(const ContentDigest &request, const std::vector<VmName> &all,
                                      std::size_t n);
 
 } // namespace reachlead
--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -24,7 +24,7 @@
     CPPUNIT_TEST(allGatewaysSelectTheSameCollectors);
     CPPUNIT_TEST_SUITE_END();
 
-    static RequestDigest request(std::string_view body)
+    static ContentDigest request(std::string_view body)
     {
         return computeDigest({AccountName("a"), "h", "/p", body});
     }
@@ -36,13 +36,13 @@
             : state(testStateOptions(vm)),
               peers(io, testPeerOptions(vm, key, std::move(seeds)), state),
               link(state, peers, &counters,
-                   [this](const QuarantinedRequest &it) { published.push_back(it); })
+                   [this](const Quarantine &it) { published.push_back(it); })
         { }
         ~Node() { peers.stop(); }
         Node(const Node &) = delete;
         Node &operator=(const Node &) = delete;
 
-        bool isQuarantined(const RequestDigest &it)
+        bool isQuarantined(const ContentDigest &it)
         {
             return state.crashes().remainingQuarantine(it, RuntimeClock::now()).has_value();
         }
@@ -50,7 +50,7 @@
         Counters counters;
         GatewayState state;
         GatewayPeers peers;
-        std::vector<QuarantinedRequest> published;
+        std::vector<Quarantine> published;
         CrashLink link;
     };
 
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -73,9 +73,9 @@
       m_forwarder(settings.forwarder, m_context),
       m_peers(m_io, peerOptions(settings, &m_counters), m_state),
       m_crashLink(m_state, m_peers, &m_counters,
-                  [this](const QuarantinedRequest &request) { m_source->publish(request); }),
+                  [this](const Quarantine &request) { m_source->publish(request); }),
       m_crashDetector(m_io, m_context.pool, m_state, m_counters,
-                      [this](const RequestDigest &request, const UpstreamId &upstream) {
+                      [this](const ContentDigest &request, const UpstreamId &upstream) {
                           m_crashLink.upstreamCrashed(request, upstream);
                       }),
       m_placementLink(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
@@ -91,7 +91,7 @@
     m_context.selector = &m_placementLink;
     m_context.streams = &m_streamLink;
     m_context.crashDetector = &m_crashDetector;
-    m_context.onRequestCleared = [this](const RequestDigest &request) {
+    m_context.onRequestCleared = [this](const ContentDigest &request) {
         m_crashLink.requestCompleted(request);
     };
     m_context.onExecutionStarted = [this](const AccountName &account) {
