forward, peer: quarantine the part of a prompt that crashes upstreams

Callers saw 67 and 87 engines crash one after the other under requests of which no two are alike, and lost half of their other calls with them. Cause: evidence about crashes was kept by the whole request (decision 020), a unit that is not the cause's. Requests that share one part of their prompts were each counted once, so no count reached three, or only after two calls of each.

Now each shared part of a prompt is a suspect, for the calls that an engine lost before their answers began. A part is innocent as soon as an answer begins on it, at any gateway; parts that always came together are suspect together, so that sound requests that hold some of them stay free to clear these. `PartSuspects` decides, `CrashLink` collects the evidence by account and model at three gateways, announces parts after their second crash, and spreads quarantines and releases as it did those of requests: one tracker, one link, one form in the store. Calls that wait at an engine when they are quarantined are cancelled (502 `quarantined-in-flight`); others get 503 `prompt-part-quarantined` with Retry-After. Decision 025.

--- a/src/forward/crashdetector.cpp
+++ b/src/forward/crashdetector.cpp
@@ -4,6 +4,7 @@
 #include "crashdetector.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,15 +27,15 @@
 
 } // namespace
 
-void CrashDetector::connectionLost(const UpstreamEntry &entry, const ContentDigest &request)
+void CrashDetector::connectionLost(const UpstreamEntry &entry, LostCall call)
 {
     dropExpired(RuntimeClock::now());
     if (m_crashedAt.contains(entry.id)) {
-        m_onCrash(request, entry.id);
+        m_onCrash({std::move(call)}, entry.id);
         return;
     }
     const auto [it, isFirst] = m_lostCalls.try_emplace(entry.id);
-    it->second.push_back(request);
+    it->second.push_back(std::move(call));
     if (isFirst)
         asio::co_spawn(m_io, probe(entry), asio::detached);
 }
@@ -44,7 +45,7 @@
     ConnectFailure failure;
     UpstreamChannelPtr channel = co_await connectLasting(entry, &failure);
     const auto it = m_lostCalls.find(entry.id);
-    const std::vector<ContentDigest> requests = std::move(it->second);
+    const std::vector<LostCall> calls = std::move(it->second);
     m_lostCalls.erase(it);
     if (channel)
         m_pool.giveBack(entry.id, std::move(channel));
@@ -58,9 +59,8 @@
         .with("upstream", entry.id.text)
         .with("born", entry.id.startedAt)
         .with("service", entry.service.text)
-        .with("calls", requests.size());
-    for (const ContentDigest &request : requests)
-        m_onCrash(request, entry.id);
+        .with("calls", calls.size());
+    m_onCrash(calls, entry.id);
 }
 
 /// Returns a connection that the upstream keeps open; null if one is refused, or the time is over.
--- a/src/forward/crashdetector.h
+++ b/src/forward/crashdetector.h
@@ -14,8 +14,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <reachlead/counters.h>
+#include <reachlead/crashtracker.h>
 #include <reachlead/gatewaystate.h>
-#include <reachlead/contentdigest.h>
 
 #include "upstream/upstreamchannel.h"
 
@@ -31,8 +31,8 @@
 class CrashDetector
 {
 public:
-    /// Called for each call whose upstream's process crashed.
-    using OnCrash = std::function<void(const ContentDigest &, const UpstreamId &)>;
+    /// Called with the calls that lost an upstream whose process crashed.
+    using OnCrash = std::function<void(const std::vector<LostCall> &, const UpstreamId &)>;
 
     CrashDetector(boost::asio::io_context &io, ConnectionPool &pool, GatewayState &state,
                   Counters &counters, OnCrash onCrash)
@@ -41,7 +41,7 @@
     { }
 
     /// A call lost its connection to an upstream.
-    void connectionLost(const UpstreamEntry &entry, const ContentDigest &request);
+    void connectionLost(const UpstreamEntry &entry, LostCall call);
 
     /// If only the process has exited, its VM refuses the connection within a few round trips
     /// between availability zones. A time-out is therefore not reported as a crash.
@@ -65,7 +65,7 @@
     GatewayState &m_state;
     Counters &m_counters;
     OnCrash m_onCrash;
-    std::map<UpstreamId, std::vector<ContentDigest>>
+    std::map<UpstreamId, std::vector<LostCall>>
         m_lostCalls; ///< lost calls of upstreams being probed
     std::map<UpstreamId, Time> m_crashedAt; ///< when each recent crash was detected
 };
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -4,6 +4,7 @@
 #include "forwardcall.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <reachlead/log.h>
 
@@ -19,6 +20,9 @@
 /// Used when the caller's headers name no timeout.
 constexpr Duration defaultTimeout = seconds(60);
 
+/// Parts of a prompt that evidence of crashes is kept for; more than the prompts in use have.
+constexpr std::size_t maxSharedParts = 16;
+
 std::string_view targetPath(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -142,16 +146,78 @@
     return *m_digest;
 }
 
-/// Returns false if no crash is known for this request, neither here nor from other gateways.
-/// Compares only the fast hash, which saves the digest of most requests.
+PartContent ForwardCall::partContent(const PromptPart &part) const
+{
+    return {m_account != nullptr ? m_account->name : AccountName(), m_metadata.model, part.id};
+}
+
+/// The parts of the prompt that other requests may contain: all but the last.
+std::span<const PromptPart> ForwardCall::sharedParts() const
+{
+    const std::span<const PromptPart> all = m_metadata.prompt;
+    return all.first(std::min(all.empty() ? 0 : all.size() - 1, maxSharedParts));
+}
+
+const PromptContents &ForwardCall::promptContents()
+{
+    if (m_promptContents)
+        return *m_promptContents;
+    m_promptContents.emplace();
+    if (m_account != nullptr)
+        m_promptContents->owner = computeOwnerDigest(m_account->name, m_metadata.model);
+    for (const PromptPart &part : sharedParts())
+        m_promptContents->parts.push_back(computeDigest(partContent(part)));
+    return *m_promptContents;
+}
+
+/// Returns false if no crash is known for this request or a shared part of its prompt, neither here
+/// nor from other gateways. Compares only fast hashes, which saves the digests of most requests.
 bool ForwardCall::mayBeSuspect() const
 {
     const CrashTracker &crashes = m_context.state.crashes();
-    return !crashes.isEmpty() && crashes.mayContain(computeFastHash(content()));
+    if (crashes.isEmpty())
+        return false;
+    std::vector<std::uint64_t> fastHashes{computeFastHash(content())};
+    std::ranges::transform(
+        sharedParts(), std::back_inserter(fastHashes),
+        [this](const PromptPart &part) { return computeFastHash(partContent(part)); });
+    return crashes.mayContain(fastHashes);
+}
+
+/// Returns why the request is quarantined, and sets when it may return; nothing if it may be sent.
+std::optional<ErrorKind> ForwardCall::quarantineKind()
+{
+    if (!mayBeSuspect())
+        return std::nullopt;
+    const CrashTracker &crashes = m_context.state.crashes();
+    const Time now = RuntimeClock::now();
+    if (const auto remaining = crashes.remainingQuarantine(digest(), now)) {
+        m_retryAfter = remaining;
+        m_lastReason = "upstreams crashed while running this request, at any of the gateways";
+        return ErrorKind::RequestQuarantined;
+    }
+    const auto remaining = crashes.remainingQuarantine(promptContents().parts, now);
+    if (!remaining)
+        return std::nullopt;
+    m_retryAfter = remaining;
+    m_lastReason = "upstreams crashed as they began to answer on a part of this prompt";
+    return ErrorKind::PromptPartQuarantined;
+}
+
+void ForwardCall::cancelIfQuarantined()
+{
+    if (m_route == nullptr || hasBegun() || m_stop != Stop::None)
+        return;
+    if (const std::optional<ErrorKind> kind = quarantineKind()) {
+        m_quarantine = *kind;
+        stop(Stop::Quarantined);
+    }
 }
 
-ErrorKind ForwardCall::stopKind() const
+ErrorKind ForwardCall::stopKind(bool notRun) const
 {
+    if (m_stop == Stop::Quarantined)
+        return notRun ? m_quarantine : ErrorKind::QuarantinedInFlight;
     if (m_stop == Stop::CallerDisconnected)
         return ErrorKind::CallerDisconnected;
     if (m_stop == Stop::ProcessExiting)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -9,12 +9,13 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include <reachlead/contentdigest.h>
 #include <reachlead/eventsplitter.h>
 #include <reachlead/forwardpolicy.h>
-#include <reachlead/contentdigest.h>
 
 #include "forwarder.h"
 #include "upstream/upstreamexchange.h"
@@ -39,9 +40,18 @@
     /// Ends the call at once because the process is exiting; closes its connection to the upstream.
     void terminate() { stop(Stop::ProcessExiting); }
 
+    /// Cancels the call if it is quarantined and its answer has not begun.
+    void cancelIfQuarantined();
+
 private:
     /// Why this gateway stopped the call.
-    enum class Stop : std::uint8_t { None, CallerDisconnected, Expired, ProcessExiting };
+    enum class Stop : std::uint8_t {
+        None,
+        CallerDisconnected,
+        Expired,
+        ProcessExiting,
+        Quarantined
+    };
 
     // Preparation
     std::optional<Error> resolve();
@@ -50,6 +60,7 @@
     void stop(Stop why);
 
     // Sends
+    std::optional<ErrorKind> quarantineKind();
     std::optional<ForwardDecision> checkQuarantine();
     SelectionQuery makeSelectionQuery() const;
     boost::asio::awaitable<PlacementResult> choose();
@@ -67,13 +78,18 @@
     ForwardState makeForwardState(SendResult result);
     void recordResult(const UpstreamEntry &entry, SendResult result);
     void recordUpstreamLost(const UpstreamEntry &entry);
+    void recordBegin();
     void applyNotice();
     void recordFirstByte();
     void recordExecutionStart();
     void recordTokenGap(Time now);
     std::string_view missedTarget() const;
+    bool hasBegun() const { return m_headDelivered || m_isExecutionStarted; }
     RequestContent content() const;
+    PartContent partContent(const PromptPart &part) const;
+    std::span<const PromptPart> sharedParts() const;
     const ContentDigest &digest();
+    const PromptContents &promptContents();
     bool mayBeSuspect() const;
 
     // Versions of streams
@@ -98,7 +114,7 @@
 
     ErrorKind unavailableKind() const;
     Duration timeLeft() const { return m_deadline - RuntimeClock::now(); }
-    ErrorKind stopKind() const;
+    ErrorKind stopKind(bool notRun) const;
 
     ForwardContext &m_context;
     std::shared_ptr<std::set<ForwardCall *>> m_activeCalls; ///< includes this one
@@ -106,6 +122,7 @@
     CallerHttpRequest m_request;
     CallMetadata m_metadata;
     std::optional<ContentDigest> m_digest; ///< computed on first use, as bodies may be long
+    std::optional<PromptContents> m_promptContents; ///< as m_digest
     RouteTablePtr m_table; ///< in force when the request arrived
     const Route *m_route = nullptr;
     const AccountKeys *m_account = nullptr;
@@ -115,6 +132,7 @@
     Time m_deadline; ///< of the whole answer
     Timer m_timer; ///< stops the call at m_deadline
     Stop m_stop = Stop::None;
+    ErrorKind m_quarantine = ErrorKind::None; ///< of Stop::Quarantined
     std::shared_ptr<int> m_lifetime = std::make_shared<int>(); ///< expires with this object
 
     std::set<UpstreamId> m_tried;
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -194,15 +194,25 @@
         m_context.state.upstreams().firstEvent(m_lastUpstream,
                                                std::exchange(m_pendingPrefillTokens, 0));
     recordExecutionStart();
-    if (std::exchange(m_awaitsFirstEvent, false))
+    if (std::exchange(m_awaitsFirstEvent, false)) {
         m_context.state.upstreams().recordPrefill(m_service, m_tokensToFirstEvent,
                                                   RuntimeClock::now() - m_sentAt);
+        recordBegin();
+    }
     if (m_firstByteAt)
         return;
     m_firstByteAt = RuntimeClock::now();
     m_context.latencies.recordLatency(LatencyKind::FirstByte, *m_firstByteAt - m_arrivedAt);
 }
 
+/// Reports that an upstream has begun to answer, if shared parts of the prompt are under suspicion.
+void ForwardCall::recordBegin()
+{
+    const bool isSuccess = m_exchange->status() >= 200 && m_exchange->status() < 300;
+    if (isSuccess && m_context.onPartsBegan && !sharedParts().empty() && mayBeSuspect())
+        m_context.onPartsBegan(promptContents());
+}
+
 /// Counts the call for its account, once however many times it is sent.
 void ForwardCall::recordExecutionStart()
 {
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -109,19 +109,14 @@
 /// engine.
 std::optional<ForwardDecision> ForwardCall::checkQuarantine()
 {
-    if (!mayBeSuspect())
+    const std::optional<ErrorKind> kind = quarantineKind();
+    if (!kind)
         return std::nullopt;
-    const auto remaining =
-        m_context.state.crashes().remainingQuarantine(digest(), RuntimeClock::now());
-    if (!remaining)
-        return std::nullopt;
-    m_retryAfter = remaining;
-    m_lastReason = "upstreams crashed while running this request, at any of the gateways";
     if (m_headDelivered)
-        return ForwardDecision{ForwardStep::Abort, ErrorKind::RequestQuarantined};
+        return ForwardDecision{ForwardStep::Abort, *kind};
     if (m_mayHaveRun)
-        return ForwardDecision{ForwardStep::Fail, ErrorKind::UpstreamLost};
-    return ForwardDecision{ForwardStep::Refuse, ErrorKind::RequestQuarantined};
+        return ForwardDecision{ForwardStep::Fail, ErrorKind::QuarantinedInFlight};
+    return ForwardDecision{ForwardStep::Refuse, *kind};
 }
 
 /// Selects an upstream and sends once. Returns the decision that ends the call; none: send again.
@@ -165,7 +160,7 @@
     if (m_stop != Stop::None && result != SendResult::Complete) {
         const bool notRun = result == SendResult::NotConnected && !m_mayHaveRun;
         const ForwardStep step = notRun ? ForwardStep::Refuse : ForwardStep::Fail;
-        co_return ForwardDecision{m_headDelivered ? ForwardStep::Abort : step, stopKind()};
+        co_return ForwardDecision{m_headDelivered ? ForwardStep::Abort : step, stopKind(notRun)};
     }
     const ForwardDecision decision = nextStep(result, makeForwardState(result));
     if (decision.step != ForwardStep::Retry)
@@ -325,7 +320,8 @@
         .with("running", m_context.state.upstreams().load(entry.id, RuntimeClock::now()).running)
         .with("ms", static_cast<std::int64_t>(toMillis(RuntimeClock::now() - m_sentAt)));
     if (m_context.crashDetector != nullptr)
-        m_context.crashDetector->connectionLost(entry, digest());
+        m_context.crashDetector->connectionLost(
+            entry, {digest(), promptContents(), hasBegun(), {m_sentAt, RuntimeClock::now()}});
 }
 
 } // namespace reachlead
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -126,6 +126,12 @@
         call->terminate();
 }
 
+void Forwarder::cancelQuarantined()
+{
+    for (ForwardCall *call : *m_context.activeCalls)
+        call->cancelIfQuarantined();
+}
+
 void Forwarder::abortAll()
 {
     const auto connections =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -50,6 +50,9 @@
     /// Called for a request that completed although an upstream had crashed while running it; may
     /// be empty.
     std::function<void(const ContentDigest &)> onRequestCleared = {};
+    /// Called when an answer begins on parts of a prompt about which there is evidence of crashes;
+    /// may be empty.
+    std::function<void(const PromptContents &)> onPartsBegan = {};
     /// Called when an upstream starts execution of a call of an account; may be empty.
     std::function<void(const AccountName &)> onExecutionStarted = {};
     bool stopping = false;
@@ -78,6 +81,9 @@
     /// by closing the connection.
     void terminateCalls();
 
+    /// Cancels calls that are quarantined by now and wait for their answers to begin.
+    void cancelQuarantined();
+
     /// Closes the remaining connections.
     void abortAll();
 
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -61,6 +61,7 @@
     StreamsResumed,
     StreamsUnknown,
     StreamsEvicted,
+    QuarantinesReleased,
     Size
 };
 
--- a/src/include/reachlead/crashtracker.h
+++ b/src/include/reachlead/crashtracker.h
@@ -11,24 +11,44 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <vector>
 
 #include <reachlead/clock.h>
 #include <reachlead/contentdigest.h>
+#include <reachlead/partsuspects.h>
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
 
-/// A quarantined request, as exchanged between gateways. Holds the remaining time, as their clocks
-/// differ.
+/// A quarantine as exchanged between gateways: requests that contain all of \ref contents are sent
+/// to no upstream. The contents of a request are its whole content and the shared parts of its
+/// prompt. Holds the remaining time, as the gateways' clocks differ.
 struct Quarantine
 {
-    ContentDigest request;
-    std::uint32_t leftMs = 0; ///< remaining time of the quarantine
+    std::vector<ContentDigest> contents; ///< ordered, without duplicates
+    std::uint32_t leftMs = 0; ///< remaining time
+    /// Odd: in force; even: released. Of two states of a quarantine, the higher one is newer.
+    std::uint32_t revision = 1;
+
+    bool isInForce() const { return revision % 2 == 1; }
+
+    template <class Archive> void serialize(Archive &ar) { ar(contents, leftMs, revision); }
+};
 
-    template <class Archive> void serialize(Archive &ar) { ar(request, leftMs); }
+/// A call that lost its upstream.
+struct LostCall
+{
+    ContentDigest request;
+    PromptContents prompt; ///< without parts for a plain service
+    bool hasBegun = false; ///< its answer had begun
+    PartSuspects::CallTimes times;
 };
 
+/// The name of a quarantine in logs and in the platform's store: the digest of its only content, or
+/// a combination of several.
+ContentDigest quarantineId(std::span<const ContentDigest> contents);
+
 /// Counts the upstream incarnations that crashed under each request. Not thread-safe, reads no
 /// clock.
 ///
@@ -41,6 +61,9 @@
 /// A request that ran beside such a request more than once may be quarantined by mistake. It is
 /// refused for the length of the quarantine at most, and only if its caller sends the identical
 /// request again.
+///
+/// Requests that crash upstreams may also have only a part of their prompts in common, see
+/// PartSuspects. A quarantine of parts is released as soon as an answer begins on all of them.
 class CrashTracker
 {
 public:
@@ -55,8 +78,9 @@
     static constexpr Duration suspectRetention = 2 * quarantineDuration;
     /// Bounds memory at about 120 bytes per suspect. The one with the oldest last crash is evicted.
     static constexpr std::size_t maxSuspects = 2048;
-    /// All fit into one datagram between gateways (20 bytes each). The one with the least remaining
-    /// time is evicted; filling the list on purpose costs three crashed upstreams per entry.
+    /// All fit into one datagram between gateways (some 40 bytes each). The one with the least
+    /// remaining time is evicted; filling the list on purpose costs three crashed upstreams per
+    /// entry.
     static constexpr std::size_t maxQuarantined = 128;
 
     /// An upstream's process crashed while it ran the request. Returns true when this starts or
@@ -69,24 +93,46 @@
     /// True when upstreams crashed under the request recently.
     bool isSuspect(const ContentDigest &request) const { return m_suspects.contains(request); }
 
-    /// False for the fast hash of a request that is neither suspect nor quarantined, so that its
-    /// secure hash need not be computed.
-    bool mayContain(std::uint64_t fastHash) const;
+    /// False if none of a request's contents, given by their fast hashes, is suspect or
+    /// quarantined, so that their secure hashes need not be computed.
+    bool mayContain(std::span<const std::uint64_t> fastHashes) const;
+    bool mayContain(std::uint64_t fastHash) const { return mayContain(std::span(&fastHash, 1)); }
 
-    /// Adds a quarantine with \p remaining time, as received from another gateway or read from the
-    /// platform's store. Returns true when it was unknown.
-    bool mergeQuarantine(const ContentDigest &request, Duration remaining, Time now);
+    /// Evidence about shared parts of prompts.
+    PartSuspects &parts() { return m_parts; }
+    const PartSuspects &parts() const { return m_parts; }
 
-    /// The remaining time of a request's quarantine; nothing when it may be sent.
-    std::optional<Duration> remainingQuarantine(const ContentDigest &request, Time now) const;
+    /// Quarantines requests that contain all these parts; returns nothing if they are quarantined
+    /// already.
+    std::optional<Quarantine> quarantineParts(const PartSet &parts, Time now);
+
+    /// An answer began on these parts. Returns the quarantines that this releases.
+    std::vector<Quarantine> releaseParts(std::span<const ContentDigest> parts, Time now);
+
+    /// Adds the state of a quarantine received from another gateway or read from the platform's
+    /// store. Returns true when it is newer than the known one.
+    bool merge(const Quarantine &quarantine, Time now);
+
+    /// The remaining time of the quarantine of a request with these contents; nothing when it may
+    /// be sent.
+    std::optional<Duration> remainingQuarantine(std::span<const ContentDigest> contents,
+                                                Time now) const;
+    std::optional<Duration> remainingQuarantine(const ContentDigest &request, Time now) const
+    {
+        return remainingQuarantine(std::span(&request, 1), now);
+    }
 
     bool isQuarantineEmpty(Time now) const;
-    /// True when there are neither suspects nor quarantined requests.
-    bool isEmpty() const { return m_suspects.empty() && m_quarantined.empty(); }
+    /// True when there are neither suspects nor quarantines.
+    bool isEmpty() const
+    {
+        return m_suspects.empty() && m_parts.isEmpty() && m_quarantines.empty();
+    }
 
-    std::vector<Quarantine> quarantined(Time now) const;
+    /// All quarantines, those released included.
+    std::vector<Quarantine> quarantines(Time now) const;
 
-    /// Equal at gateways with the same quarantined requests; 0 for none.
+    /// Equal at gateways with the same quarantines; 0 for none.
     std::uint64_t checksum(Time now) const;
 
     /// Drops expired suspects and quarantines.
@@ -101,11 +147,23 @@
         Time lastCrashAt{};
     };
 
+    struct Term
+    {
+        Time until{};
+        std::uint32_t revision = 1; ///< see Quarantine::revision
+    };
+    using Contents = std::vector<ContentDigest>;
+    using Quarantines = std::map<Contents, Term>;
+
+    static bool isInForce(const Quarantines::value_type &entry, Time now);
+    static Quarantine toQuarantine(const Quarantines::value_type &entry, Time now);
     void evictOldestSuspect();
-    void addQuarantine(const ContentDigest &request, Time until, Time now);
+    bool startQuarantine(const Contents &contents, Time now);
+    void put(const Contents &contents, const Term &term, Time now);
 
     std::map<ContentDigest, Suspect> m_suspects;
-    std::map<ContentDigest, Time> m_quarantined; ///< with the end of the quarantine
+    PartSuspects m_parts;
+    Quarantines m_quarantines;
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -72,6 +72,9 @@
     Superseded,
     AnswerCorrupt,
     Internal,
+    // Last, as routers and agents exchange the values.
+    PromptPartQuarantined,
+    QuarantinedInFlight,
     Size
 };
 
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -94,10 +94,10 @@
     /// The registry has just responded, and all of its changes have been delivered.
     virtual void caughtUp() = 0;
 
-    /// Quarantined requests, which crash the upstreams that run them, as published by any gateway.
-    virtual void quarantineRead(std::vector<Quarantine> requests) = 0;
+    /// Quarantines of requests that crash upstreams, as published by any gateway.
+    virtual void quarantineRead(std::vector<Quarantine> quarantines) = 0;
 
-    /// All quarantined requests that are known by now.
+    /// All quarantines that are known by now.
     virtual std::vector<Quarantine> quarantined() const = 0;
 };
 
@@ -122,7 +122,7 @@
     virtual void publish(GatewayRoster roster) = 0;
 
     /// Stores a quarantine, which gateways that start later read.
-    virtual void publish(const Quarantine &request) = 0;
+    virtual void publish(const Quarantine &quarantine) = 0;
 
     /// Cancels all calls.
     virtual void stop() = 0;
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -58,11 +58,24 @@
     void evacuationsRead(ZoneSet zones, StoreRevision revision) override;
     void contactChanged(bool inContact) override;
     void caughtUp() override;
-    void quarantineRead(std::vector<Quarantine> requests) override;
+    void quarantineRead(std::vector<Quarantine> quarantines) override;
     std::vector<Quarantine> quarantined() const override;
 
-    /// Adds requests that other gateways have quarantined.
-    void learnQuarantine(const std::vector<Quarantine> &requests, std::string_view source);
+    /// Adds quarantines of other gateways.
+    void learnQuarantines(const std::vector<Quarantine> &quarantines, std::string_view source);
+
+    /// Sets the callback for new quarantines, whichever gateway started them.
+    void onQuarantineStarted(std::function<void()> callback)
+    {
+        m_onQuarantineStarted = std::move(callback);
+    }
+
+    /// Call after a quarantine was started here.
+    void quarantineStarted() const
+    {
+        if (m_onQuarantineStarted)
+            m_onQuarantineStarted();
+    }
 
     /// What an upstream's notice changed.
     struct NoticeChanges
@@ -172,6 +185,7 @@
     WatcherElection m_watcherElection;
     std::function<void(const std::vector<UpstreamId> &)> m_onUpstreamsWithdrawn;
     std::function<void()> m_onChange;
+    std::function<void()> m_onQuarantineStarted;
     std::function<UnixMillis()> m_timeOfDay = vmTimeOfDay;
 };
 
--- a/src/include/reachlead/messages.h
+++ b/src/include/reachlead/messages.h
@@ -13,9 +13,9 @@
 #include <variant>
 #include <vector>
 
+#include <reachlead/contentdigest.h>
 #include <reachlead/error.h>
 #include <reachlead/ids.h>
-#include <reachlead/contentdigest.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/contentdigest.cpp
+++ b/src/libreachlead/contentdigest.cpp
@@ -43,6 +43,28 @@
     return XXH64(content.body.data(), content.body.size(), seed);
 }
 
+ContentDigest computeDigest(const PartContent &content)
+{
+    const std::string_view id(reinterpret_cast<const char *>(&content.partId),
+                              sizeof content.partId);
+    ContentDigest digest;
+    digest.fastHash = computeFastHash(content);
+    digest.secureHash = pvt::hashFields({content.account.text, content.model, id})[0];
+    return digest;
+}
+
+ContentDigest computeOwnerDigest(const AccountName &account, std::string_view model)
+{
+    const auto words = pvt::hashFields({account.text, model});
+    return {words[0], words[1]};
+}
+
+std::uint64_t computeFastHash(const PartContent &content)
+{
+    const std::uint64_t seed = XXH64(content.model.data(), content.model.size(), 0);
+    return XXH64(&content.partId, sizeof content.partId, seed);
+}
+
 std::string toString(const ContentDigest &digest)
 {
     return fmt::format("{:016x}{:016x}", digest.fastHash, digest.secureHash);
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -31,7 +31,7 @@
     "limits_heard",        "leaving_heard",
     "backoffs_heard",      "store_restores",
     "streams_resumed",     "streams_unknown",
-    "streams_evicted"};
+    "streams_evicted",     "quarantines_released"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/crashtracker_test.cpp
+++ b/src/libreachlead/crashtracker_test.cpp
@@ -36,6 +36,11 @@
         return computeDigest({AccountName(account), "h", "/p", body});
     }
 
+    static Quarantine quarantine(std::string_view body, Duration remaining)
+    {
+        return {{request(body)}, static_cast<std::uint32_t>(toMillis(remaining))};
+    }
+
     /// A tracker with the given number of upstreams crashed under a request.
     static CrashTracker trackerWith(std::string_view body, std::size_t crashes)
     {
@@ -118,14 +123,14 @@
     void mergedQuarantinesAreBounded()
     {
         CrashTracker tracker;
-        CPPUNIT_ASSERT(!tracker.mergeQuarantine(request("bad"), Duration{}, start));
-        CPPUNIT_ASSERT(tracker.mergeQuarantine(request("bad"), std::chrono::hours(100), start));
-        CPPUNIT_ASSERT(!tracker.mergeQuarantine(request("bad"), seconds(5), start));
+        CPPUNIT_ASSERT(!tracker.merge(quarantine("bad", Duration{}), start));
+        CPPUNIT_ASSERT(tracker.merge(quarantine("bad", std::chrono::hours(100)), start));
+        CPPUNIT_ASSERT(!tracker.merge(quarantine("bad", seconds(5)), start));
         CPPUNIT_ASSERT(tracker.remainingQuarantine(request("bad"), start)
                        == CrashTracker::quarantineDuration);
         for (std::size_t n = 0; n < 2 * CrashTracker::maxQuarantined; ++n)
-            tracker.mergeQuarantine(request(std::to_string(n)), seconds(1 + n), start);
-        CPPUNIT_ASSERT_EQUAL(CrashTracker::maxQuarantined, tracker.quarantined(start).size());
+            tracker.merge(quarantine(std::to_string(n), seconds(1 + n)), start);
+        CPPUNIT_ASSERT_EQUAL(CrashTracker::maxQuarantined, tracker.quarantines(start).size());
         CPPUNIT_ASSERT(tracker.remainingQuarantine(request("bad"), start).has_value());
     }
 
@@ -146,8 +151,8 @@
         CrashTracker other;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, other.checksum(start));
         CPPUNIT_ASSERT(one.checksum(start) != other.checksum(start));
-        for (const Quarantine &it : one.quarantined(start))
-            other.mergeQuarantine(it.request, milliseconds(it.leftMs), start);
+        for (const Quarantine &it : one.quarantines(start))
+            other.merge(it, start);
         CPPUNIT_ASSERT_EQUAL(one.checksum(start), other.checksum(start));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
                              one.checksum(start + CrashTracker::quarantineDuration));
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -90,6 +90,10 @@
     {Superseded, "superseded", 409, notRun, never, "A newer session took the request over."},
     {AnswerCorrupt, "answer-corrupt", 502, ran, never, "The answer failed its check."},
     {Internal, "internal", 500, unknown, never, "The router failed."},
+    {PromptPartQuarantined, "prompt-part-quarantined", 503, notRun, muchLater,
+     "Upstreams crash when they begin to answer on a part of this prompt, so it is sent to none."},
+    {QuarantinedInFlight, "quarantined-in-flight", 502, unknown, muchLater,
+     "The request was sent to an upstream, and was then found to be one that crashes upstreams."},
 }};
 
 constexpr bool isInEnumOrder()
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -168,27 +168,32 @@
         m_onChange();
 }
 
-void GatewayState::quarantineRead(std::vector<Quarantine> requests)
+void GatewayState::quarantineRead(std::vector<Quarantine> quarantines)
 {
-    learnQuarantine(requests, "platform");
+    learnQuarantines(quarantines, "platform");
 }
 
 std::vector<Quarantine> GatewayState::quarantined() const
 {
-    return m_crashes.quarantined(now());
+    return m_crashes.quarantines(now());
 }
 
-void GatewayState::learnQuarantine(const std::vector<Quarantine> &requests,
-                                   std::string_view source)
+void GatewayState::learnQuarantines(const std::vector<Quarantine> &quarantines,
+                                    std::string_view source)
 {
-    for (const Quarantine &it : requests) {
-        if (!m_crashes.mergeQuarantine(it.request, milliseconds(it.leftMs), now()))
+    bool isStarted = false;
+    for (const Quarantine &it : quarantines) {
+        if (!m_crashes.merge(it, now()))
             continue;
-        LogLine(LogLevel::Warn, "quarantine-learned")
-            .with("request", toString(it.request))
+        isStarted = isStarted || it.isInForce();
+        LogLine(LogLevel::Warn, it.isInForce() ? "quarantine-learned" : "quarantine-released")
+            .with("request", toString(quarantineId(it.contents)))
+            .with("contents", it.contents.size())
             .with("left_ms", it.leftMs)
             .with("source", source);
     }
+    if (isStarted)
+        quarantineStarted();
 }
 
 GatewayState::NoticeChanges GatewayState::applyNotice(const UpstreamId &id,
--- a/src/peer/messageauth.h
+++ b/src/peer/messageauth.h
@@ -40,7 +40,10 @@
     Quarantine = 'k',
     StreamCopy = 's',
     StreamQuery = 'w',
-    StreamReply = 'r'
+    StreamReply = 'r',
+    PartCrashReport = 'x',
+    PartAnnouncement = 't',
+    PartBegin = 'g'
 };
 
 /// Returns a message between gateways followed by its authentication tag; without keys, the message
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -72,11 +72,11 @@
                 m_counters, m_latencies, ConnectionPool(m_io.get_executor())},
       m_forwarder(settings.forwarder, m_context),
       m_peers(m_io, peerOptions(settings, &m_counters), m_state),
-      m_crashLink(m_state, m_peers, &m_counters,
-                  [this](const Quarantine &request) { m_source->publish(request); }),
+      m_crashLink(m_io, m_state, m_peers, &m_counters,
+                  [this](const Quarantine &quarantine) { m_source->publish(quarantine); }),
       m_crashDetector(m_io, m_context.pool, m_state, m_counters,
-                      [this](const ContentDigest &request, const UpstreamId &upstream) {
-                          m_crashLink.upstreamCrashed(request, upstream);
+                      [this](const std::vector<LostCall> &calls, const UpstreamId &upstream) {
+                          m_crashLink.upstreamCrashed(calls, upstream);
                       }),
       m_placementLink(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
       m_streamLink(m_io, m_state, m_peers, &m_counters),
@@ -94,6 +94,10 @@
     m_context.onRequestCleared = [this](const ContentDigest &request) {
         m_crashLink.requestCompleted(request);
     };
+    m_context.onPartsBegan = [this](const PromptContents &prompt) {
+        m_crashLink.partsBegan(prompt);
+    };
+    m_state.onQuarantineStarted([this] { m_forwarder.cancelQuarantined(); });
     m_context.onExecutionStarted = [this](const AccountName &account) {
         m_usageLink.callStarted(account);
     };
