forward: a stream without length or chunks that ends before its first event is lost

Callers got a complete empty 200 for a stream whose engine was killed before its first event: the end of the connection is the end of an answer with neither a length nor chunks, and a process that is killed closes its connections. The call also counted as completed, which cleared the request of the suspicion of crashing engines. A resumed stream ended as complete after the events of the first engine. Now a send that brought no event and ends with its connection is lost, and is sent again where that is allowed.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -123,6 +123,7 @@
 asio::awaitable<SendResult> ForwardCall::relayEvents()
 {
     m_events.dropPartialEvent();
+    const std::uint64_t eventsBefore = m_events.eventCount();
     while (true) {
         const auto piece = co_await m_exchange->readSome();
         if (!piece)
@@ -143,6 +144,11 @@
         m_lastReason = "the stream ended inside an event";
         co_return SendResult::Lost;
     }
+    // An upstream that is killed closes its connections.
+    if (m_events.eventCount() == eventsBefore && m_exchange->endsWithConnection()) {
+        m_lastReason = "the connection ended before the first event";
+        co_return SendResult::Lost;
+    }
     if (!m_headDelivered)
         co_return SendResult::Complete; // no events: delivered as an empty answer
     m_isBodyComplete = true;
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -66,6 +66,10 @@
     /// True when the full answer was received and the connection can be used for another call.
     bool isReusable() const;
 
+    /// True when the answer has neither a length nor chunks, so that the end of the connection is
+    /// its end.
+    bool endsWithConnection() const { return m_parser.has_value() && m_parser->need_eof(); }
+
     /// The idle timeout in the answer's `Keep-Alive` header, if any.
     std::optional<Duration> keepAliveTimeout() const;
 
