caller: reset the connection of a truncated answer that has neither length nor chunks

A caller that speaks HTTP/1.0 gets streams without chunks, and knows the end of an answer by the end of its connection. If the stream broke off, the gateway closed that connection, so the truncated answer looked complete. It is reset now. `UnframedStreamTest::callerWithoutChunksSeesTheTruncation` failed before.

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -150,6 +150,7 @@
 {
     error_code ec;
     m_chunked = head.chunked();
+    m_endsWithConnection = !m_chunked;
     http::response_serializer<http::empty_body> serializer(head);
     co_await http::async_write_header(m_socket, serializer, redirectError(&ec));
     co_return !ec;
@@ -171,6 +172,7 @@
     error_code ec;
     if (m_chunked)
         co_await asio::async_write(m_socket, http::make_chunk_last(), redirectError(&ec));
+    m_endsWithConnection = false;
     m_busy = false;
     co_return !ec;
 }
@@ -190,6 +192,9 @@
 void CallerStream::abort()
 {
     error_code ec;
+    // A close would look like the end of the answer.
+    if (m_endsWithConnection)
+        m_socket.set_option(asio::socket_base::linger(true, 0), ec);
     m_socket.close(ec);
     setDisconnected();
 }
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -100,6 +100,7 @@
     std::function<void()> m_onDisconnected;
     Error m_error;
     bool m_chunked = false; ///< the answer in progress has chunked encoding
+    bool m_endsWithConnection = false; ///< the answer in progress has neither a length nor chunks
     bool m_disconnected = false;
     bool m_busy = false;
     bool m_reading = false; ///< read() is in progress
