peer: a gateway that starts gets a heartbeat from those that it reaches, at once

A gateway now replies at once to the first heartbeat of a new incarnation among the first 16 messages of its life. In a fleet that starts together, each gateway sends at most one reply to each other.

`GatewayPeersTest::gatewayThatStartsGetsAHeartbeatAtOnce` failed before.

--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -429,7 +429,9 @@
     if (isStale(heartbeat.from.vm, heartbeat.incarnation, heartbeat.sequence))
         return;
     const Time now = RuntimeClock::now();
-    const bool isNew = !m_peers.contains(heartbeat.from.vm);
+    const auto known = m_peers.find(heartbeat.from.vm);
+    const bool isNew = known == m_peers.end();
+    const bool isNewIncarnation = isNew || known->second.incarnation != heartbeat.incarnation;
     m_peers[heartbeat.from.vm] =
         Peer{heartbeat.from, now, now, heartbeat.incarnation, heartbeat.sequence};
     m_gatewaysByHash.insert_or_assign(vmHash(heartbeat.from.vm), heartbeat.from);
@@ -441,6 +443,9 @@
     });
     if (isNew)
         LogLine(LogLevel::Info, "peer-heard").with("peer", heartbeat.from.vm.text);
+    if (isNewIncarnation && heartbeat.sequence <= maxStartSequence)
+        sendTo(heartbeat.from.address, PeerMessageKind::Heartbeat,
+               encodeGatewayHeartbeat(makeHeartbeat()));
     addSample(heartbeat.sample, now);
     applyLiveGateways(heartbeat.liveGateways, now);
     m_state.compareEvacuations(heartbeat.evacuationRevision, heartbeat.evacuationChecksum);
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -145,6 +145,11 @@
     /// if it is still behind after this delay.
     static constexpr Duration peerFetchDelay = milliseconds(300);
 
+    /// A gateway that has sent no more messages than this has just started. It takes calls as soon
+    /// as it has read the registry, so it gets a heartbeat at once: upstreams that announced their
+    /// leaving in answers only are not known otherwise.
+    static constexpr std::uint64_t maxStartSequence = 16;
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(largeLoadIsReportedEarly);
     CPPUNIT_TEST(limitsAndTheirEndsReachAllGateways);
     CPPUNIT_TEST(upstreamThatLeavesIsKnownToAllGateways);
+    CPPUNIT_TEST(gatewayThatStartsGetsAHeartbeatAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -350,6 +351,28 @@
             CPPUNIT_ASSERT(directory.takesWork(*directory.find(restarted.id)));
         }
     }
+
+    /// A gateway reads the registry within milliseconds of its start and then takes calls. An
+    /// upstream that announced its leaving in answers only looks ready there.
+    void gatewayThatStartsGetsAHeartbeatAtOnce()
+    {
+        PausedClock clock;
+        HeartbeatBudget rare;
+        rare.interval = seconds(2);
+        Node known(clock.io, "known", "the key of this fleet", {}, rare);
+        UpstreamEntry upstream;
+        upstream.id = UpstreamId("u", 7);
+        known.state.upstreamsListed({upstream}, 1);
+        UpstreamNotice leaving;
+        leaving.isLeaving = true;
+        known.state.applyNotice(upstream.id, leaving);
+        clock.advance(milliseconds(100));
+        Node started(clock.io, "started", "the key of this fleet", {known.address()}, rare);
+        clock.advance(milliseconds(20));
+        started.state.upstreamsListed({upstream}, 1);
+        const UpstreamDirectory &directory = started.state.directory();
+        CPPUNIT_ASSERT(!directory.takesWork(*directory.find(upstream.id)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPeersTest);
