upstreamtable: a test of limits while one gateway gets all connections

A load balancer may hand nearly all new connections to one gateway for some seconds. Where a scheduler places them, it owns the limit and the calls of all gateways go through it.

--- a/src/libreachlead/upstreamtable_limit_test.cpp
+++ b/src/libreachlead/upstreamtable_limit_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(unusedSharesDoNotAccumulate);
     CPPUNIT_TEST(zeroLimitIsProbedOccasionally);
     CPPUNIT_TEST(upstreamOfAnotherGroupGetsOnlyTheSmallShare);
+    CPPUNIT_TEST(gatewayWithAllCallsUsesTheWholeLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -105,6 +106,16 @@
         return arrivalTimes;
     }
 
+    /// Calls that reach the limited upstream if one gateway of a fleet without an owner gets all.
+    static std::size_t callsOfOneGateway(std::size_t gateways, Duration duration, CallRate rate)
+    {
+        Gateway gateway(gateways, 0, false);
+        std::size_t calls = 0;
+        for (Time now = start; now < start + duration; now += tick)
+            calls += gateway.place(now, nullptr, rate) ? 1 : 0;
+        return calls;
+    }
+
     static double maxCallsPerWindow(const std::vector<Time> &arrivalTimes)
     {
         std::ptrdiff_t peak = 0;
@@ -120,6 +131,19 @@
         CPPUNIT_ASSERT(maxCallsPerWindow(arrivalTimes) <= maxCalls(limit));
     }
 
+    /// The load balancer hands all new connections to one gateway for some seconds.
+    void gatewayWithAllCallsUsesTheWholeLimit()
+    {
+        constexpr double minFraction = 0.75; // of the calls that were served before
+        for (const std::size_t gateways : {4U, 30U, 300U}) {
+            const std::size_t before = arrivals(gateways, false, nullptr, seconds(9)).size();
+            const std::size_t calls = callsOfOneGateway(gateways, seconds(9), limit);
+            CPPUNIT_ASSERT_MESSAGE(
+                fmt::format("{} gateways: {} calls, before {}", gateways, calls, before),
+                static_cast<double>(calls) >= minFraction * static_cast<double>(before));
+        }
+    }
+
     void fleetOfAnySizeKeepsTheLimit()
     {
         for (const std::size_t gateways : {3U, 30U, 300U, 1000U}) {
