peer: a gateway that announced suspect parts hears of answers on them

Found by a mutant that survived: a gateway that is no collector of an account's parts counts the crashes that it saw itself, so that it works when cut off, but answers that began elsewhere were only reported to the collectors. After three crashes of its own it would have quarantined a popular part, which the next answer released again. Answers are reported to recent announcers as well, eight at most.

`innocenceIsReportedByOtherGateways` checks now that the part is not quarantined at any time, for five accounts (four gateways, three of which are collectors for each).

--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -62,7 +62,7 @@
                         PeerMessageKind::PartCrashReport, PeerMessageKind::PartAnnouncement,
                         PeerMessageKind::PartBegin},
                        [this](PeerMessageKind kind, std::string_view message,
-                              const UdpEndpoint & /*from*/) { handleDatagram(kind, message); });
+                              const UdpEndpoint &from) { handleDatagram(kind, message, from); });
     m_peers.onQuarantineChecksum(
         [this](std::uint64_t checksum, const Endpoint &peer) { compareChecksum(checksum, peer); });
 }
@@ -124,7 +124,10 @@
     if (cleared.empty())
         return;
     const std::vector<ContentDigest> parts(cleared.begin(), cleared.end());
-    sendToCollectors(prompt.owner, PeerMessageKind::PartBegin, pvt::encodePayload(parts));
+    const std::string payload = pvt::encodePayload(parts);
+    sendToCollectors(prompt.owner, PeerMessageKind::PartBegin, payload);
+    for (const UdpEndpoint &announcer : m_announcers | std::views::keys)
+        m_peers.sendTo(announcer, PeerMessageKind::PartBegin, payload);
     decideOnParts();
 }
 
@@ -253,17 +256,33 @@
     m_peers.sendTo(peer, PeerMessageKind::Quarantine, pvt::encodePayload(tracker.quarantines(now)));
 }
 
-void CrashLink::handleDatagram(PeerMessageKind kind, std::string_view message)
+void CrashLink::handleDatagram(PeerMessageKind kind, std::string_view message,
+                               const UdpEndpoint &from)
 {
     const auto row = std::ranges::find(handlers, kind, &HandlerRow::kind);
     if (row == handlers.end())
         return;
+    if (kind == PeerMessageKind::PartAnnouncement)
+        recordAnnouncer(from);
     std::string reason;
     (this->*row->handle)(message, &reason);
     if (!reason.empty())
         LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
 }
 
+/// Keeps the latest announcers, as long as parts that they announced.
+void CrashLink::recordAnnouncer(const UdpEndpoint &announcer)
+{
+    const Time now = RuntimeClock::now();
+    m_announcers[announcer] = now;
+    std::erase_if(m_announcers, [&](const auto &it) {
+        return it.second + PartSuspects::announcementRetention < now;
+    });
+    if (m_announcers.size() > maxAnnouncers)
+        m_announcers.erase(
+            std::ranges::min_element(m_announcers, {}, [](const auto &it) { return it.second; }));
+}
+
 void CrashLink::handleCrashReport(std::string_view message, std::string *reason)
 {
     if (const auto report = pvt::decodePayload<CrashReport>(message, reason))
--- a/src/peer/crashlink.h
+++ b/src/peer/crashlink.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -107,6 +108,10 @@
     /// Calls in one report: 0.8 KB with three parts each.
     static constexpr std::size_t maxReportedCalls = 16;
 
+    /// Gateways that answers on announced parts are reported to, besides the collectors. A gateway
+    /// that is no collector announces parts, too, as it counts the crashes that it saw itself.
+    static constexpr std::size_t maxAnnouncers = 8;
+
     /// Announcements per second: at most 6 KB/s with maxAnnounced of 0.1 KB each.
     static constexpr std::size_t maxAnnouncementsPerSecond = 2;
 
@@ -137,7 +142,8 @@
     void startQuarantine(const Quarantine &quarantine);
     void releaseQuarantine(const Quarantine &quarantine);
     void compareChecksum(std::uint64_t checksum, const Endpoint &peer);
-    void handleDatagram(PeerMessageKind kind, std::string_view message);
+    void handleDatagram(PeerMessageKind kind, std::string_view message, const UdpEndpoint &from);
+    void recordAnnouncer(const UdpEndpoint &announcer);
     void handleCrashReport(std::string_view message, std::string *reason);
     void handlePartCrashReport(std::string_view message, std::string *reason);
     void handlePartAnnouncement(std::string_view message, std::string *reason);
@@ -148,6 +154,7 @@
     GatewayPeers &m_peers;
     Counters *m_counters;
     Publish m_publish;
+    std::map<UdpEndpoint, Time> m_announcers; ///< of parts, and when each announced the last one
     DatagramBudget m_announcements{maxAnnouncementsPerSecond};
     DatagramBudget m_partReports{maxPartReportsPerSecond};
     std::mt19937 m_random{std::random_device{}()};
--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -178,18 +178,21 @@
         CPPUNIT_ASSERT(isHeld(newGateway, prompt({1, guilty})));
     }
 
-    /// The part begins at a gateway that saw none of the crashes.
+    /// The part begins at gateways that saw none of the crashes. The one that saw them all may be a
+    /// collector or not.
     void innocenceIsReportedByOtherGateways()
     {
         Fleet fleet(4);
-        for (int n = 0; n < 6; ++n) {
-            crash(fleet, 0, {prompt({1})});
-            for (std::size_t node = 1; node < 4; ++node)
-                fleet.nodes[node]->link.partsBegan(prompt({1}));
-            fleet.advance(milliseconds(30));
+        for (const std::string account : {"a", "b", "c", "d", "e"}) {
+            for (int n = 0; n < 4; ++n) {
+                crash(fleet, 0, {prompt({1}, account)});
+                for (const auto &node : fleet.nodes)
+                    CPPUNIT_ASSERT(!isHeld(*node, prompt({1}, account)));
+                for (std::size_t node = 1; node < 4; ++node)
+                    fleet.nodes[node]->link.partsBegan(prompt({1}, account));
+                fleet.advance(milliseconds(30));
+            }
         }
-        for (const auto &node : fleet.nodes)
-            CPPUNIT_ASSERT(!isHeld(*node, prompt({1})));
     }
 
     void callThatHadBegunClearsItsParts()
