placement: a folder of its own, and the interfaces of the parts for hard load

Cause: what decides placement lay flat among sixty other units, and the parts for hard load are to be built side by side. The configuration of engines is read in full (moves, backups, tokens of an event, lifetime of copies); calls can name a backup engine and a copy to go on from; a selection can require room (UpstreamRoom). Nothing sets these yet, so behaviour is unchanged. Ruled out: one commit for each part's interface, as each would touch the same headers.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -18,8 +18,8 @@
 #include <reachlead/crashtracker.h>
 #include <reachlead/gatewaystate.h>
 #include <reachlead/latency.h>
+#include <reachlead/placement/upstreamselector.h>
 #include <reachlead/streamregistry.h>
-#include <reachlead/upstreamselector.h>
 
 #include "caller/callerstream.h"
 #include "upstream/upstreamchannel.h"
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -18,13 +18,13 @@
 #include <reachlead/crashtracker.h>
 #include <reachlead/evacuations.h>
 #include <reachlead/fleetsource.h>
-#include <reachlead/placementgroups.h>
+#include <reachlead/placement/placementgroups.h>
+#include <reachlead/placement/upstreamtable.h>
 #include <reachlead/regions.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/routing.h>
 #include <reachlead/streambindings.h>
 #include <reachlead/upstreamdirectory.h>
-#include <reachlead/upstreamtable.h>
 #include <reachlead/watcherelection.h>
 
 namespace reachlead {
--- a/src/include/reachlead/headercodec.h
+++ b/src/include/reachlead/headercodec.h
@@ -44,9 +44,20 @@
     std::string model; ///< empty: not a call to a model
     TokenCount promptTokens = 0;
     TokenCount maxOutputTokens = 0;
+    /// The caller's estimate of the output; often far off. None: not given.
+    std::optional<TokenCount> estimatedOutputTokens;
     std::vector<PromptPart> prompt; ///< in order; the last part is of this request or its session
 };
 
+/// A copy of the memory of a run, from which an engine can go on with it.
+struct RunCopy
+{
+    Endpoint engine; ///< that holds it, or that the handle belongs to
+    std::string handle; ///< identifies the copy at that engine
+
+    bool operator==(const RunCopy &) const = default;
+};
+
 /// Metadata that a gateway adds to a call for the upstream.
 struct SendMetadata
 {
@@ -56,6 +67,9 @@
     std::optional<unsigned> urgency; ///< urgency rank at a model engine; 0 is the most urgent
     std::optional<std::uint64_t> resumeAfter; ///< the last event delivered to the caller
     std::optional<Endpoint> fetchFrom; ///< an upstream that has parts of the prompt cached
+    std::optional<Endpoint> backUpAt; ///< the engine to send the memory of the run to as it grows
+    /// The copy to go on from. An engine that does not hold it refuses the call as not run.
+    std::optional<RunCopy> continueFrom;
 };
 
 /// An upstream's report of its own state in the headers of an answer.
--- a/src/include/reachlead/pendingqueries.h
+++ b/src/include/reachlead/placement/pendingqueries.h
@@ -10,9 +10,9 @@
 #include <optional>
 #include <set>
 
-#include <reachlead/placementgroups.h>
-#include <reachlead/unresponsivegateways.h>
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/placementgroups.h>
+#include <reachlead/placement/unresponsivegateways.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/include/reachlead/placementgroups.h
+++ b/src/include/reachlead/placement/placementgroups.h
@@ -16,7 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include <reachlead/promptcache.h>
+#include <reachlead/placement/promptcache.h>
 #include <reachlead/upstreamdirectory.h>
 
 namespace reachlead {
--- a/src/include/reachlead/upstreamselector.h
+++ b/src/include/reachlead/placement/upstreamselector.h
@@ -11,7 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <reachlead/clock.h>
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/include/reachlead/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -19,16 +19,17 @@
 #include <vector>
 
 #include <reachlead/circuit.h>
-#include <reachlead/coldstartlimiter.h>
-#include <reachlead/dedicatedengines.h>
-#include <reachlead/earlyrefusal.h>
 #include <reachlead/headercodec.h>
-#include <reachlead/promptcache.h>
-#include <reachlead/servicerate.h>
-#include <reachlead/upstreambackoffs.h>
+#include <reachlead/placement/coldstartlimiter.h>
+#include <reachlead/placement/dedicatedengines.h>
+#include <reachlead/placement/earlyrefusal.h>
+#include <reachlead/placement/promptcache.h>
+#include <reachlead/placement/servicerate.h>
+#include <reachlead/placement/upstreambackoffs.h>
+#include <reachlead/placement/upstreamlimits.h>
+#include <reachlead/placement/upstreamratelimiter.h>
+#include <reachlead/placement/upstreamroom.h>
 #include <reachlead/upstreamdirectory.h>
-#include <reachlead/upstreamlimits.h>
-#include <reachlead/upstreamratelimiter.h>
 
 namespace reachlead {
 
@@ -61,6 +62,11 @@
     /// upstreams are equivalent.
     const std::set<UpstreamId> *group = nullptr;
     LatencySlack slack{};
+    AccountName account{}; ///< of the caller; empty: none
+    /// Identifies the caller's request over its attempts and over gateways; 0: not known.
+    std::uint64_t requestKey = 0;
+    TokenCount outputTokens = 0; ///< expected length of the answer; 0: not known
+    bool requiresRoom = false; ///< exclude upstreams that could not begin with the call at once
     bool mayRefuse = false; ///< the call was not sent yet, and does not resume an answer
     bool isGroupScheduler = false; ///< the selector places the calls of all gateways to its group
     /// The selector gets most of the rate of the limited upstreams of its group. Unlike
@@ -93,6 +99,7 @@
     /// prefilled by the upstream before the first event, queue included
     TokenCount tokensToFirstEvent = 0;
     Duration coldSpacing{}; ///< until the selector may select the upstream again while it is cold
+    Duration queueWait{}; ///< predicted queueing time at the selected upstream
     Duration minQueueWait{}; ///< shortest queueing time of any healthy upstream
 };
 
@@ -144,6 +151,8 @@
         double fetchSetup = 20.0;
         /// Copying 1,000 tokens: about half the price of prefilling them again.
         double fetchPerKiloToken = 90.0;
+        /// Whether an upstream can begin with one more call at once.
+        UpstreamRoom room;
         /// An upstream whose circuit is open is selected only if there is no other.
         double unhealthy = 60'000.0;
         /// Whether reports of other gateways on their loads, and on where prompts are cached, are
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -27,7 +27,7 @@
 #include <reachlead/crashtracker.h>
 #include <reachlead/lengthestimate.h>
 #include <reachlead/messages.h>
-#include <reachlead/placement.h>
+#include <reachlead/placement/placement.h>
 #include <reachlead/policy.h>
 #include <reachlead/requestlifecycle.h>
 #include <reachlead/requestqueue.h>
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -74,6 +74,10 @@
     std::uint64_t engineTokenBytes = 0; ///< size of a cached token; 0: caches cannot be copied
     double engineLinkMbps = 0; ///< bandwidth between engines; 0: caches cannot be copied
     double coldCallsPerSecond = 0; ///< calls/s to a cold upstream, of all callers; 0: unlimited
+    unsigned engineTokensPerEvent = 1; ///< output tokens in an event of a stream
+    bool engineMovesRuns = false; ///< engines copy the memory of a run to another, which goes on
+    bool engineBacksUpRuns = false; ///< engines send the memory of a run to another as it grows
+    std::int64_t engineCopyLifetimeMs = 0; ///< of an unused copy of a run's memory; 0: not known
 
     /// True when an engine can fetch cached parts from another.
     bool canFetch() const { return engineTokenBytes > 0 && engineLinkMbps > 0; }
@@ -82,7 +86,8 @@
     template <class Archive> void serialize(Archive &ar)
     {
         ar(name, maxConnections, engineSlots, engineCacheTokens, engineTokenBytes, engineLinkMbps,
-           coldCallsPerSecond);
+           coldCallsPerSecond, engineTokensPerEvent, engineMovesRuns, engineBacksUpRuns,
+           engineCopyLifetimeMs);
     }
 };
 
--- a/src/libreachlead/components_test.cpp
+++ b/src/libreachlead/components_test.cpp
@@ -8,7 +8,7 @@
 #include <reachlead/apikey.h>
 #include <reachlead/circuit.h>
 #include <reachlead/lengthestimate.h>
-#include <reachlead/placement.h>
+#include <reachlead/placement/placement.h>
 #include <reachlead/requestlifecycle.h>
 #include <reachlead/retrybudget.h>
 
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -12,7 +12,7 @@
 #include <reachlead/eventsplitter.h>
 #include <reachlead/latency.h>
 #include <reachlead/logwriter.h>
-#include <reachlead/promptcache.h>
+#include <reachlead/placement/promptcache.h>
 #include <reachlead/retryshare.h>
 #include <reachlead/watcherelection.h>
 
--- a/src/libreachlead/dedicatedengines.cpp
+++ b/src/libreachlead/placement/dedicatedengines.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <reachlead/dedicatedengines.h>
+#include <reachlead/placement/dedicatedengines.h>
 
 #include <algorithm>
 #include <cmath>
--- a/src/libreachlead/dedicatedengines_test.cpp
+++ b/src/libreachlead/placement/dedicatedengines_test.cpp
@@ -7,7 +7,7 @@
 
 #include <fmt/format.h>
 
-#include <reachlead/dedicatedengines.h>
+#include <reachlead/placement/dedicatedengines.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/earlyrefusal.cpp
+++ b/src/libreachlead/placement/earlyrefusal.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <reachlead/earlyrefusal.h>
+#include <reachlead/placement/earlyrefusal.h>
 
 #include <algorithm>
 
--- a/src/libreachlead/earlyrefusal_test.cpp
+++ b/src/libreachlead/placement/earlyrefusal_test.cpp
@@ -3,8 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <reachlead/earlyrefusal.h>
-#include <reachlead/servicerate.h>
+#include <reachlead/placement/earlyrefusal.h>
+#include <reachlead/placement/servicerate.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/pendingqueries.cpp
+++ b/src/libreachlead/placement/pendingqueries.cpp
@@ -1,7 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <reachlead/pendingqueries.h>
+#include <reachlead/placement/pendingqueries.h>
 
 #include <algorithm>
 #include <iterator>
--- a/src/libreachlead/placementgroups.cpp
+++ b/src/libreachlead/placement/placementgroups.cpp
@@ -1,14 +1,14 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <reachlead/placementgroups.h>
+#include <reachlead/placement/placementgroups.h>
 
 #include <algorithm>
 #include <ranges>
 
 #include <xxhash.h>
 
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/placementgroups_test.cpp
+++ b/src/libreachlead/placement/placementgroups_test.cpp
@@ -9,8 +9,8 @@
 
 #include <fmt/format.h>
 
-#include <reachlead/pendingqueries.h>
-#include <reachlead/placementgroups.h>
+#include <reachlead/placement/pendingqueries.h>
+#include <reachlead/placement/placementgroups.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/refusalorder_test.cpp
+++ b/src/libreachlead/placement/refusalorder_test.cpp
@@ -5,7 +5,7 @@
 
 #include <rapidcheck.h>
 
-#include <reachlead/refusalorder.h>
+#include <reachlead/placement/refusalorder.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/upstreamlimits_test.cpp
+++ b/src/libreachlead/placement/upstreamlimits_test.cpp
@@ -7,7 +7,7 @@
 #include <random>
 #include <vector>
 
-#include <reachlead/upstreamlimits.h>
+#include <reachlead/placement/upstreamlimits.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/upstreamtable_cold_test.cpp
+++ b/src/libreachlead/placement/upstreamtable_cold_test.cpp
@@ -9,7 +9,7 @@
 
 #include <fmt/format.h>
 
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/upstreamtable_pending_test.cpp
+++ b/src/libreachlead/placement/upstreamtable_pending_test.cpp
@@ -11,8 +11,8 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
-#include <reachlead/placementgroups.h>
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/placementgroups.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/libreachlead/upstreamtable_selection.cpp
+++ b/src/libreachlead/placement/upstreamtable_selection.cpp
@@ -14,7 +14,7 @@
 
 #include <xxhash.h>
 
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
@@ -344,6 +344,10 @@
                                                candidate.entry->slots, 0);
         if (candidate.isHealthy && (!minQueueWait || wait < *minQueueWait))
             minQueueWait = wait;
+        if (query.requiresRoom
+            && !m_costs.room.canBegin(wait, candidate.load.running, candidate.entry->slots))
+            continue;
+        selection.queueWait = wait;
         if (!best || selection.cost < best->cost)
             best = selection;
     }
--- a/src/libreachlead/upstreamdirectory_incarnations_test.cpp
+++ b/src/libreachlead/upstreamdirectory_incarnations_test.cpp
@@ -9,8 +9,8 @@
 
 #include <rapidcheck.h>
 
+#include <reachlead/placement/upstreamtable.h>
 #include <reachlead/upstreamdirectory.h>
-#include <reachlead/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -15,7 +15,7 @@
 
 #include <reachlead/fleetsource.h>
 #include <reachlead/fleettime.h>
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/peer/heartbeatbudget.cpp
+++ b/src/peer/heartbeatbudget.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 
-#include <reachlead/upstreamtable.h>
+#include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
 
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -17,9 +17,9 @@
 
 #include <reachlead/counters.h>
 #include <reachlead/gatewaystate.h>
-#include <reachlead/pendingqueries.h>
-#include <reachlead/refusalorder.h>
-#include <reachlead/upstreamselector.h>
+#include <reachlead/placement/pendingqueries.h>
+#include <reachlead/placement/refusalorder.h>
+#include <reachlead/placement/upstreamselector.h>
 
 #include "peer/gatewaypeers.h"
 #include "peer/placementmessages.h"
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include <reachlead/placementgroups.h>
+#include <reachlead/placement/placementgroups.h>
 
 #include "peer/gatewaymessages.h"
 
