--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -104,9 +104,8 @@
     return isEvacuated ? ErrorKind::ZonesEvacuated : ErrorKind::NoUpstream;
 }
 
-/// Returns the decision that ends a call whose request is in quarantine. Without it, one request
-/// that crashes engines took down 39 of them in 18 s, as each of its calls was retried on another
-/// engine.
+/// Returns the decision that ends a call whose request is in quarantine. Otherwise each of its
+/// retries may crash another engine.
 std::optional<ForwardDecision> ForwardCall::checkQuarantine()
 {
     const std::optional<ErrorKind> kind = quarantineKind();
--- a/src/include/reachlead/forwardpolicy.h
+++ b/src/include/reachlead/forwardpolicy.h
@@ -67,8 +67,8 @@
 inline constexpr unsigned maxConnectFailures = 4;
 
 /// Maximum refused connections of a call, which take one round trip each. When several upstreams
-/// exit at once, the registry still lists them for seconds: with a limit of 4 a call was refused
-/// although 12 of 16 upstreams would have served it.
+/// exit at once, the registry still lists them for seconds, and a call may be refused several times
+/// before it reaches one that runs.
 inline constexpr unsigned maxConnectRefusals = 16;
 
 } // namespace reachlead
--- a/src/include/reachlead/placement/dedicatedengines.h
+++ b/src/include/reachlead/placement/dedicatedengines.h
@@ -23,9 +23,9 @@
 /// Streams of short prompts therefore get engines that prefill no long ones. All gateways order the
 /// engines identically; the number of dedicated ones follows the demand that each gateway sees.
 ///
-/// Load pattern: the number of short-prompt streams varies with the mix of calls and with bursts. A
-/// fixed tenth of 55 engines was full (32 slots each) on a day without faults, and 18 % of the
-/// short calls waited more than 0.6 s for a slot while other engines were idle.
+/// Load pattern: the number of short-prompt streams varies with the mix of calls and with bursts.
+/// With a fixed number of dedicated engines, short calls wait for a slot there while other engines
+/// are idle.
 class DedicatedEngines
 {
 public:
--- a/src/include/reachlead/placement/earlyrefusal.h
+++ b/src/include/reachlead/placement/earlyrefusal.h
@@ -33,15 +33,11 @@
     /// Longest queueing time of a less urgent call, in multiples of its target; the rest of the
     /// target is left for its own prompt and the steps of the engine. A late answer is still
     /// useful, but each waiting call also delays those behind it, and an engine that prefills
-    /// continuously emits a token only every 60 ms for its other streams. On a day that starts with
-    /// empty caches, 2,824 of 4,192 long calls were answered in time with 0.1, and 2,600 with 0.25.
-    /// Setting; 0 disables refusal.
+    /// continuously slows the decoding of its other streams. Setting; 0 disables refusal.
     double waitTargets = 0.1;
 
     /// The same for the most urgent calls. Engines prefill these first, so most of the predicted
-    /// wait does not apply to them. With 0.5, three of 39 simulated overloaded days had periods of
-    /// about 5 s in which more than a twelfth of the urgent calls were refused while less urgent
-    /// ones started; with 1.0, none had.
+    /// wait does not apply to them. A low limit refuses urgent calls while less urgent ones start.
     double urgentWaitTargets = 1.0;
 
     /// Share of the caller's remaining time that is reserved for the answer itself.
--- a/src/include/reachlead/placement/placementgroups.h
+++ b/src/include/reachlead/placement/placementgroups.h
@@ -41,10 +41,9 @@
 class PlacementGroups
 {
 public:
-    /// Approximate number of upstreams in a group. A gateway that places calls for 32 engines
-    /// receives 15 queries/s at the load of the largest planned fleet (5,700 requests/s for 12,000
-    /// replicas), of 40 bytes to 0.3 KB each: 5 to 8 KB/s of the 15 KB/s that control traffic may
-    /// use per VM.
+    /// Approximate number of upstreams in a group. A larger group leaves more choice; its scheduler
+    /// receives more queries, which must fit into the control traffic allowed per VM in the largest
+    /// planned fleet.
     static constexpr std::size_t defaultSize = 32;
 
     explicit PlacementGroups(std::size_t size = defaultSize) : m_size(size) { }
@@ -75,9 +74,7 @@
 
 /// The gateways that place calls for others: of \p gateways, which are those with known CPU shares,
 /// all that have at least half of the largest share. A selection examines all upstreams, and on a
-/// VM with 0.09 cores it waits behind the calls. In a day of bursts on 30 VMs, 24 of them of that
-/// size, with CPU time accounted for, 69% of the calls were served when gateways with any share
-/// placed calls, and 80% with this rule and RefusalOrder.
+/// VM with a small share of a core it waits behind the calls.
 std::set<VmName> strongGateways(const std::map<VmName, MilliCores> &gateways);
 
 /// The gateway that places the calls of a group: that with the highest rendezvous score for the
--- a/src/include/reachlead/placement/refusalorder.h
+++ b/src/include/reachlead/placement/refusalorder.h
@@ -19,9 +19,7 @@
 ///
 /// Load pattern: the most urgent calls alone fill the slots of the engines. As each call is judged
 /// by the wait at its own arrival, a long, less urgent call that arrives just after a refused
-/// urgent one takes the slot that the urgent one needed. In a replica of a deployment with engines
-/// 1.7 times as slow and longer prompts, 87 of 280 urgent calls within five seconds were refused
-/// while 52 less urgent ones of twice their size started.
+/// urgent one takes the slot that the urgent one needed.
 class RefusalOrder
 {
 public:
--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -208,9 +208,8 @@
     void connectionRefused(const UpstreamId &id, Time now);
     /// Another gateway reports that an upstream fails. A report counts for reportLifetime, and only
     /// if minReports gateways agree, so that a gateway that is partitioned from an upstream does
-    /// not take it from the others. Without reports each gateway has to find out on its own: on a
-    /// day on which 20 of 180 engines crashed at once, 4,304 of 29,400 calls were sent to addresses
-    /// where nothing listened.
+    /// not take it from the others. When many upstreams crash at once, each gateway would otherwise
+    /// send calls to every one of their addresses to find out.
     void reportedFailing(const UpstreamId &id, const VmName &reporter, Time now);
     static constexpr Duration reportLifetime = milliseconds(1000);
     static constexpr std::size_t minReports = 2;
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -107,8 +107,7 @@
 }
 
 /// Reports the crash to all routers before the run's result. A request that crashes upstreams may
-/// come through any router, and each would lose three upstreams before it quarantined the request:
-/// without this report 30 of 30 attempts of such a request crashed an engine, with it three.
+/// come through any router, and each would lose three upstreams before it quarantined the request.
 void AgentCore::upstreamExited(const AttemptKey &key, Time now)
 {
     const Run *run = findRun(key);
--- a/src/libreachlead/placement/upstreamtable.cpp
+++ b/src/libreachlead/placement/upstreamtable.cpp
@@ -304,8 +304,7 @@
         / (rateShare(query, id, query.isGroupScheduler) * query.serviceInfo->coldCallsPerSecond));
 }
 
-/// True for a cold upstream that has had its share of calls. Without this, one that had just
-/// started got 15 calls in its first second at a cold rate of 5.9.
+/// True for a cold upstream that has had its share of calls.
 bool UpstreamTable::isColdLimited(const SelectionQuery &query, const UpstreamEntry &entry,
                                   Record *record, Time now) const
 {
--- a/src/libreachlead/placement/upstreamtable_selection.cpp
+++ b/src/libreachlead/placement/upstreamtable_selection.cpp
@@ -89,8 +89,7 @@
 /// While no upstream is known to have all shared parts cached, their cost is computed as if the
 /// preferred upstream had them, so that all gateways send them there; the load still counts them as
 /// tokens to be prefilled. If the first parts alone attracted a prompt, engines that never got one
-/// would stay idle: of 55 engines 13 prefilled no long prompt in 34 s, and 687 of 2,861 long
-/// prompts had their first event later than 0.6 s, against 157 of 2,879 with this rule.
+/// would stay idle while the others queue.
 double UpstreamTable::prefillCost(const Candidate &candidate, const SelectionQuery &query,
                                   const PromptLocation &location, Selection *selection) const
 {
@@ -274,8 +273,7 @@
 /// The cost of one more prompt for the short-prompt streams of an engine. An event carries a few
 /// tokens, one step each, and a step with a prefill chunk takes many times as long as one without.
 /// With one or two chunks to prefill the token gap stays within its bound; a longer run of chunks
-/// makes all streams of the engine late at once. On days without faults, 28 of 2,313 short calls
-/// were late with this term, and 112 without it.
+/// makes all streams of the engine late at once.
 double UpstreamTable::stallCost(const Candidate &candidate, TokenCount prefillTokens) const
 {
     const auto maxBacklog = static_cast<double>(m_costs.maxShortPromptTokens);
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -481,8 +481,8 @@
 
 /// A peer that was current at some time and knows nothing newer than this gateway confirms that
 /// this gateway was current then, too. If only peers with an equal state confirmed it, none would
-/// while changes follow each other faster than they spread: 100 gateways then began to read the
-/// store within half a second.
+/// while changes follow each other faster than they spread, and all gateways would begin to read
+/// the store.
 void GatewayPeers::confirmState(const GatewayHeartbeat &heartbeat, Time receivedAt)
 {
     if (!isBehind(heartbeat) && heartbeat.ageMs != GatewayHeartbeat::unknownAge)
--- a/src/peer/heartbeatbudget.h
+++ b/src/peer/heartbeatbudget.h
@@ -16,9 +16,8 @@
 
 /// Computes the rate, fan-out and validity of heartbeats between gateways. Has no state.
 ///
-/// Calls are placed by the load that the other gateways have caused in the meantime. In a fleet of
-/// 30 gateways that each sent a heartbeat to five others every 0.4 s, a reported load was up to
-/// 2.4 s old, longer than any prompt waits.
+/// Calls are placed by the load that the other gateways have caused in the meantime, so a reported
+/// load must not be older than a prompt usually waits.
 struct HeartbeatBudget
 {
     /// Time between heartbeats. A change reaches a gateway that is disconnected from the registry
