pressure: bytes held for slow readers are bounded, and a stalled caller is its own loss

Cause: what a gateway holds for callers and upstreams that read slowly was bounded for each connection only, so the longest bodies on all connections of a VM of 120 MB are 32 times its memory. A caller that stopped reading kept its call beyond the deadline, and its upstream, which cuts an unread answer, got a failure in its circuit, evidence of a crash, and a retry elsewhere.

Change: ByteBudget divides a share of the memory among accounts by dynamic thresholds; bodies and the buffers of a call find room before they are read or sent, and reading pauses until then. What finds none in time is refused as not run (buffer-space-full). StallTracker tells a connection that was lost to a caller which did not read. Writes that wait at the deadline or at the end of the process are reset. Kernel buffers are bounded in the direction of readers. A failed write to a caller no longer counts against the upstream when the disconnect is noticed later. An upstream counts as stalled at the deadline only if it took nothing of a request. Section [pressure], off by default; the settings of the deployments are unchanged.

Ruled out: fixed shares (idle ones stay unused), and evicting calls of the account that holds most (breaks off callers that may still read).

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -3,6 +3,8 @@
 
 #include "callerstream.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
@@ -30,6 +32,22 @@
     return ErrorKind::BadRequest;
 }
 
+/// Records how long the caller takes to read one write.
+class WriteScope
+{
+public:
+    explicit WriteScope(StallTracker &writes) : m_writes(writes)
+    {
+        m_writes.writeBegan(RuntimeClock::now());
+    }
+    ~WriteScope() { m_writes.writeEnded(RuntimeClock::now()); }
+    WriteScope(const WriteScope &) = delete;
+    WriteScope &operator=(const WriteScope &) = delete;
+
+private:
+    StallTracker &m_writes;
+};
+
 } // namespace
 
 CallerStream::CallerStream(asio::ip::tcp::socket socket)
@@ -45,9 +63,14 @@
         asio::detached);
 }
 
+std::size_t CallerStream::readAheadLimit() const
+{
+    return m_isPaused ? m_readBuffer.size() : maxReadAheadBytes;
+}
+
 bool CallerStream::shouldRead() const
 {
-    return m_reading || m_input.size() < maxReadAheadBytes;
+    return (m_reading && !m_isPaused) || m_input.size() < readAheadLimit();
 }
 
 asio::awaitable<void> CallerStream::readLoop()
@@ -78,7 +101,7 @@
         callback();
 }
 
-bool CallerStream::parseInput(http::request_parser<http::string_body> *parser)
+bool CallerStream::parseInput(RequestParser *parser)
 {
     while (m_input.size() > 0 && !parser->is_done()) {
         error_code ec;
@@ -103,13 +126,49 @@
     return RuntimeClock::now() + milliseconds(limits.idleTimeoutMs);
 }
 
-asio::awaitable<std::optional<CallerHttpRequest>> CallerStream::read(const CallerLimits &limits)
+/// Returns the size of the body: all of it if its length is known, so that requests in part do not
+/// wait for one another.
+ByteCount CallerStream::bodySize(const RequestParser &parser) const
 {
-    http::request_parser<http::string_body> parser;
+    if (!parser.is_header_done())
+        return {};
+    const std::uint64_t arrived = parser.get().body().size() + m_input.size();
+    return {std::max<std::uint64_t>(parser.content_length().value_or(0), arrived)};
+}
+
+bool CallerStream::needsRoom(const RequestParser &parser) const
+{
+    const ByteCount body = bodySize(parser);
+    return body > maxUnboundedBody && body + Pressure::callBuffers > m_lease.held();
+}
+
+/// Waits until there is room for the body. Returns false if there is none in time.
+asio::awaitable<bool> CallerStream::makeRoom(const RequestParser &parser, const RequestRoom &room,
+                                             Time until)
+{
+    if (!m_lease.isBounded())
+        m_lease = room.pressure->lease(room.accountOf(parser.get().base()));
+    const ByteCount needed = bodySize(parser) + Pressure::callBuffers;
+    const RoomRequest request(room.pressure, m_lease, needed, m_inputArrived);
+    m_isPaused = true;
+    while (!request.isGranted() && !m_disconnected && RuntimeClock::now() < until)
+        co_await m_inputArrived.waitUntil(until);
+    m_isPaused = false;
+    m_readResumed.notify();
+    co_return request.isGranted();
+}
+
+asio::awaitable<std::optional<CallerHttpRequest>> CallerStream::read(const CallerLimits &limits,
+                                                                     const RequestRoom &room)
+{
+    RequestParser parser;
     parser.eager(true);
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
     m_error = {};
+    m_lease = {};
+    m_writes = StallTracker(room.pressure ? room.pressure->options().stallTime
+                                          : StallTracker::defaultStallTime);
     m_busy = false;
     m_reading = true;
     m_readResumed.notify();
@@ -119,6 +178,14 @@
             startedAt = RuntimeClock::now();
         if (!parseInput(&parser))
             break;
+        if (room.pressure && needsRoom(parser)) {
+            const Time until = RuntimeClock::now() + milliseconds(limits.headerTimeoutMs);
+            const bool isGranted = co_await makeRoom(parser, room, until);
+            if (!isGranted && !m_disconnected)
+                m_error = {ErrorKind::BufferSpaceFull, "no room for the body in time"};
+            if (!isGranted)
+                break;
+        }
         if (parser.is_done()) {
             m_reading = false;
             co_return parser.release();
@@ -140,6 +207,7 @@
 
 asio::awaitable<bool> CallerStream::send(FullAnswer answer)
 {
+    const WriteScope scope(m_writes);
     error_code ec;
     co_await http::async_write(m_socket, answer, redirectError(&ec));
     m_busy = false;
@@ -148,6 +216,7 @@
 
 asio::awaitable<bool> CallerStream::sendHead(AnswerHead head)
 {
+    const WriteScope scope(m_writes);
     error_code ec;
     m_chunked = head.chunked();
     m_endsWithConnection = !m_chunked;
@@ -158,6 +227,7 @@
 
 asio::awaitable<bool> CallerStream::sendChunk(std::string_view bytes)
 {
+    const WriteScope scope(m_writes);
     error_code ec;
     const asio::const_buffer buf(bytes.data(), bytes.size());
     if (m_chunked)
@@ -169,6 +239,7 @@
 
 asio::awaitable<bool> CallerStream::finishAnswer()
 {
+    const WriteScope scope(m_writes);
     error_code ec;
     if (m_chunked)
         co_await asio::async_write(m_socket, http::make_chunk_last(), redirectError(&ec));
@@ -192,8 +263,9 @@
 void CallerStream::abort()
 {
     error_code ec;
-    // A close would look like the end of the answer.
-    if (m_endsWithConnection)
+    // A close would look like the end of the answer, and the kernel would go on to hold what the
+    // caller has not taken.
+    if (m_endsWithConnection || m_writes.isWriting())
         m_socket.set_option(asio::socket_base::linger(true, 0), ec);
     m_socket.close(ec);
     setDisconnected();
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -23,6 +23,8 @@
 #include <reachlead/routing.h>
 #include <reachlead/signal.h>
 
+#include "pressure.h"
+
 namespace reachlead {
 
 /// A request with its full body.
@@ -34,6 +36,13 @@
 /// The head of an answer whose body is sent in chunks.
 using AnswerHead = boost::beast::http::response<boost::beast::http::empty_body>;
 
+/// Room for the bodies of requests, and the accounts that they are held for.
+struct RequestRoom
+{
+    std::shared_ptr<Pressure> pressure; ///< null: bodies are bounded by CallerLimits only
+    std::function<AccountName(const Fields &)> accountOf = {};
+};
+
 /// One connection. To be used on the thread of its executor only.
 ///
 /// A read is pending at all times, so that a disconnect is detected while a request is being
@@ -47,8 +56,14 @@
     void start();
 
     /// Reads the next request. Empty when there is none: error() then gives the reason, where kind
-    /// None means that the caller closed the connection or was idle for too long.
-    boost::asio::awaitable<std::optional<CallerHttpRequest>> read(const CallerLimits &limits);
+    /// None means that the caller closed the connection or was idle for too long. Reading pauses
+    /// while there is no room for the body; the request is refused when none is released in time.
+    boost::asio::awaitable<std::optional<CallerHttpRequest>> read(const CallerLimits &limits,
+                                                                  const RequestRoom &room);
+
+    /// Passes on the room that the last request takes, with its call's buffers; empty for short
+    /// ones.
+    ByteLease takeLease() { return std::move(m_lease); }
 
     /// Sends a full answer. Returns false when the connection failed.
     boost::asio::awaitable<bool> send(FullAnswer answer);
@@ -63,7 +78,8 @@
     /// closes. Bytes that arrive in the meantime are not read.
     boost::asio::awaitable<void> closeGracefully();
 
-    /// Closes at once; the caller sees an answer in progress as truncated.
+    /// Closes at once; the caller sees an answer in progress as truncated. Bytes that the caller
+    /// has not taken are dropped.
     void abort();
 
     /// Makes read() return if no byte of a request has arrived. Used for a planned stop.
@@ -77,6 +93,11 @@
     /// True from the first byte of a request to the end of its answer.
     bool isBusy() const { return m_busy; }
     const Error &error() const { return m_error; }
+    /// How long the caller took to read the parts of the answer in progress.
+    const StallTracker &writes() const { return m_writes; }
+
+    /// Bodies up to this size need no room of their own.
+    static constexpr ByteCount maxUnboundedBody = kibibytes(16);
 
     /// Bytes that are read ahead while a request is being processed; more stay in the kernel.
     static constexpr std::size_t maxReadAheadBytes = 64U << 10U;
@@ -84,10 +105,17 @@
     static constexpr Duration lingerTime = milliseconds(500);
 
 private:
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
     boost::asio::awaitable<void> readLoop();
     bool shouldRead() const;
     void setDisconnected();
-    bool parseInput(boost::beast::http::request_parser<boost::beast::http::string_body> *parser);
+    std::size_t readAheadLimit() const;
+    ByteCount bodySize(const RequestParser &parser) const;
+    bool needsRoom(const RequestParser &parser) const;
+    boost::asio::awaitable<bool> makeRoom(const RequestParser &parser, const RequestRoom &room,
+                                          Time until);
+    bool parseInput(RequestParser *parser);
     Time readDeadline(const CallerLimits &limits, Time startedAt, bool headerDone) const;
 
     boost::asio::ip::tcp::socket m_socket;
@@ -99,11 +127,14 @@
     Signal m_readResumed; ///< notified when readLoop() may read more
     std::function<void()> m_onDisconnected;
     Error m_error;
+    ByteLease m_lease; ///< of the request being read
+    StallTracker m_writes;
     bool m_chunked = false; ///< the answer in progress has chunked encoding
     bool m_endsWithConnection = false; ///< the answer in progress has neither a length nor chunks
     bool m_disconnected = false;
     bool m_busy = false;
     bool m_reading = false; ///< read() is in progress
+    bool m_isPaused = false; ///< there is no room for more of the body
     bool m_stopWhenIdle = false;
 };
 
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -34,7 +34,8 @@
     : m_context(context), m_activeCalls(context.activeCalls), m_caller(caller),
       m_request(std::move(request)), m_metadata(context.headerCodec.readCall(m_request)),
       m_table(context.state.table()), m_arrivedAt(RuntimeClock::now()),
-      m_deadline(m_arrivedAt + defaultTimeout), m_timer(context.io)
+      m_deadline(m_arrivedAt + defaultTimeout), m_timer(context.io), m_lease(caller.takeLease()),
+      m_wakeUp(context.io.get_executor())
 {
     m_context.counters.add(Counter::RequestsAccepted);
     m_context.counters.adjust(Gauge::OpenRequests, 1);
@@ -54,17 +55,20 @@
         co_return co_await refuse(*error);
     setDeadline();
     installStopHandlers();
-    if (const auto error = co_await bindResumedStream()) {
+    std::optional<Error> error = co_await acquireBuffers();
+    if (!error)
+        error = co_await bindResumedStream();
+    if (error) {
         m_timer.cancel();
         co_return co_await refuse(*error);
     }
-    while (true) {
-        const auto decision = co_await sendOnce();
-        if (!decision)
-            continue;
-        m_timer.cancel();
-        co_return co_await finish(*decision);
-    }
+    std::optional<ForwardDecision> decision;
+    while (!decision)
+        decision = co_await sendOnce();
+    m_timer.cancel();
+    const bool keepAlive = co_await finish(*decision);
+    recordStall();
+    co_return keepAlive;
 }
 
 std::optional<Error> ForwardCall::resolve()
@@ -105,8 +109,13 @@
     if (m_stop != Stop::None)
         return;
     m_stop = why;
+    m_wakeUp.notify();
     if (m_channel)
         m_channel->close();
+    // Otherwise the call would last until the caller reads again.
+    const bool isUnfinished = !m_isFinishing || why == Stop::CallerStalled;
+    if (isUnfinished && m_caller.writes().isWriting())
+        m_caller.abort();
 }
 
 void ForwardCall::installStopHandlers()
@@ -119,10 +128,15 @@
     m_caller.onDisconnected([stopIfAlive] { stopIfAlive(Stop::CallerDisconnected); });
     if (m_caller.isDisconnected())
         stop(Stop::CallerDisconnected);
-    m_timer.expires_at(m_deadline);
-    m_timer.async_wait([stopIfAlive](const boost::system::error_code &ec) {
-        if (!ec)
-            stopIfAlive(Stop::Expired);
+    startTimer(m_deadline, Stop::Expired);
+}
+
+void ForwardCall::startTimer(Time at, Stop why)
+{
+    m_timer.expires_at(at);
+    m_timer.async_wait([this, why, alive = std::weak_ptr(m_lifetime)](const auto &ec) {
+        if (!ec && !alive.expired())
+            stop(why);
     });
 }
 
@@ -218,6 +232,8 @@
 {
     if (m_stop == Stop::Quarantined)
         return notRun ? m_quarantine : ErrorKind::QuarantinedInFlight;
+    if (m_stop == Stop::CallerStalled)
+        return ErrorKind::CallerStalled;
     if (m_stop == Stop::CallerDisconnected)
         return ErrorKind::CallerDisconnected;
     if (m_stop == Stop::ProcessExiting)
@@ -227,6 +243,11 @@
 
 asio::awaitable<bool> ForwardCall::finish(ForwardDecision decision)
 {
+    m_isFinishing = true;
+    if (m_context.pressure)
+        startTimer(std::max(m_deadline, RuntimeClock::now())
+                       + m_context.pressure->options().stallLimit,
+                   Stop::CallerStalled);
     switch (decision.step) {
     case ForwardStep::Deliver:
         co_return co_await deliverAnswer();
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -48,6 +48,7 @@
     enum class Stop : std::uint8_t {
         None,
         CallerDisconnected,
+        CallerStalled, ///< the upstream cut an answer that the caller did not read
         Expired,
         ProcessExiting,
         Quarantined
@@ -57,8 +58,17 @@
     std::optional<Error> resolve();
     void setDeadline();
     void installStopHandlers();
+    void startTimer(Time at, Stop why);
     void stop(Stop why);
 
+    // Room for the bytes that the call holds
+    boost::asio::awaitable<std::optional<Error>> acquireBuffers();
+    boost::asio::awaitable<bool> makeRoom(ByteCount extra, Time until);
+    bool tryRoom(ByteCount extra);
+    ByteCount baseRoom() const;
+    bool isLostToCaller(SendResult result) const;
+    void recordStall();
+
     // Sends
     std::optional<ErrorKind> quarantineKind();
     std::optional<ForwardDecision> checkQuarantine();
@@ -74,6 +84,7 @@
     boost::asio::awaitable<bool> sendEvents(const std::string &events);
     UpstreamCall makeCall(const UpstreamEntry &entry) const;
     SendResult failureResult() const;
+    SendResult callerLost();
     SendResult classifyHead() const;
     ForwardState makeForwardState(SendResult result);
     void recordResult(const UpstreamEntry &entry, SendResult result);
@@ -132,6 +143,9 @@
     Time m_deadline; ///< of the whole answer
     Timer m_timer; ///< stops the call at m_deadline
     Stop m_stop = Stop::None;
+    ByteLease m_lease; ///< of the request, the call's buffers, and the buffered answer
+    Signal m_wakeUp; ///< notified when there is room, and when the call is stopped
+    bool m_isFinishing = false; ///< the last answer is being sent
     ErrorKind m_quarantine = ErrorKind::None; ///< of Stop::Quarantined
     std::shared_ptr<int> m_lifetime = std::make_shared<int>(); ///< expires with this object
 
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -37,6 +37,14 @@
     return m_exchange->isCorrupt() ? SendResult::Corrupt : SendResult::Lost;
 }
 
+/// Ends the send because the connection to the caller failed, which says nothing about the
+/// upstream.
+SendResult ForwardCall::callerLost()
+{
+    stop(Stop::CallerDisconnected);
+    return SendResult::Lost;
+}
+
 /// Classifies the send by the head of the answer alone.
 SendResult ForwardCall::classifyHead() const
 {
@@ -95,7 +103,7 @@
         if (piece->empty())
             co_return SendResult::Complete;
         m_body += *piece;
-        if (m_body.size() > maxBufferedBytes) {
+        if (m_body.size() > maxBufferedBytes || !tryRoom({m_body.size()})) {
             std::string first = std::move(m_body);
             co_return co_await relayBody(std::move(first));
         }
@@ -108,11 +116,12 @@
     bool sent = co_await sendHead();
     while (sent && piece && !piece->empty()) {
         sent = co_await m_caller.sendChunk(*piece);
+        tryRoom({}); // what was buffered before is sent
         if (sent)
             piece = co_await m_exchange->readSome();
     }
     if (!sent)
-        co_return SendResult::Lost;
+        co_return callerLost();
     if (!piece)
         co_return failureResult();
     m_isBodyComplete = true;
@@ -134,11 +143,14 @@
         const std::string events = m_events.feed(*piece, &tooLong);
         if (tooLong)
             co_return SendResult::Corrupt;
+        const bool hasRoom = co_await makeRoom({m_events.partialBytes()}, m_deadline);
+        if (!hasRoom)
+            co_return SendResult::Lost;
         if (events.empty())
             continue;
         const bool sent = co_await sendEvents(events);
         if (!sent)
-            co_return SendResult::Lost;
+            co_return callerLost();
     }
     if (m_events.hasPartialEvent()) {
         m_lastReason = "the stream ended inside an event";
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -154,6 +154,8 @@
         m_fetchFrom = state.directory().find(*selection->fetchFrom)->address;
     state.upstreams().sent(entry.id, makeSelectionQuery(), *selection, RuntimeClock::now());
     const SendResult result = co_await exchange(entry);
+    if (isLostToCaller(result))
+        stop(Stop::CallerStalled);
     recordResult(entry, result);
     if (result == SendResult::Lost && m_stop == Stop::None)
         recordUpstreamLost(entry);
@@ -243,8 +245,10 @@
     bool isOk = co_await m_exchange->write(call);
     if (isOk)
         isOk = co_await m_exchange->readHead();
+    const bool isStalled = m_context.pressure && m_stop == Stop::Expired
+        && m_exchange->isUpstreamStalled(m_context.pressure->options().stallTime);
     if (!isOk)
-        co_return failureResult();
+        co_return isStalled ? SendResult::Stalled : failureResult();
     co_return co_await receiveAnswer();
 }
 
@@ -286,7 +290,8 @@
         table.succeeded(entry.id);
     else if (std::exchange(m_isConnectionRefused, false))
         table.connectionRefused(entry.id, RuntimeClock::now());
-    else if (result != SendResult::RefusedNotRun && !isStoppedHere)
+    else if (result == SendResult::Stalled
+             || (result != SendResult::RefusedNotRun && !isStoppedHere))
         table.failed(entry.id, RuntimeClock::now());
     else if (result == SendResult::RefusedNotRun && m_exchange->metadata().isMisdirected)
         table.replaced(entry.id);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -42,6 +42,29 @@
     return table ? table->config().limits : defaultLimits;
 }
 
+/// Returns where the bodies of requests find room: with the account that holds the request's key.
+RequestRoom Forwarder::requestRoom() const
+{
+    return {m_context.pressure, [this](const Fields &head) {
+                const RouteTablePtr &table = m_context.state.table();
+                const AccountKeys *account = table
+                    ? table->accountForKey(m_context.headerCodec.readCall(head).apiKey)
+                    : nullptr;
+                return account != nullptr ? account->name : AccountName();
+            }};
+}
+
+/// Bounds what the kernel holds for a caller that does not read, and lets such a caller go on
+/// later: by default the kernel resets a connection whose peer accepts no data for ackTimeout.
+void Forwarder::boundSocket(tcp::socket &socket) const
+{
+    const Pressure::Options &options = m_context.pressure->options();
+    boost::system::error_code ec; // ignored: without the options the kernel's own limits apply
+    if (options.socketBufferBytes > 0)
+        socket.set_option(asio::socket_base::send_buffer_size(options.socketBufferBytes), ec);
+    setAckTimeout(socket, options.stallLimit);
+}
+
 asio::awaitable<void> Forwarder::acceptLoop()
 {
     while (m_acceptor.is_open()) {
@@ -61,6 +84,8 @@
             continue; // closed before any request is read, so the caller can retry safely
         }
         setSocketTimeouts(socket);
+        if (m_context.pressure)
+            boundSocket(socket);
         auto caller = std::make_shared<CallerStream>(std::move(socket));
         m_connections.insert(caller);
         caller->start();
@@ -84,7 +109,8 @@
 asio::awaitable<bool> Forwarder::serveOne(CallerStream &caller)
 {
     const CallerLimits callerLimits = limits();
-    std::optional<CallerHttpRequest> request = co_await caller.read(callerLimits);
+    const RequestRoom room = requestRoom();
+    std::optional<CallerHttpRequest> request = co_await caller.read(callerLimits, room);
     if (!request) {
         const Error error = caller.error();
         if (error.kind != ErrorKind::None && !caller.isDisconnected()) {
@@ -92,7 +118,8 @@
             LogLine(LogLevel::Info, "request-unreadable")
                 .with("kind", errorRow(error.kind).name)
                 .with("reason", error.reason);
-            FullAnswer answer = makeRefusal(error, std::nullopt, false);
+            FullAnswer answer =
+                makeRefusal(error, computeRetryAfter(error.kind, std::nullopt), false);
             co_await caller.send(std::move(answer));
         }
         co_return false;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -22,6 +22,7 @@
 #include <reachlead/streamregistry.h>
 
 #include "caller/callerstream.h"
+#include "caller/pressure.h"
 #include "upstream/upstreamchannel.h"
 
 namespace reachlead {
@@ -55,6 +56,8 @@
     std::function<void(const PromptContents &)> onPartsBegan = {};
     /// Called when an upstream starts execution of a call of an account; may be empty.
     std::function<void(const AccountName &)> onExecutionStarted = {};
+    /// Bounds the bytes held for callers and upstreams; null: each connection bounds its own only.
+    std::shared_ptr<Pressure> pressure = nullptr;
     bool stopping = false;
     bool acceptsRequests = true; ///< if false, new requests are refused as not run
 };
@@ -95,6 +98,8 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerStream> caller);
     boost::asio::awaitable<bool> serveOne(CallerStream &caller);
     const CallerLimits &limits() const;
+    RequestRoom requestRoom() const;
+    void boundSocket(boost::asio::ip::tcp::socket &socket) const;
 
     Options m_options;
     ForwardContext &m_context;
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -62,6 +62,8 @@
     StreamsUnknown,
     StreamsEvicted,
     QuarantinesReleased,
+    CallersStalled,
+    ReadsPaused,
     Size
 };
 
@@ -74,6 +76,8 @@
     Sessions,
     SettingsVersion,
     Draining,
+    HeldBytes,
+    CallsWaitingForRoom,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -75,6 +75,8 @@
     // Last, as routers and agents exchange the values.
     PromptPartQuarantined,
     QuarantinedInFlight,
+    BufferSpaceFull,
+    CallerStalled,
     Size
 };
 
--- a/src/include/reachlead/eventsplitter.h
+++ b/src/include/reachlead/eventsplitter.h
@@ -25,6 +25,9 @@
     /// True when an incomplete event is buffered.
     bool hasPartialEvent() const { return !m_held.empty(); }
 
+    /// The size of the incomplete event.
+    std::size_t partialBytes() const { return m_held.size(); }
+
     /// Discards the incomplete event; the stream is resumed from another upstream.
     void dropPartialEvent() { m_held.clear(); }
 
--- a/src/include/reachlead/sockettimeouts.h
+++ b/src/include/reachlead/sockettimeouts.h
@@ -20,4 +20,8 @@
 /// after ackTimeout while data is in flight, and after about three seconds on an idle connection.
 void setSocketTimeouts(boost::asio::ip::tcp::socket &socket);
 
+/// Replaces ackTimeout. It also limits how long a peer that reads nothing may keep its window
+/// closed.
+void setAckTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout);
+
 } // namespace reachlead
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -94,6 +94,10 @@
      "Upstreams crash when they begin to answer on a part of this prompt, so it is sent to none."},
     {QuarantinedInFlight, "quarantined-in-flight", 502, unknown, muchLater,
      "The request was sent to an upstream, and was then found to be one that crashes upstreams."},
+    {BufferSpaceFull, "buffer-space-full", 503, notRun, soon,
+     "The gateway holds as many bytes for callers as it may."},
+    {CallerStalled, "caller-stalled", 499, unknown, never,
+     "The caller stopped reading its answer."},
 }};
 
 constexpr bool isInEnumOrder()
--- a/src/libreachlead/sockettimeouts.cpp
+++ b/src/libreachlead/sockettimeouts.cpp
@@ -22,14 +22,19 @@
 
 void setSocketTimeouts(asio::ip::tcp::socket &socket)
 {
-    const auto ackTimeoutMs = static_cast<int>(toMillis(ackTimeout));
     boost::system::error_code ec; // ignored: an option that the kernel lacks only delays detection
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
     socket.set_option(asio::socket_base::keep_alive(true), ec);
     socket.set_option(TcpOption<TCP_KEEPIDLE>(keepAliveIdleSeconds), ec);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(keepAliveIntervalSeconds), ec);
     socket.set_option(TcpOption<TCP_KEEPCNT>(keepAliveProbes), ec);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(ackTimeoutMs), ec);
+    setAckTimeout(socket, ackTimeout);
+}
+
+void setAckTimeout(asio::ip::tcp::socket &socket, Duration timeout)
+{
+    boost::system::error_code ec; // as above
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(toMillis(timeout))), ec);
 }
 
 } // namespace reachlead
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -88,6 +88,10 @@
       m_source(source(m_io, &m_counters)), m_reload(std::move(reload))
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
+    if (settings.pressure.isEnabled) {
+        m_context.pressure = std::make_shared<Pressure>(settings.pressure, m_counters);
+        m_context.pool.setSocketBuffers(settings.pressure.socketBufferBytes);
+    }
     m_context.selector = &m_placementLink;
     m_context.streams = &m_streamLink;
     m_context.crashDetector = &m_crashDetector;
@@ -191,6 +195,8 @@
     while (true) {
         m_state.tick();
         m_context.pool.closeExpired();
+        if (m_context.pressure)
+            m_context.pressure->updateGauges();
         updateWatching();
         const bool ready = m_state.isReady() && !m_context.stopping;
         if (std::exchange(m_wasReady, ready) != ready)
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -49,15 +49,15 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 9> readers{
+    constexpr std::array<Reader, 10> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
         &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
         &GatewaySettings::readStop,      &GatewaySettings::readLogSection,
-        &GatewaySettings::readRegions};
+        &GatewaySettings::readRegions,   &GatewaySettings::readPressure};
     if (auto error = unknownSection(file,
                                     {"gateway", "peers", "operators", "store", "placement",
-                                     "retries", "usage", "stop", "log", "regions"}))
+                                     "retries", "usage", "stop", "log", "regions", "pressure"}))
         return error;
     for (const Reader reader : readers) {
         if (auto error = (this->*reader)(file))
@@ -217,6 +217,39 @@
     return reader.finish();
 }
 
+/// `for` lists what applies to the deployment: if the key is present, the bounds are in force only
+/// if the list contains `pressure`.
+std::optional<std::string> GatewaySettings::readPressure(const IniFile &file)
+{
+    constexpr std::string_view name = "pressure";
+    double heldShare = 0.25;
+    std::int64_t callKib = 5 << 10;
+    std::int64_t socketKib = pressure.socketBufferBytes >> 10;
+    double stallMs = toMillis(pressure.stallTime);
+    double limitMs = toMillis(pressure.stallLimit);
+    std::vector<std::string> inForce;
+    IniReader reader(file, "pressure");
+    reader.takeFlag("enabled", &pressure.isEnabled)
+        .takeNumber("held_share", 0.01, 0.9, &heldShare)
+        .takeNumber("account_share", 0.01, 0.99, &pressure.bounds.accountShare)
+        .takeInteger("call_kib", 64, 1'000'000, &callKib)
+        .takeInteger("socket_kib", 0, 1'000'000, &socketKib)
+        .takeNumber("stall_ms", 100.0, 600'000.0, &stallMs)
+        .takeNumber("stall_limit_ms", 1000.0, 600'000.0, &limitMs);
+    if (reader.has("for")) {
+        reader.takeList("for", &inForce);
+        pressure.isEnabled =
+            pressure.isEnabled && std::ranges::find(inForce, name) != inForce.end();
+    }
+    const auto memory = static_cast<double>(mebibytes(static_cast<std::uint64_t>(memoryMb)).value);
+    pressure.bounds.process = {static_cast<std::uint64_t>(memory * heldShare)};
+    pressure.bounds.call = kibibytes(static_cast<std::uint64_t>(callKib));
+    pressure.socketBufferBytes = static_cast<int>(socketKib << 10);
+    pressure.stallTime = fromSeconds(stallMs / 1000.0);
+    pressure.stallLimit = fromSeconds(limitMs / 1000.0);
+    return reader.finish();
+}
+
 /// Usage reporting is disabled unless `duties` contains it.
 std::optional<std::string> GatewaySettings::readUsage(const IniFile &file)
 {
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -13,6 +13,7 @@
 #include <reachlead/gatewaystate.h>
 #include <reachlead/inifile.h>
 
+#include "caller/pressure.h"
 #include "forward/forwarder.h"
 #include "peer/gatewaypeers.h"
 #include "peer/placementlink.h"
@@ -27,6 +28,7 @@
     GatewayPeers::Options peers;
     PlacementLink::Options placement;
     UsageLink::Options usage;
+    Pressure::Options pressure;
     Endpoint usageApi; ///< receives the usage reports
     Endpoint ready; ///< serves the load balancer's readiness checks
     Endpoint operators; ///< serves counters and histograms
@@ -47,6 +49,7 @@
     std::optional<std::string> readAddresses(const IniFile &file);
     std::optional<std::string> readPlacement(const IniFile &file);
     std::optional<std::string> readRetries(const IniFile &file);
+    std::optional<std::string> readPressure(const IniFile &file);
     std::optional<std::string> readUsage(const IniFile &file);
     std::optional<std::string> readStop(const IniFile &file);
     std::optional<std::string> readLogSection(const IniFile &file);
--- a/src/upstream/upstreamchannel.cpp
+++ b/src/upstream/upstreamchannel.cpp
@@ -66,6 +66,11 @@
         failure->reason = fmt::format("{} is not an IP address", entry.address.address);
         co_return nullptr;
     }
+    if (m_socketBuffers > 0) { // before connecting, as it decides the scale of the window
+        channel->socket.open(asio::ip::tcp::v4(), ec);
+        channel->socket.set_option(asio::socket_base::receive_buffer_size(m_socketBuffers), ec);
+        channel->socket.set_option(asio::socket_base::send_buffer_size(m_socketBuffers), ec);
+    }
     Timer timer(m_executor);
     timer.expires_after(timeout);
     timer.async_wait([channel](const error_code &timerError) {
--- a/src/upstream/upstreamchannel.h
+++ b/src/upstream/upstreamchannel.h
@@ -57,6 +57,10 @@
 public:
     explicit ConnectionPool(const boost::asio::any_io_executor &executor) : m_executor(executor) { }
 
+    /// Bounds what the kernel holds on a connection that is not read, in each direction; 0: as the
+    /// kernel decides. For connections that are opened from now on.
+    void setSocketBuffers(int bytes) { m_socketBuffers = bytes; }
+
     /// Removes and returns a usable idle connection; null if there is none.
     UpstreamChannelPtr takeIdle(const UpstreamId &id);
 
@@ -83,6 +87,7 @@
     bool isUsable(UpstreamChannel &channel) const;
 
     boost::asio::any_io_executor m_executor;
+    int m_socketBuffers = 0; ///< bytes
     std::map<UpstreamId, std::vector<UpstreamChannelPtr>> m_idle; ///< most recently used last
 };
 
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -49,8 +49,14 @@
     const bool needsLength = call.method != http::verb::get && call.method != http::verb::head;
     if (!call.body.empty() || needsLength)
         request.content_length(call.body.size());
+    http::request_serializer<http::span_body<const char>> serializer(request);
     error_code ec;
-    co_await http::async_write(m_channel->socket, request, redirectError(&ec));
+    m_isWriting = true;
+    while (!serializer.is_done() && !ec) {
+        m_lastTakenAt = RuntimeClock::now();
+        co_await http::async_write_some(m_channel->socket, serializer, redirectError(&ec));
+    }
+    m_isWriting = static_cast<bool>(ec);
     co_return !ec || setError(ec);
 }
 
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -42,6 +42,12 @@
     /// Sends the request. Returns false, with reason() set, when the connection failed.
     boost::asio::awaitable<bool> write(const UpstreamCall &call);
 
+    /// True while a request is being sent of which the upstream has taken nothing for \p limit.
+    bool isUpstreamStalled(Duration limit) const
+    {
+        return m_isWriting && RuntimeClock::now() - m_lastTakenAt >= limit;
+    }
+
     /// Reads the head of the answer. An answer with another attempt id is a late one to a former
     /// call, and is discarded. Returns false, with reason() set, when the connection failed or the
     /// answer is malformed.
@@ -91,6 +97,8 @@
     AnswerMetadata m_metadata;
     std::string m_attemptId;
     std::string m_reason;
+    Time m_lastTakenAt{}; ///< when the upstream last took bytes of the request
+    bool m_isWriting = false;
     bool m_isHead = false; ///< the method is HEAD: the answer has no body
     bool m_corrupt = false;
     std::vector<char> m_chunk;
--- a/testsuite/gateway.bash
+++ b/testsuite/gateway.bash
@@ -4,7 +4,8 @@
 # Functions for whole-program tests with gateways and a simulated platform.
 source "$(dirname "${BASH_SOURCE[0]}")/common.bash"
 
-# start_gateway NAME STORE [SEED-PORT]: starts a gateway whose store is at port STORE.
+# start_gateway NAME STORE [SEED-PORT]: starts a gateway whose store is at port STORE. MEMORY_MB,
+# DESCRIPTORS and MORE_SETTINGS (whole sections) add to its settings.
 start_gateway() {
     local name=$1 store=$2 seed=${3:-0} n
     cat >"$FLEET_DIR/$name.ini" <<INI
@@ -13,6 +14,8 @@
 zone = z1
 listen = 127.0.0.1:0
 ready = 127.0.0.1:0
+memory_mb = ${MEMORY_MB:-128}
+descriptors = ${DESCRIPTORS:-1024}
 [peers]
 address = 127.0.0.1:0
 port = $seed
@@ -24,6 +27,7 @@
 address = 127.0.0.1:$store
 [stop]
 limit_s = 6
+${MORE_SETTINGS:-}
 INI
     : >"$FLEET_DIR/$name.out" # output of an earlier process of that name must not be read as this one's
     "$BIN/reachlead-gateway" --settings "$FLEET_DIR/$name.ini" >"$FLEET_DIR/$name.out" &
