--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -31,11 +31,16 @@
     "limits_heard",        "leaving_heard",
     "backoffs_heard",      "store_restores",
     "streams_resumed",     "streams_unknown",
-    "streams_evicted",     "quarantines_released"};
+    "streams_evicted",     "quarantines_released",
+    "calls_queued",        "calls_granted",
+    "calls_withdrawn",     "calls_handed_back",
+    "places_kept",         "places_taken",
+    "queue_schedulers_lost"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
-    "window",           "sessions",      "settings_version", "draining"};
+    "window",           "sessions",      "settings_version", "draining",
+    "waiting_calls",    "kept_places"};
 
 } // namespace
 
