--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -64,6 +64,13 @@
     QuarantinesReleased,
     CallersStalled,
     ReadsPaused,
+    CallsQueued,
+    CallsGranted,
+    CallsWithdrawn,
+    CallsHandedBack,
+    PlacesKept,
+    PlacesTaken,
+    QueueSchedulersLost,
     Size
 };
 
@@ -78,6 +85,8 @@
     Draining,
     HeldBytes,
     CallsWaitingForRoom,
+    WaitingCalls,
+    KeptPlaces,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -77,6 +77,7 @@
     QuarantinedInFlight,
     BufferSpaceFull,
     CallerStalled,
+    QueueWaitExpired,
     Size
 };
 
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -98,6 +98,8 @@
      "The gateway holds as many bytes for callers as it may."},
     {CallerStalled, "caller-stalled", 499, unknown, never,
      "The caller stopped reading its answer."},
+    {QueueWaitExpired, "queue-wait-expired", 503, notRun, later,
+     "No upstream became free while an answer would still have been useful."},
 }};
 
 constexpr bool isInEnumOrder()
