--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -82,7 +82,7 @@
     bool mayRefuse = false; ///< as in SelectionQuery
     std::optional<ZoneSet> permittedZones; ///< as in SelectionQuery
     std::optional<SoftwareVersion> softwareVersion; ///< as in SelectionQuery
-    std::optional<QueueTerms> queue; ///< none: the call does not wait at the scheduler
+    std::optional<QueueTerms> queue = std::nullopt; ///< none: the call does not wait at the scheduler
 
     template <class Archive> void serialize(Archive &ar)
     {
@@ -135,7 +135,7 @@
     std::optional<PlacedCall> placed; ///< none: refused, or the querying gateway is to select
     std::optional<std::uint32_t> retryAfterMs; ///< set if the call is refused
     bool isStopping = false; ///< the querying gateway is to query another one from now on
-    std::optional<QueueReply> queue; ///< set while calls of the group wait
+    std::optional<QueueReply> queue = std::nullopt; ///< set while calls of the group wait
 
     template <class Archive> void serialize(Archive &ar)
     {
