forward: streams that may not be resumed outlive their engine

Cause: a stream that may not be resumed is lost with its engine, since no engine may run it again. Engines can send the memory of a run to a second one, which goes on with the same run; nothing used it.

Change: with [streams] backups = yes, and where the configuration says that a service's engines offer it, short streams that may not be resumed are backed up at an engine on another VM, of the same software version, that takes work, is healthy and has tokens left (BackupPolicy, pure, and BackupLedger). After a lost connection the call goes on there behind the last whole event. A refused continuation never starts the run again: nextStep() now asks for a repeatable call wherever an earlier send may have run. A continuation takes a retry from the budget, and is not an attempt of maxAttempts. Off by default.

Ruled out: going on after bytes that are no answer (the engine may be at work still) and after a 500 (it ran to its end); copies of resumable streams, which are only delayed by a loss.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -237,6 +237,7 @@
     case ForwardStep::Refuse:
     case ForwardStep::Fail:
     case ForwardStep::Retry:
+    case ForwardStep::Continue:
         break;
     }
     const Error error{decision.kind, m_lastReason};
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -65,6 +65,8 @@
     SelectionQuery makeSelectionQuery() const;
     boost::asio::awaitable<PlacementResult> choose();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
+    boost::asio::awaitable<std::optional<ForwardDecision>> sendTo(UpstreamEntry entry);
+    void beginSend(const UpstreamEntry &entry, const Selection &selection);
     boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
     boost::asio::awaitable<SendResult> exchange(const UpstreamEntry &entry);
     boost::asio::awaitable<SendResult> receiveAnswer();
@@ -92,6 +94,13 @@
     const PromptContents &promptContents();
     bool mayBeSuspect() const;
 
+    // Copies of the run at other engines
+    void chooseBackup(const UpstreamEntry &entry);
+    std::vector<BackupCandidate> backupCandidates();
+    const UpstreamEntry *copyHolder() const;
+    boost::asio::awaitable<std::optional<ForwardDecision>> continueRun();
+    void recordContinuation(SendResult result);
+
     // Versions of streams
     bool isResumption() const;
     StreamKey streamKey(std::string_view attemptId) const;
@@ -161,6 +170,11 @@
     bool m_isShortPrompt = false; ///< as in Selection
     std::optional<Endpoint> m_fetchFrom; ///< of the current send: whose cache to copy from
 
+    std::optional<BackupLedger::Reservation> m_backup; ///< the engine that is sent the run's memory
+    std::optional<RunCopy> m_continueFrom; ///< of the current send
+    bool m_continuesNext = false; ///< the next send goes on from the copy at m_backup
+    unsigned m_continuations = 0; ///< sends that went on from a copy; included in m_sends
+
     UpstreamChannelPtr m_channel; ///< of the current send
     std::optional<UpstreamExchange> m_exchange;
     EventSplitter m_events;
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -124,7 +124,9 @@
 {
     if (const auto decision = checkQuarantine())
         co_return decision;
-    GatewayState &state = m_context.state;
+    if (std::exchange(m_continuesNext, false))
+        co_return co_await continueRun();
+    const GatewayState &state = m_context.state;
     const PlacementResult placed = co_await choose();
     const std::optional<Selection> &selection = placed.selection;
     if (placed.retryAfter) {
@@ -139,22 +141,38 @@
         co_return ForwardDecision{m_headDelivered ? ForwardStep::Abort : step, kind};
     }
     const UpstreamEntry entry = *state.directory().find(selection->upstream);
+    m_continueFrom.reset();
+    beginSend(entry, *selection);
+    chooseBackup(entry);
+    co_return co_await sendTo(entry);
+}
+
+/// Records that the call is about to be sent to an upstream.
+void ForwardCall::beginSend(const UpstreamEntry &entry, const Selection &selection)
+{
+    GatewayState &state = m_context.state;
     m_tried.insert(entry.id);
     m_lastUpstream = entry.id;
     m_lastVersion = entry.softwareVersion;
-    m_lastCost = selection->cost;
-    m_pendingPrefillTokens = selection->prefillTokens;
-    m_prefillTokens = selection->prefillTokens;
-    m_tokensToFirstEvent = selection->tokensToFirstEvent;
+    m_lastCost = selection.cost;
+    m_pendingPrefillTokens = selection.prefillTokens;
+    m_prefillTokens = selection.prefillTokens;
+    m_tokensToFirstEvent = selection.tokensToFirstEvent;
     m_sentAt = RuntimeClock::now();
     m_awaitsFirstEvent = true;
-    m_isShortPrompt = selection->isShortPrompt;
+    m_isShortPrompt = selection.isShortPrompt;
     m_fetchFrom.reset();
-    if (selection->fetchFrom)
-        m_fetchFrom = state.directory().find(*selection->fetchFrom)->address;
-    state.upstreams().sent(entry.id, makeSelectionQuery(), *selection, RuntimeClock::now());
+    if (selection.fetchFrom)
+        m_fetchFrom = state.directory().find(*selection.fetchFrom)->address;
+    state.upstreams().sent(entry.id, makeSelectionQuery(), selection, RuntimeClock::now());
+}
+
+/// Sends once to an upstream. Returns the same as sendOnce().
+asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendTo(UpstreamEntry entry)
+{
     const SendResult result = co_await exchange(entry);
     recordResult(entry, result);
+    recordContinuation(result);
     if (result == SendResult::Lost && m_stop == Stop::None)
         recordUpstreamLost(entry);
     if (m_stop != Stop::None && result != SendResult::Complete) {
@@ -163,7 +181,8 @@
         co_return ForwardDecision{m_headDelivered ? ForwardStep::Abort : step, stopKind(notRun)};
     }
     const ForwardDecision decision = nextStep(result, makeForwardState(result));
-    if (decision.step != ForwardStep::Retry)
+    m_continuesNext = decision.step == ForwardStep::Continue;
+    if (decision.step != ForwardStep::Retry && !m_continuesNext)
         co_return decision;
     m_context.counters.retried(decision.kind);
     LogLine(LogLevel::Info, "send-again")
@@ -185,6 +204,8 @@
     now.resumable = m_route->resumable;
     now.headDelivered = m_headDelivered;
     now.sends = m_sends;
+    now.hasCopy = copyHolder() != nullptr;
+    now.continuations = m_continuations;
     now.maxAttempts = m_route->maxAttempts;
     now.connectFailures = m_connectFailures;
     now.connectRefusals = m_connectRefusals;
@@ -198,7 +219,8 @@
     if (result == SendResult::NotConnected)
         return now;
     // Takes a retry from the budget only if nothing else rules it out.
-    const bool wanted = nextStep(result, now).step == ForwardStep::Retry;
+    const ForwardStep step = nextStep(result, now).step;
+    const bool wanted = step == ForwardStep::Retry || step == ForwardStep::Continue;
     now.retryLeft = wanted && state.retries().take(m_service, RuntimeClock::now());
     if (result != SendResult::RefusedNotRun)
         m_mayHaveRun = true;
@@ -236,6 +258,7 @@
     if (m_sends == 0)
         m_context.state.retries().recordFirstSend(m_service, RuntimeClock::now());
     ++m_sends;
+    m_continuations += m_continueFrom ? 1 : 0;
     m_context.counters.add(Counter::Dispatched);
     recordStream();
     m_exchange.emplace(m_channel, m_context.headerCodec);
@@ -266,6 +289,9 @@
     metadata.urgency = m_table->urgencyRank(*m_route, m_account);
     metadata.resumeAfter = m_events.lastId();
     metadata.fetchFrom = m_fetchFrom;
+    metadata.continueFrom = m_continueFrom;
+    if (const UpstreamEntry *backup = copyHolder())
+        metadata.backUpAt = backup->address;
     m_context.headerCodec.writeSend(m_request, metadata, &call.fields);
     return call;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -20,6 +20,8 @@
 #include <reachlead/latency.h>
 #include <reachlead/placement/upstreamselector.h>
 #include <reachlead/streamregistry.h>
+#include <reachlead/streams/backupledger.h>
+#include <reachlead/streams/backuppolicy.h>
 
 #include "caller/callerstream.h"
 #include "upstream/upstreamchannel.h"
@@ -55,6 +57,8 @@
     std::function<void(const PromptContents &)> onPartsBegan = {};
     /// Called when an upstream starts execution of a call of an account; may be empty.
     std::function<void(const AccountName &)> onExecutionStarted = {};
+    BackupSettings backupSettings{};
+    BackupLedger backups{};
     bool stopping = false;
     bool acceptsRequests = true; ///< if false, new requests are refused as not run
 };
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -62,6 +62,9 @@
     StreamsUnknown,
     StreamsEvicted,
     QuarantinesReleased,
+    RunsBackedUp,
+    RunsContinued,
+    ContinuationsRefused,
     Size
 };
 
--- a/src/include/reachlead/forwardpolicy.h
+++ b/src/include/reachlead/forwardpolicy.h
@@ -42,11 +42,14 @@
     bool retryLeft = false; ///< the retry budget is not exhausted
     bool timeLeft = false; ///< enough for another send
     bool upstreamsLeft = false; ///< there is an upstream that was not tried
+    bool hasCopy = false; ///< another engine holds a copy of the run, and takes work
+    unsigned continuations = 0; ///< sends that went on from a copy
 };
 
 enum class ForwardStep : std::uint8_t {
     Deliver, ///< deliver the upstream's answer to the caller
     Retry, ///< send again: from the start, or after the last event delivered
+    Continue, ///< let the engine that holds a copy of the run go on with it
     Refuse, ///< report to the caller that it did not run, and when to retry
     Fail, ///< report to the caller that it may have run
     Abort ///< close the connection so that the answer is recognized as truncated
@@ -62,6 +65,10 @@
 /// Decides the step that follows a send. Pure.
 ForwardDecision nextStep(SendResult result, const ForwardState &state);
 
+/// Maximum continuations of a call from copies of its run: enough for a caller whose engine and
+/// backup engine crash together with others, and a bound on the engines that one request can reach.
+inline constexpr unsigned maxContinuations = 3;
+
 /// Maximum connect failures of a call: each may cost the caller the whole time limit of a
 /// connection attempt.
 inline constexpr unsigned maxConnectFailures = 4;
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -122,6 +122,7 @@
 
     /// Sets the number of gateways known by their heartbeats, this one included.
     void setLiveGateways(std::size_t count);
+    std::size_t liveGateways() const { return m_liveGateways; }
 
     /// Expires held upstreams, quarantines, limits and backoffs. Call a few times a second.
     void tick();
--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -292,6 +292,9 @@
                                                const UpstreamDirectory &directory, Time now,
                                                std::size_t maxCount);
 
+    /// False for an upstream that fails, by the evidence of this gateway or of several others.
+    bool isHealthy(const UpstreamId &id, Time now) { return !isFailing(&m_records[id], now); }
+
     /// Number of gateways whose loads are known.
     std::size_t peerCount() const { return m_peers.size(); }
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -31,7 +31,9 @@
     "limits_heard",        "leaving_heard",
     "backoffs_heard",      "store_restores",
     "streams_resumed",     "streams_unknown",
-    "streams_evicted",     "quarantines_released"};
+    "streams_evicted",     "quarantines_released",
+    "runs_backed_up",      "runs_continued",
+    "runs_not_continued"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/forwardpolicy.cpp
+++ b/src/libreachlead/forwardpolicy.cpp
@@ -40,10 +40,22 @@
     return state.kind == RouteKind::Safe && !state.headDelivered;
 }
 
+/// True when the run may go on from its copy. It remains the same run, so this holds on any route
+/// and does not count as an attempt. Only a lost connection qualifies: an upstream that sends
+/// other bytes than an answer may still be at work.
+bool mayContinue(SendResult result, const ForwardState &state)
+{
+    return result == SendResult::Lost && state.kind == RouteKind::Stream && state.hasCopy
+        && state.continuations < maxContinuations && state.timeLeft && state.retryLeft;
+}
+
 bool mayRetry(SendResult result, const ForwardState &state)
 {
     if (!state.timeLeft || !state.upstreamsLeft)
         return false;
+    // Proof that a continuation did not run says nothing about the run that it continues.
+    if (state.mayHaveRun && !isRepeatable(state))
+        return false;
     if (result == SendResult::NotConnected)
         return state.connectFailures < maxConnectFailures
             && state.connectRefusals < maxConnectRefusals;
@@ -64,6 +76,8 @@
     const ResultRow &row = resultRow(result);
     if (result == SendResult::Complete)
         return {ForwardStep::Deliver, ErrorKind::None};
+    if (mayContinue(result, state))
+        return {ForwardStep::Continue, row.kind};
     if (mayRetry(result, state))
         return {ForwardStep::Retry, row.kind};
     if (state.headDelivered)
--- a/src/libreachlead/forwardpolicy_test.cpp
+++ b/src/libreachlead/forwardpolicy_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(boundsOnSendsHold);
     CPPUNIT_TEST(retriesHappenWhereTheyAreAllowed);
     CPPUNIT_TEST(serverErrorIsDeliveredUnchanged);
+    CPPUNIT_TEST(runGoesOnFromItsCopyOnAnyRoute);
+    CPPUNIT_TEST(refusedContinuationIsNoLeaveToRunAgain);
     CPPUNIT_TEST_SUITE_END();
 
     using Check = std::function<void(SendResult, const ForwardState &, const ForwardDecision &)>;
@@ -128,6 +130,62 @@
         state.sends = 1;
         CPPUNIT_ASSERT(nextStep(SendResult::ServerError, state).step == ForwardStep::Deliver);
     }
+
+    static ForwardState lostRun()
+    {
+        ForwardState state;
+        state.kind = RouteKind::Stream;
+        state.headDelivered = true;
+        state.retryLeft = true;
+        state.timeLeft = true;
+        state.upstreamsLeft = true;
+        state.sends = 1;
+        state.maxAttempts = 1;
+        state.hasCopy = true;
+        return state;
+    }
+
+    static ForwardStep afterLoss(const ForwardState &state)
+    {
+        return nextStep(SendResult::Lost, state).step;
+    }
+
+    void runGoesOnFromItsCopyOnAnyRoute()
+    {
+        ForwardState state = lostRun();
+        CPPUNIT_ASSERT(afterLoss(state) == ForwardStep::Continue);
+        state.headDelivered = false;
+        CPPUNIT_ASSERT(afterLoss(state) == ForwardStep::Continue);
+        for (bool ForwardState::*needed :
+             {&ForwardState::hasCopy, &ForwardState::retryLeft, &ForwardState::timeLeft}) {
+            state = lostRun();
+            state.*needed = false;
+            CPPUNIT_ASSERT(afterLoss(state) == ForwardStep::Abort);
+        }
+        state = lostRun();
+        state.continuations = maxContinuations;
+        CPPUNIT_ASSERT(afterLoss(state) == ForwardStep::Abort);
+        for (const SendResult result :
+             {SendResult::Corrupt, SendResult::Stalled, SendResult::ServerError})
+            CPPUNIT_ASSERT(nextStep(result, lostRun()).step == ForwardStep::Abort);
+    }
+
+    /// An engine without the copy refuses the continuation as not run, but the run before it ran.
+    void refusedContinuationIsNoLeaveToRunAgain()
+    {
+        for (const SendResult result : {SendResult::RefusedNotRun, SendResult::NotConnected}) {
+            ForwardState state = lostRun();
+            state.hasCopy = false;
+            state.mayHaveRun = true;
+            state.continuations = 1;
+            state.maxAttempts = 3;
+            CPPUNIT_ASSERT(nextStep(result, state).step == ForwardStep::Abort);
+            state.headDelivered = false;
+            CPPUNIT_ASSERT(nextStep(result, state).step == ForwardStep::Fail);
+            state.resumable = true;
+            CPPUNIT_ASSERT(nextStep(result, state).step == ForwardStep::Retry);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardPolicyTest);
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(sharesOfRetriesNeverSumAboveTheBound);
     CPPUNIT_TEST(retriesAreAllowedAgainAfterTheWindow);
     CPPUNIT_TEST(eventsAreSplitAtTheirEnds);
+    CPPUNIT_TEST(eventsAreTheSameWhereverTheStreamWasCut);
     CPPUNIT_TEST(partOfAnEventIsHeldBack);
     CPPUNIT_TEST(endlessEventIsRefused);
     CPPUNIT_TEST(partCountsOnlyAfterItsPrefix);
@@ -103,6 +104,40 @@
         }));
     }
 
+    static std::string eventText(std::uint64_t id)
+    {
+        return fmt::format("id: {}\r\ndata: x{}\r\n\r\n", id, id);
+    }
+
+    /// Each engine but the last breaks off anywhere; the next one begins behind the last event that
+    /// was passed on.
+    void eventsAreTheSameWhereverTheStreamWasCut()
+    {
+        CPPUNIT_ASSERT(rc::check("events over any cuts", [] {
+            const auto count = *rc::gen::inRange<std::uint64_t>(1, 12);
+            const auto cuts =
+                *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(0, 80));
+            const auto stream = [count](std::uint64_t after) {
+                std::string text;
+                for (std::uint64_t id = after + 1; id <= count; ++id)
+                    text += eventText(id);
+                return text;
+            };
+            EventSplitter splitter;
+            std::string out;
+            bool tooLong = false;
+            for (const std::size_t cut : cuts) {
+                splitter.dropPartialEvent();
+                out +=
+                    splitter.feed(stream(splitter.lastId().value_or(0)).substr(0, cut), &tooLong);
+            }
+            splitter.dropPartialEvent();
+            out += splitter.feed(stream(splitter.lastId().value_or(0)), &tooLong);
+            RC_ASSERT(out == stream(0));
+            RC_ASSERT(!splitter.hasPartialEvent() && splitter.eventCount() == count);
+        }));
+    }
+
     void partOfAnEventIsHeldBack()
     {
         EventSplitter splitter;
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -89,6 +89,7 @@
 {
     (void)std::signal(SIGPIPE, SIG_IGN);
     m_context.selector = &m_placementLink;
+    m_context.backupSettings = settings.backups;
     m_context.streams = &m_streamLink;
     m_context.crashDetector = &m_crashDetector;
     m_context.onRequestCleared = [this](const ContentDigest &request) {
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -49,15 +49,15 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 9> readers{
+    constexpr std::array<Reader, 10> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
         &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
         &GatewaySettings::readStop,      &GatewaySettings::readLogSection,
-        &GatewaySettings::readRegions};
+        &GatewaySettings::readRegions,   &GatewaySettings::readStreams};
     if (auto error = unknownSection(file,
                                     {"gateway", "peers", "operators", "store", "placement",
-                                     "retries", "usage", "stop", "log", "regions"}))
+                                     "retries", "usage", "stop", "log", "regions", "streams"}))
         return error;
     for (const Reader reader : readers) {
         if (auto error = (this->*reader)(file))
@@ -236,6 +236,21 @@
     return readEndpoints(file, reader, "usage", {{"api", &usageApi}});
 }
 
+std::optional<std::string> GatewaySettings::readStreams(const IniFile &file)
+{
+    constexpr std::int64_t maxTokens = 100'000'000;
+    auto runTokens = static_cast<std::int64_t>(backups.maxRunTokens);
+    auto runTokensAtRisk = static_cast<std::int64_t>(backups.maxRunTokensAtRisk);
+    IniReader reader(file, "streams");
+    reader.takeFlag("backups", &backups.isEnabled)
+        .takeInteger("backup_max_tokens", 1, maxTokens, &runTokens)
+        .takeInteger("backup_max_tokens_at_risk", 1, maxTokens, &runTokensAtRisk)
+        .takeNumber("backup_memory_share", 0.0, 1.0, &backups.memoryShare);
+    backups.maxRunTokens = static_cast<TokenCount>(runTokens);
+    backups.maxRunTokensAtRisk = static_cast<TokenCount>(runTokensAtRisk);
+    return reader.finish();
+}
+
 std::optional<std::string> GatewaySettings::readStop(const IniFile &file)
 {
     double limitSeconds = toSeconds(stopLimit);
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -27,6 +27,7 @@
     GatewayPeers::Options peers;
     PlacementLink::Options placement;
     UsageLink::Options usage;
+    BackupSettings backups;
     Endpoint usageApi; ///< receives the usage reports
     Endpoint ready; ///< serves the load balancer's readiness checks
     Endpoint operators; ///< serves counters and histograms
@@ -48,6 +49,7 @@
     std::optional<std::string> readPlacement(const IniFile &file);
     std::optional<std::string> readRetries(const IniFile &file);
     std::optional<std::string> readUsage(const IniFile &file);
+    std::optional<std::string> readStreams(const IniFile &file);
     std::optional<std::string> readStop(const IniFile &file);
     std::optional<std::string> readLogSection(const IniFile &file);
 };
