--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -20,6 +20,8 @@
 #include <reachlead/latency.h>
 #include <reachlead/placement/upstreamselector.h>
 #include <reachlead/streamregistry.h>
+#include <reachlead/streams/backupledger.h>
+#include <reachlead/streams/backuppolicy.h>
 
 #include "caller/callerstream.h"
 #include "caller/pressure.h"
@@ -58,6 +60,8 @@
     std::function<void(const AccountName &)> onExecutionStarted = {};
     /// Bounds the bytes held for callers and upstreams; null: each connection bounds its own only.
     std::shared_ptr<Pressure> pressure = nullptr;
+    BackupSettings backupSettings{};
+    BackupLedger backups{};
     bool stopping = false;
     bool acceptsRequests = true; ///< if false, new requests are refused as not run
 };
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -71,6 +71,9 @@
     PlacesKept,
     PlacesTaken,
     QueueSchedulersLost,
+    RunsBackedUp,
+    RunsContinued,
+    ContinuationsRefused,
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -62,7 +62,10 @@
     "calls_handed_back",
     "places_kept",
     "places_taken",
-    "queue_schedulers_lost"};
+    "queue_schedulers_lost",
+    "runs_backed_up",
+    "runs_continued",
+    "runs_not_continued"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",    "queued",   "running",    "window",
--- a/src/libreachlead/scheduling/callqueue_test.cpp
+++ b/src/libreachlead/scheduling/callqueue_test.cpp
@@ -36,7 +36,8 @@
 
     static constexpr Time start{seconds(100)};
 
-    static WaitingCall makeCall(std::uint32_t n, unsigned rank = 0, const std::string &account = "a")
+    static WaitingCall makeCall(std::uint32_t n, unsigned rank = 0,
+                                const std::string &account = "a")
     {
         WaitingCall call;
         call.id = {VmName("g"), n};
@@ -225,8 +226,7 @@
         queue.add(makeCall(30), start);
         const auto refusal = queue.refuseIfLate({VmName("g"), 30}, seconds(2), start);
         CPPUNIT_ASSERT(refusal && refusal->hasKeptPlace);
-        const Time lapsed =
-            start + refusal->retryAfter + KeptPlaces::lifetime + milliseconds(1);
+        const Time lapsed = start + refusal->retryAfter + KeptPlaces::lifetime + milliseconds(1);
         queue.refuseOverdue(lapsed);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, queue.keptPlaces());
         WaitingCall again = makeCall(31);
--- a/src/peer/placementlink_queue_test.cpp
+++ b/src/peer/placementlink_queue_test.cpp
@@ -30,10 +30,7 @@
 
         /// Each engine has \p tokens still to be prefilled, at 35 tokens/ms.
         void fill(TokenCount tokens) const { load(tokens); }
-        std::int64_t waiting() const
-        {
-            return scheduler->counters.value(Gauge::WaitingCalls);
-        }
+        std::int64_t waiting() const { return scheduler->counters.value(Gauge::WaitingCalls); }
         std::uint32_t runningAtScheduler() const
         {
             std::uint32_t running = 0;
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -83,7 +83,8 @@
     bool mayRefuse = false; ///< as in SelectionQuery
     std::optional<ZoneSet> permittedZones; ///< as in SelectionQuery
     std::optional<SoftwareVersion> softwareVersion; ///< as in SelectionQuery
-    std::optional<QueueTerms> queue = std::nullopt; ///< none: the call does not wait at the scheduler
+    std::optional<QueueTerms> queue =
+        std::nullopt; ///< none: the call does not wait at the scheduler
 
     template <class Archive> void serialize(Archive &ar)
     {
--- a/src/peer/placementpair.h
+++ b/src/peer/placementpair.h
@@ -149,7 +149,7 @@
         PlacementResult result = co_await node.link.select(selectionQuery);
         if (result.selection)
             node.state.upstreams().sent(result.selection->upstream, selectionQuery,
-                                            *result.selection, RuntimeClock::now());
+                                        *result.selection, RuntimeClock::now());
         placed = std::move(result);
     }
 
@@ -165,8 +165,8 @@
     /// Sends a note on a call of a gateway to the scheduler, as that gateway would.
     void sendNote(const VmName &from, QueryId queryId, bool isWithdrawn) const
     {
-        const WaitingCallNote note{from, querier->peers.incarnation(),
-                                   {ServiceName("llm"), 0}, queryId, isWithdrawn};
+        const WaitingCallNote note{
+            from, querier->peers.incarnation(), {ServiceName("llm"), 0}, queryId, isWithdrawn};
         querier->peers.sendTo(scheduler->entry().address, PeerMessageKind::WaitingCallNote,
                               encodeWaitingCallNote(note));
     }
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -29,6 +29,7 @@
     PlacementLink::Options placement;
     UsageLink::Options usage;
     Pressure::Options pressure;
+    BackupSettings backups;
     Endpoint usageApi; ///< receives the usage reports
     Endpoint ready; ///< serves the load balancer's readiness checks
     Endpoint operators; ///< serves counters and histograms
@@ -52,6 +53,7 @@
     std::optional<std::string> readRetries(const IniFile &file);
     std::optional<std::string> readPressure(const IniFile &file);
     std::optional<std::string> readUsage(const IniFile &file);
+    std::optional<std::string> readStreams(const IniFile &file);
     std::optional<std::string> readStop(const IniFile &file);
     std::optional<std::string> readLogSection(const IniFile &file);
 };
