--- a/src/peer/placementlink_queue.cpp
+++ b/src/peer/placementlink_queue.cpp
@@ -345,9 +345,7 @@
     } else if (sent != m_sentReplies.end() && sent->second.reply.querier == note.incarnation) {
         reply = sent->second.reply;
     } else {
-        QueueOutcome unknown; // this gateway was restarted, or dropped the call
-        unknown.isHandedBack = true;
-        reply = makeOutcomeReply(call, unknown);
+        reply = makeOutcomeReply(call, {}); // this gateway was restarted, or dropped the call
     }
     m_peers.sendTo(from, PeerMessageKind::PlacementReply, encodePlacementReply(reply));
 }
--- a/src/peer/placementlink_queue_test.cpp
+++ b/src/peer/placementlink_queue_test.cpp
@@ -138,8 +138,12 @@
         pair.sendNote(pair.querier->state.vm(), 1, true);
         pair.advance(milliseconds(10));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pair.waiting());
+        pair.fill(0);
         pair.advance(milliseconds(250));
         CPPUNIT_ASSERT(pair.placed && pair.placed->selection);
+        CPPUNIT_ASSERT(pair.placed->placedBy == pair.scheduler->state.vm());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             pair.querier->counters.value(Counter::QueueSchedulersLost));
     }
 
     void lostGrantIsSentAgain()
--- a/src/peer/placementqueue.cpp
+++ b/src/peer/placementqueue.cpp
@@ -191,6 +191,7 @@
         return QueueOutcome{}; // no upstream takes the call, with room or without
     const WaitingCall waiting = makeWaitingCall(call, *anywhere, now);
     group.queue.add(waiting, now);
+    count(Counter::PlacesTaken, group.queue.find(id)->hasKeptPlace ? 1 : 0);
     group.waiting.insert_or_assign(id, Waiting{std::move(call), now, now, std::move(found)});
     Outcomes outcomes;
     offerGroup(group, id, now, &outcomes);
