--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -183,6 +183,7 @@
     m_lastUpstream = entry.id;
     m_lastVersion = entry.softwareVersion;
     m_lastCost = selection.cost;
+    m_lastSpeed = state.upstreams().speeds().speed(m_service, entry.id, RuntimeClock::now());
     m_pendingPrefillTokens = selection.prefillTokens;
     m_prefillTokens = selection.prefillTokens;
     m_tokensToFirstEvent = selection.tokensToFirstEvent;
@@ -340,6 +341,9 @@
         m_context.onRequestCleared(digest());
     if (result == SendResult::Complete && !m_metadata.prompt.empty())
         table.recordCallDuration(m_service, RuntimeClock::now() - m_sentAt);
+    if (result == SendResult::Complete && m_metadata.prompt.empty())
+        table.recordPlainCall(m_service, entry.id, RuntimeClock::now() - m_sentAt,
+                              RuntimeClock::now());
     if (result == SendResult::Complete || result == SendResult::ServerError)
         table.succeeded(entry.id);
     else if (std::exchange(m_isConnectionRefused, false))
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -74,6 +74,7 @@
     RunsBackedUp,
     RunsContinued,
     ContinuationsRefused,
+    UpstreamsSlow,
     Size
 };
 
@@ -90,6 +91,7 @@
     CallsWaitingForRoom,
     WaitingCalls,
     KeptPlaces,
+    SlowUpstreams,
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -65,12 +65,13 @@
     "queue_schedulers_lost",
     "runs_backed_up",
     "runs_continued",
-    "runs_not_continued"};
+    "runs_not_continued",
+    "upstreams_slow"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
-    "open_connections", "open_requests",    "queued",   "running",    "window",
-    "sessions",         "settings_version", "draining", "held_bytes", "calls_waiting_for_room",
-    "waiting_calls",    "kept_places"};
+    "open_connections", "open_requests",    "queued",        "running",    "window",
+    "sessions",         "settings_version", "draining",      "held_bytes", "calls_waiting_for_room",
+    "waiting_calls",    "kept_places",      "slow_upstreams"};
 
 } // namespace
 
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -192,7 +193,7 @@
                                                                               Duration waited)
 {
     const QueryId id = m_queries.open(scheduler);
-    PlacementQuery message = makeQuery(id, group, query);
+    PlacementQuery message = makeQuery(id, group, scheduler, query);
     if (mayWait(query))
         message.queue = makeQueueTerms(query, waited);
     sendTo(scheduler, PeerMessageKind::PlacementQuery, encodePlacementQuery(message));
@@ -307,14 +308,14 @@
     return upstreams;
 }
 
-PlacementQuery PlacementLink::makeQuery(QueryId id, const GroupName &group,
+PlacementQuery PlacementLink::makeQuery(QueryId id, const GroupName &group, const VmName &scheduler,
                                         const SelectionQuery &selectionQuery)
 {
     const UpstreamDirectory &directory = m_state.directory();
     PlacementQuery query;
     const LoadByGroup own = ownLoads();
     const auto it = own.find(group);
-    query.report = makeReport(group, it == own.end() ? LoadByUpstream{} : it->second);
+    query.report = makeReport(group, it == own.end() ? LoadByUpstream{} : it->second, scheduler);
     query.queryId = id;
     query.zone = m_state.zone();
     query.model = selectionQuery.model;
@@ -345,7 +346,8 @@
 
 // Reports
 
-GroupLoad PlacementLink::makeReport(const GroupName &group, const LoadByUpstream &load)
+GroupLoad PlacementLink::makeReport(const GroupName &group, const LoadByUpstream &load,
+                                    const VmName &scheduler)
 {
     GroupLoad report;
     report.from = m_state.vm();
@@ -355,6 +357,7 @@
     report.oldestPendingQuery = m_queries.oldestPendingQuery();
     report.load = compactLoad(load);
     report.rateSample = m_state.upstreams().takeRateSample(group.service);
+    report.workSamples = workSamplesToReport(group, scheduler);
     const Time now = RuntimeClock::now();
     report.limits =
         m_peers.limitsToReport(now, &m_state.groups().groupMembers(group, m_state.directory()));
@@ -366,6 +369,41 @@
     return report;
 }
 
+/// Observations for a group's scheduler. One that has just taken over is told what it did not see:
+/// all that this gateway still remembers.
+std::vector<CompactWorkSample> PlacementLink::workSamplesToReport(const GroupName &group,
+                                                                  const VmName &scheduler)
+{
+    UpstreamSpeeds &speeds = m_state.upstreams().speeds();
+    if (!speeds.isEnabled())
+        return {};
+    const std::set<UpstreamId> &members = m_state.groups().groupMembers(group, m_state.directory());
+    if (std::exchange(m_speedReceivers[group], scheduler) != scheduler)
+        speeds.reportAgain(members, RuntimeClock::now());
+    return compactWorkSamples(speeds.takeUnreported(members, maxReportedSpeeds));
+}
+
+/// Logs upstreams that became slow, and those that recovered.
+void PlacementLink::logSpeedChanges()
+{
+    UpstreamSpeeds &speeds = m_state.upstreams().speeds();
+    if (!speeds.isEnabled())
+        return;
+    for (const UpstreamSpeeds::Change &it : speeds.takeChanges(RuntimeClock::now())) {
+        if (it.isSlow)
+            count(Counter::UpstreamsSlow);
+        LogLine(LogLevel::Info, it.isSlow ? "upstream-slow" : "upstream-recovered")
+            .with("upstream", it.upstream.text)
+            .with("service", it.service.text)
+            .with("speed", it.speed)
+            .with("per_ms", it.workPerMs)
+            .with("median", it.workPerMs / it.speed);
+    }
+    if (m_options.counters != nullptr)
+        m_options.counters->set(Gauge::SlowUpstreams,
+                                static_cast<std::int64_t>(speeds.slowCount()));
+}
+
 PlacementLink::LoadByGroup PlacementLink::ownLoads()
 {
     LoadByGroup loads;
@@ -384,6 +422,7 @@
         timer.expires_after(nextReportDelay());
         co_await timer.async_wait(storeError(&ec));
         sendReports();
+        logSpeedChanges();
     }
 }
 
@@ -405,7 +444,7 @@
         if (last.load == load && !isRefreshDue)
             continue;
         const VmName scheduler = schedulerFor(group);
-        const GroupLoad report = makeReport(group, load);
+        const GroupLoad report = makeReport(group, load, scheduler);
         if (scheduler == m_state.vm())
             continue;
         sendTo(scheduler, PeerMessageKind::GroupLoad, encodeGroupLoad(report));
@@ -456,6 +495,10 @@
         group, RuntimeClock::now());
     if (report.lastGrant)
         m_state.upstreams().dropPendingGrants(report.from, group, *report.lastGrant);
+    const auto samples = expandWorkSamples(report.workSamples, m_state.directory());
+    for (const auto &[id, sample] : samples)
+        m_state.upstreams().speeds().addReported(report.group.service, id, sample,
+                                                 RuntimeClock::now());
     if (!report.rateSample.empty())
         m_state.upstreams().addRateSample(report.group.service, report.rateSample);
     m_state.learnLimits(expandLimits(report.limits, m_state.directory()), report.from);
