forward: only a run that has begun its answer goes on from a copy

Engines with a fault reset each call as they start it, also one that goes on from a copy which does not exist yet; the request then ran at two engines.

Change: a call goes on from a copy only if the send that was lost had brought an event, so neither a call without an answer nor a continuation without one reaches a further engine.

Ruled out: a time since the send instead of an event, since queues make it say nothing about the copy.

--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -204,7 +204,7 @@
     now.resumable = m_route->resumable;
     now.headDelivered = m_headDelivered;
     now.sends = m_sends;
-    now.hasCopy = copyHolder() != nullptr;
+    now.hasCopy = !m_awaitsFirstEvent && copyHolder() != nullptr;
     now.continuations = m_continuations;
     now.maxAttempts = m_route->maxAttempts;
     now.connectFailures = m_connectFailures;
--- a/src/libreachlead/forwardpolicy.cpp
+++ b/src/libreachlead/forwardpolicy.cpp
@@ -43,6 +43,10 @@
 /// True when the run may go on from its copy. It remains the same run, so this holds on any route
 /// and does not count as an attempt. Only a lost connection qualifies: an upstream that sends
 /// other bytes than an answer may still be at work.
+///
+/// Load pattern: engines reset each call as they start it. Before the first event there may be no
+/// copy, and an engine with such a fault would run the call instead of refusing it, so only a run
+/// that has begun its answer goes on.
 bool mayContinue(SendResult result, const ForwardState &state)
 {
     return result == SendResult::Lost && state.kind == RouteKind::Stream && state.hasCopy
--- a/src/libreachlead/streams/backuppolicy_test.cpp
+++ b/src/libreachlead/streams/backuppolicy_test.cpp
@@ -3,7 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 #include <reachlead/streams/backupledger.h>
@@ -109,12 +110,13 @@
         const std::vector<UpstreamEntry> engines{engine(4), engine(7), engine(10)};
         BackupLedger ledger;
         std::vector<BackupLedger::Reservation> held;
-        std::map<UpstreamId, TokenCount> largest;
         constexpr int runs = 100;
         for (int n = 0; n < runs; ++n) {
             std::vector<BackupCandidate> candidates;
-            for (const UpstreamEntry &it : engines)
-                candidates.push_back({&it, true, 0, ledger.reserved(it.id)});
+            std::ranges::transform(engines, std::back_inserter(candidates),
+                                   [&](const UpstreamEntry &it) {
+                                       return BackupCandidate{&it, true, 0, ledger.reserved(it.id)};
+                                   });
             if (const auto id = choose(from, candidates))
                 held.emplace_back(ledger, *id, 1000);
         }
