--- a/src/include/reachlead/headercodec.h
+++ b/src/include/reachlead/headercodec.h
@@ -54,8 +54,6 @@
 {
     Endpoint engine; ///< that holds it, or that the handle belongs to
     std::string handle; ///< identifies the copy at that engine
-
-    bool operator==(const RunCopy &) const = default;
 };
 
 /// Metadata that a gateway adds to a call for the upstream.
