placement, peer: gateways lend each other shares of announced limits

Cause: without a scheduler each gateway had an equal share of an upstream's announced limit, whatever traffic it had. One of four gateways with all calls sent 5 calls in 9 s where four together sent 21. Change: LimitShares (no clock, no I/O) lends what a gateway's own calls do not need, for a lease of 6 s that ends at the borrower first; LimitShareLink carries requests and grants, and nothing while no limit is known, the own share suffices or a scheduler places the calls. Counters, a log line, OPERATIONS.md, docs/design/limit-shares.md. The parts of UpstreamTable that keep rates have a file of their own. Test changed: gatewayWithAllCallsUsesTheWholeLimit could not pass as it was. Its single table got exactly the input that each of 300 tables gets in fleetWithoutAnOwnerKeepsTheLimit, heard of no other gateway, and was expected to send three quarters of what all 300 may send; whatever does that breaks the other test 225 times over. Its gateways now exchange requests and grants, at the rate of the link; sizes (4, 30, 300), the 9 s from the first call and the bound (three quarters) are the same. LimitShareLinkTest shows the same with real datagrams at four gateways. Seen failing by hand: a lent share that is still used, a lease counted at the borrower from the grant, no wait after a start, a grant to another incarnation. A gateway that has just started uses no share of its own for 12 s. The sum is exact while gateways hear of new ones within a lease; a removed gateway that lives on unreachable is not covered.

--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -23,6 +23,7 @@
 #include <reachlead/placement/coldstartlimiter.h>
 #include <reachlead/placement/dedicatedengines.h>
 #include <reachlead/placement/earlyrefusal.h>
+#include <reachlead/placement/limitshares.h>
 #include <reachlead/placement/promptcache.h>
 #include <reachlead/placement/servicerate.h>
 #include <reachlead/placement/upstreambackoffs.h>
@@ -181,6 +182,7 @@
     {
         m_gateways = std::max<std::size_t>(gateways, 1);
         m_gatewayNumber = number;
+        m_limitShares.setFleet(gateways);
     }
 
     /// Removes upstreams that are no longer in the directory.
@@ -227,6 +229,17 @@
     UpstreamLimits &limits() { return m_limits; }
     const UpstreamLimits &limits() const { return m_limits; }
 
+    /// This gateway's shares of those limits.
+    LimitShares &limitShares() { return m_limitShares; }
+    const LimitShares &limitShares() const { return m_limitShares; }
+
+    /// What the calls of this gateway need of the limits of upstreams that it sends to by its own
+    /// share.
+    std::vector<LimitNeed> limitNeeds(Time now) const;
+
+    /// The share that the calls of this gateway need of a limit; \p limit counts if none is known.
+    LimitShare neededShare(const UpstreamId &id, CallRate limit, Time now) const;
+
     /// The backoffs that upstreams requested from this gateway.
     UpstreamBackoffs &backoffs() { return m_backoffs; }
     const UpstreamBackoffs &backoffs() const { return m_backoffs; }
@@ -412,8 +425,10 @@
     bool isBackedOff(const SelectionQuery &query, const UpstreamId &id, Time now) const;
     double rateShare(const SelectionQuery &query, const UpstreamId &id, bool hasMost) const;
     Duration gatewayPhase(const UpstreamId &id, Duration spacing) const;
-    bool isRateLimited(const SelectionQuery &query, const UpstreamId &id, const Record &record,
+    bool isRateLimited(const SelectionQuery &query, const UpstreamId &id, Record *record,
                        Time now) const;
+    bool allowsByShare(const SelectionQuery &query, const UpstreamId &id,
+                       const UpstreamRateLimiter &limiter, double rate, Time now) const;
     Duration coldSpacing(const SelectionQuery &query, const UpstreamId &id) const;
     bool isColdLimited(const SelectionQuery &query, const UpstreamEntry &entry, Record *record,
                        Time now) const;
@@ -446,6 +461,7 @@
     std::deque<RecentHint> m_recentHints; ///< oldest first
     DedicatedEngines m_dedicated;
     UpstreamLimits m_limits;
+    LimitShares m_limitShares;
     UpstreamBackoffs m_backoffs;
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -28,10 +28,12 @@
     "entries_unreadable",  "usage_windows_sent",
     "usage_sends_failed",  "usage_takeovers",
     "upstreams_ended",     "quarantines_begun",
-    "limits_heard",        "leaving_heard",
-    "backoffs_heard",      "store_restores",
-    "streams_resumed",     "streams_unknown",
-    "streams_evicted",     "quarantines_released"};
+    "limits_heard",        "limit_shares_requested",
+    "limit_shares_lent",   "limit_shares_borrowed",
+    "leaving_heard",       "backoffs_heard",
+    "store_restores",      "streams_resumed",
+    "streams_unknown",     "streams_evicted",
+    "quarantines_released"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests", "queued",           "running",
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -41,6 +41,7 @@
       m_retries(options.retries), m_watcherElection(options.vm, options.watcherElection)
 {
     setLiveGateways(m_liveGateways);
+    m_upstreams.limitShares().setStarted(now());
     m_watcherElection.start(now());
 }
 
@@ -295,6 +296,7 @@
     m_streams.dropExpired(now());
     m_crashes.dropExpired(now());
     m_upstreams.limits().dropExpired(now());
+    m_upstreams.limitShares().dropExpired(now());
     m_upstreams.backoffs().dropExpired(now());
 }
 
--- a/src/libreachlead/placement/upstreamtable.cpp
+++ b/src/libreachlead/placement/upstreamtable.cpp
@@ -13,15 +13,6 @@
 
 namespace {
 
-/// Share of a cold upstream's rate for the gateway that places calls for the whole fleet. With two
-/// gateways in that role and all others selecting on their own, any second stays below twice the
-/// rate.
-constexpr double schedulerShare = 0.8;
-
-/// An upstream that announces a lower limit still gets a call every ten seconds, because only an
-/// answer shows that its limit has ended.
-constexpr CallRate minLimit{100};
-
 /// Subtracts with saturation at zero.
 template <class T> void subtract(T *value, T n)
 {
@@ -275,72 +266,6 @@
     return record->reports.size() >= minReports;
 }
 
-/// The selector's share of a rate that all gateways share. If one gateway \p hasMost of it, those
-/// that select on their own share the rest; otherwise all have equal shares.
-double UpstreamTable::rateShare(const SelectionQuery &query, const UpstreamId &id,
-                                bool hasMost) const
-{
-    if (hasMost && isInGroup(query, id))
-        return schedulerShare;
-    const double equal = 1.0 / static_cast<double>(m_gateways);
-    return query.group == nullptr ? equal : equal * (1.0 - schedulerShare);
-}
-
-/// Spreads the start times of the gateways over a spacing.
-Duration UpstreamTable::gatewayPhase(const UpstreamId &id, Duration spacing) const
-{
-    constexpr std::uint64_t parts = 256;
-    const std::uint64_t part = (std::hash<UpstreamId>{}(id) ^ m_gatewayNumber) % parts;
-    return fromSeconds(toSeconds(spacing) * static_cast<double>(part) / static_cast<double>(parts));
-}
-
-/// Interval between two calls of the selector to a cold upstream.
-Duration UpstreamTable::coldSpacing(const SelectionQuery &query, const UpstreamId &id) const
-{
-    if (query.serviceInfo == nullptr || query.serviceInfo->coldCallsPerSecond <= 0)
-        return {};
-    return fromSeconds(
-        1.0
-        / (rateShare(query, id, query.isGroupScheduler) * query.serviceInfo->coldCallsPerSecond));
-}
-
-/// True for a cold upstream that has had its share of calls.
-bool UpstreamTable::isColdLimited(const SelectionQuery &query, const UpstreamEntry &entry,
-                                  Record *record, Time now) const
-{
-    const Duration spacing = coldSpacing(query, entry.id);
-    if (spacing == Duration{})
-        return false;
-    const Duration phase = query.isGroupScheduler ? Duration{} : gatewayPhase(entry.id, spacing);
-    record->cold.update(entry.revision, milliseconds(entry.coldLeftMs), phase, now);
-    return !record->cold.allows(now);
-}
-
-/// True if the upstream announced a limit and the selector has used its share of it.
-bool UpstreamTable::isRateLimited(const SelectionQuery &query, const UpstreamId &id,
-                                  const Record &record, Time now) const
-{
-    const std::optional<CallRate> limit = m_limits.currentLimit(id, now);
-    if (!limit)
-        return false;
-    const double rate = std::max(*limit, minLimit).perSecond();
-    const Duration spacing = fromSeconds(1.0 / (rateShare(query, id, query.ownsLimits) * rate));
-    if (m_gateways == 1 || (query.ownsLimits && isInGroup(query, id)))
-        return !record.limit.allowsNext(spacing, now);
-    return !record.limit.allowsInSlot(spacing, gatewayPhase(id, spacing), now);
-}
-
-bool UpstreamTable::isBlockedByLimit(const SelectionQuery &query,
-                                     const UpstreamDirectory &directory, Time now) const
-{
-    if (m_limits.isEmpty())
-        return false;
-    return std::ranges::any_of(
-        directory.usableUpstreams(query.service), [&](const UpstreamEntry *entry) {
-            return isEligible(query, *entry) && m_limits.currentLimit(entry->id, now);
-        });
-}
-
 void UpstreamTable::mayBeCold(const UpstreamId &id, Time now)
 {
     m_records[id].cold.assumeCold(assumedColdTime, now);
--- a/src/libreachlead/placement/upstreamtable_selection.cpp
+++ b/src/libreachlead/placement/upstreamtable_selection.cpp
@@ -193,7 +193,7 @@
             continue;
         Record &record = m_records[entry->id];
         if (isColdLimited(query, *entry, &record, now)
-            || isRateLimited(query, entry->id, record, now))
+            || isRateLimited(query, entry->id, &record, now))
             continue;
         Candidate candidate;
         candidate.entry = entry;
--- a/src/peer/messageauth.h
+++ b/src/peer/messageauth.h
@@ -43,7 +43,9 @@
     StreamReply = 'r',
     PartCrashReport = 'x',
     PartAnnouncement = 't',
-    PartBegin = 'g'
+    PartBegin = 'g',
+    LimitShareRequest = 'm',
+    LimitShareGrant = 'y'
 };
 
 /// Returns a message between gateways followed by its authentication tag; without keys, the message
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -80,6 +80,7 @@
                       }),
       m_placementLink(m_io, placementOptions(settings, &m_counters), m_state, m_peers),
       m_streamLink(m_io, m_state, m_peers, &m_counters),
+      m_limitShareLink(m_io, m_state, m_peers, &m_counters),
       m_usageLink(m_io, usageOptions(settings, &m_counters), m_peers, usagePlatform(m_io)),
       m_readyServer(m_io, settings.ready,
                     [this](HttpRequest request) { return handleReady(std::move(request)); }),
@@ -182,6 +183,7 @@
         .with("connections_cut", remaining);
     m_source->stop();
     m_usageLink.stop();
+    m_limitShareLink.stop();
     m_peers.stop();
     m_io.stop();
 }
--- a/src/reachlead-gateway/gatewaydaemon.h
+++ b/src/reachlead-gateway/gatewaydaemon.h
@@ -21,6 +21,7 @@
 #include "gatewaysettings.h"
 #include "peer/crashlink.h"
 #include "peer/gatewaypeers.h"
+#include "peer/limitsharelink.h"
 #include "peer/placementlink.h"
 #include "peer/streamlink.h"
 #include "peer/usagelink.h"
@@ -70,6 +71,7 @@
     CrashDetector m_crashDetector;
     PlacementLink m_placementLink;
     StreamLink m_streamLink;
+    LimitShareLink m_limitShareLink;
     UsageLink m_usageLink;
     HttpServer m_readyServer;
     HttpServer m_operatorServer;
