--- a/src/peer/messageauth.h
+++ b/src/peer/messageauth.h
@@ -44,7 +44,9 @@
     PartCrashReport = 'x',
     PartAnnouncement = 't',
     PartBegin = 'g',
-    WaitingCallNote = 'e'
+    WaitingCallNote = 'e',
+    LimitShareRequest = 'm',
+    LimitShareGrant = 'y'
 };
 
 /// Returns a message between gateways followed by its authentication tag; without keys, the message
