placement: calls wait in order at the scheduler of their group

Cause: a call is sent or refused at its arrival. One refusal of an urgent call holds less urgent ones back for a second, and those that return as told are refused again.

Section [queue] of the settings; off by default.

Ruled out: an id of the query as number of a grant, which keeps later placements of the gateway pending until the wait ends.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -105,6 +105,7 @@
     if (m_stop != Stop::None)
         return;
     m_stop = why;
+    m_cancelWait.cancel();
     if (m_channel)
         m_channel->close();
 }
@@ -319,6 +320,7 @@
         .with("cost", static_cast<std::int64_t>(m_lastCost))
         .with("placed_by", m_placedBy.text)
         .with("placing_ms", static_cast<std::int64_t>(toMillis(m_placementDuration)))
+        .with("waited_ms", static_cast<std::int64_t>(toMillis(m_waited)))
         .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
         .with("sends", m_sends)
         .with("misses", m_connectFailures)
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -63,6 +63,7 @@
     std::optional<ErrorKind> quarantineKind();
     std::optional<ForwardDecision> checkQuarantine();
     SelectionQuery makeSelectionQuery() const;
+    std::uint64_t requestKey() const;
     boost::asio::awaitable<PlacementResult> choose();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
     boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
@@ -152,6 +153,8 @@
     double m_lastCost = 0;
     VmName m_placedBy; ///< the gateway that selected the last upstream
     Duration m_placementDuration{}; ///< total duration of upstream selections
+    Duration m_waited{}; ///< for an upstream with room
+    CancelSignal m_cancelWait;
     TokenCount m_prefillTokens = 0; ///< expected by the last selection
     TokenCount m_tokensToFirstEvent = 0; ///< as in Selection, of the current send
     Time m_sentAt{}; ///< of the current send
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -15,6 +15,7 @@
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <xxhash.h>
 
 #include <reachlead/log.h>
 
@@ -59,6 +60,22 @@
     return query;
 }
 
+/// Identifies the request over the caller's attempts. The parts of a prompt are shorter than the
+/// body and tell prompts apart.
+std::uint64_t ForwardCall::requestKey() const
+{
+    const RequestContent whole = content();
+    std::uint64_t key = XXH64(whole.account.text.data(), whole.account.text.size(),
+                              XXH64(whole.host.data(), whole.host.size(), 0));
+    key = XXH64(whole.target.data(), whole.target.size(), key);
+    if (m_metadata.prompt.empty())
+        return XXH64(whole.body.data(), whole.body.size(), key);
+    key ^= whole.body.size();
+    for (const PromptPart &part : m_metadata.prompt)
+        key = XXH64(&part.id, sizeof part.id, key);
+    return key;
+}
+
 /// Selects an upstream locally, or through the selector if there is one.
 asio::awaitable<PlacementResult> ForwardCall::choose()
 {
@@ -69,8 +86,16 @@
         placed.selection = state.upstreams().select(query, state.directory(), RuntimeClock::now());
         co_return placed;
     }
+    if (m_context.selector->usesQueue()) {
+        query.account = m_account != nullptr ? m_account->name : AccountName();
+        query.requestKey = requestKey();
+        query.outputTokens = m_metadata.estimatedOutputTokens.value_or(m_metadata.maxOutputTokens);
+        query.bytes = m_request.body().size();
+        query.cancel = &m_cancelWait;
+    }
     placed = co_await m_context.selector->select(std::move(query));
     m_placedBy = placed.placedBy;
+    m_waited += placed.waited;
     m_placementDuration += placed.duration;
     co_return placed;
 }
@@ -127,10 +152,14 @@
     GatewayState &state = m_context.state;
     const PlacementResult placed = co_await choose();
     const std::optional<Selection> &selection = placed.selection;
+    if (placed.isWithdrawn) {
+        m_lastReason = "the call was ended while it waited for an upstream";
+        co_return ForwardDecision{ForwardStep::Refuse, stopKind(true)};
+    }
     if (placed.retryAfter) {
         m_retryAfter = placed.retryAfter;
         m_lastReason = "the engines' queues are too long for the target latency";
-        co_return ForwardDecision{ForwardStep::Refuse, ErrorKind::PredictedLate};
+        co_return ForwardDecision{ForwardStep::Refuse, placed.refusal};
     }
     if (!selection) {
         m_lastReason = "no upstream of the service takes work";
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -62,6 +62,13 @@
     StreamsUnknown,
     StreamsEvicted,
     QuarantinesReleased,
+    CallsQueued,
+    CallsGranted,
+    CallsWithdrawn,
+    CallsHandedBack,
+    PlacesKept,
+    PlacesTaken,
+    QueueSchedulersLost,
     Size
 };
 
@@ -74,6 +81,8 @@
     Sessions,
     SettingsVersion,
     Draining,
+    WaitingCalls,
+    KeptPlaces,
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -75,6 +75,7 @@
     // Last, as routers and agents exchange the values.
     PromptPartQuarantined,
     QuarantinedInFlight,
+    QueueWaitExpired,
     Size
 };
 
--- a/src/include/reachlead/placement/pendingqueries.h
+++ b/src/include/reachlead/placement/pendingqueries.h
@@ -43,6 +43,12 @@
     /// No reply arrived in time, or the scheduler declined.
     void queryFailed(QueryId id, Time now);
 
+    /// A scheduler at which calls of this gateway wait no longer answers, or hands them back.
+    void schedulerLost(const VmName &scheduler, Time now)
+    {
+        m_unresponsive.recordFailure(scheduler, now);
+    }
+
     /// The id of the oldest pending query, or the next id to be assigned if none is pending.
     QueryId oldestPendingQuery() const;
 
--- a/src/include/reachlead/placement/upstreamselector.h
+++ b/src/include/reachlead/placement/upstreamselector.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <reachlead/clock.h>
+#include <reachlead/error.h>
 #include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
@@ -21,6 +22,9 @@
     /// nullopt: no upstream takes calls, or the call is refused
     std::optional<Selection> selection;
     std::optional<Duration> retryAfter; ///< set if refused because the engines are too far behind
+    ErrorKind refusal = ErrorKind::PredictedLate; ///< why, if refused
+    bool isWithdrawn = false; ///< SelectionQuery::cancel ended the wait
+    Duration waited{}; ///< at schedulers, until they granted or refused an upstream
     VmName placedBy; ///< the gateway that made the selection
     Duration duration{};
 };
@@ -31,9 +35,12 @@
 public:
     virtual ~UpstreamSelector() = default;
 
-    /// Always completes within some tens of milliseconds. What \p query points to must stay valid
-    /// until then.
+    /// Completes within some tens of milliseconds, or if calls wait at schedulers, when the call
+    /// can begin or is refused. What \p query points to must stay valid until then.
     virtual boost::asio::awaitable<PlacementResult> select(SelectionQuery query) = 0;
+
+    /// True if selections use SelectionQuery::requestKey and the other fields about waiting calls.
+    virtual bool usesQueue() const { return false; }
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -20,6 +20,7 @@
 
 #include <reachlead/circuit.h>
 #include <reachlead/headercodec.h>
+#include <reachlead/placement/cancelsignal.h>
 #include <reachlead/placement/coldstartlimiter.h>
 #include <reachlead/placement/dedicatedengines.h>
 #include <reachlead/placement/earlyrefusal.h>
@@ -74,11 +75,17 @@
     /// fleet.
     bool ownsLimits = false;
     bool isLocal = true; ///< false: the call belongs to a querying gateway
+    std::size_t bytes = 0; ///< of the request, held while it waits
+    CancelSignal *cancel = nullptr; ///< ends a wait; null: nothing does
 };
 
 /// Numbers the queries of one incarnation of a gateway, from 1.
 using QueryId = std::uint32_t;
 
+/// Grants to calls that waited are numbered by the scheduler from here on, so that they are newer
+/// than any query: a call that waits long does not keep the placements of later ones pending.
+inline constexpr QueryId firstGrant = QueryId{1} << 31U;
+
 /// The load that a gateway reports as caused by its calls.
 struct ReportedLoad
 {
@@ -260,6 +267,11 @@
     void addPendingPlacement(const VmName &peer, QueryId queryId, const SelectionQuery &query,
                              const Selection &selection, Time now);
 
+    /// The reported load of a gateway includes the grants of the group up to \p lastGrant, or they
+    /// never reached it.
+    void dropPendingGrants(const VmName &peer, const std::set<UpstreamId> &group,
+                           QueryId lastGrant);
+
     /// A placement that its gateway never reported was not sent: the reply was lost.
     static constexpr Duration pendingPlacementTimeout = milliseconds(1500);
 
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -94,6 +94,8 @@
      "Upstreams crash when they begin to answer on a part of this prompt, so it is sent to none."},
     {QuarantinedInFlight, "quarantined-in-flight", 502, unknown, muchLater,
      "The request was sent to an upstream, and was then found to be one that crashes upstreams."},
+    {QueueWaitExpired, "queue-wait-expired", 503, notRun, later,
+     "No upstream became free while an answer would still have been useful."},
 }};
 
 constexpr bool isInEnumOrder()
--- a/src/libreachlead/placement/upstreamtable.cpp
+++ b/src/libreachlead/placement/upstreamtable.cpp
@@ -172,6 +172,21 @@
     addPeerLoad(selection.upstream, load);
 }
 
+void UpstreamTable::dropPendingGrants(const VmName &peer, const std::set<UpstreamId> &group,
+                                      QueryId lastGrant)
+{
+    const auto it = m_peers.find(peer);
+    if (it == m_peers.end())
+        return;
+    std::erase_if(it->second.pending, [&](const PendingPlacement &pending) {
+        const bool isIncluded = pending.queryId >= firstGrant && pending.queryId <= lastGrant
+            && group.contains(pending.upstream);
+        if (isIncluded)
+            subtractPeerLoad(pending.upstream, pending.load);
+        return isIncluded;
+    });
+}
+
 const ServiceRate &UpstreamTable::serviceRate(const ServiceName &service)
 {
     return m_rates.try_emplace(service, m_costs.tokensPerMs).first->second;
--- a/src/peer/messageauth.h
+++ b/src/peer/messageauth.h
@@ -43,7 +43,8 @@
     StreamReply = 'r',
     PartCrashReport = 'x',
     PartAnnouncement = 't',
-    PartBegin = 'g'
+    PartBegin = 'g',
+    WaitingCallNote = 'e'
 };
 
 /// Returns a message between gateways followed by its authentication tag; without keys, the message
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -33,10 +33,16 @@
 
 PlacementLink::PlacementLink(asio::io_context &io, const Options &options, GatewayState &state,
                              GatewayPeers &peers)
-    : m_io(io), m_options(options), m_state(state), m_peers(peers), m_queries(state.vm())
+    : m_io(io), m_options(options), m_state(state), m_peers(peers), m_queries(state.vm()),
+      m_queue(
+          io, options.queue, state, options.counters,
+          [this](const QueuedCall &call, const QueueOutcome &outcome) {
+              queueEnded(call, outcome);
+          },
+          [this](const GroupName &group) { return ownsGroupLimits(group); })
 {
     m_peers.onDatagram({PeerMessageKind::PlacementQuery, PeerMessageKind::PlacementReply,
-                        PeerMessageKind::GroupLoad},
+                        PeerMessageKind::GroupLoad, PeerMessageKind::WaitingCallNote},
                        [this](PeerMessageKind kind, std::string_view message,
                               const UdpEndpoint &from) { handleDatagram(kind, message, from); });
     m_peers.setOldestPendingQuery([this] { return m_queries.oldestPendingQuery(); });
@@ -112,7 +118,8 @@
         return m_state.groups().findGroup(query.service, keyParts(query.model, query.prompt),
                                           directory);
     const Time now = RuntimeClock::now();
-    if (!m_options.schedulesPlainCalls
+    const bool queues = m_options.queue.isEnabled && m_options.queue.queuesPlainCalls;
+    if (!m_options.schedulesPlainCalls && !queues
         && !m_state.upstreams().isBlockedByLimit(query, directory, now))
         return std::nullopt;
     const KeyedPart randomPart{m_random(), 0}; // distributes the calls among the groups
@@ -126,22 +133,24 @@
     const Time startedAt = RuntimeClock::now();
     PlacementResult placed;
     const std::optional<GroupName> group = schedulingGroup(query);
+    bool isDone = false;
     if (group) {
-        const VmName scheduler = schedulerFor(*group);
-        query.isGroupScheduler = scheduler == m_state.vm();
-        query.ownsLimits = ownsGroupLimits(*group);
-        if (query.prompt.empty() && !m_options.schedulesPlainCalls)
+        if (query.prompt.empty() && !m_options.schedulesPlainCalls && !mayWait(query))
             query.mayRefuse = false;
-        if (!query.isGroupScheduler) {
-            const auto reply = co_await queryScheduler(scheduler, *group, query);
-            count(reply ? Counter::PlacementsAnswered : Counter::PlacementsUnanswered);
-            query.mayRefuse = false; // its own knowledge is not enough to refuse a call
-            if (reply)
-                placed = *reply;
+        SchedulerResult result = co_await placeByScheduler(&query, *group);
+        placed.waited = result.waited;
+        if (result.placed) {
+            placed = std::move(*result.placed);
+            isDone = placed.selection || placed.retryAfter || placed.isWithdrawn;
         }
+        if (result.wasQueried || result.isHandedBack)
+            query.mayRefuse = false; // its own knowledge is not enough to refuse a call
     }
-    if (!placed.selection && !placed.retryAfter)
+    if (!isDone) {
+        const Duration waited = placed.waited;
         placed = selectLocally(query, group);
+        placed.waited = waited;
+    }
     placed.duration = RuntimeClock::now() - startedAt;
     co_return placed;
 }
@@ -177,51 +186,82 @@
     return placed;
 }
 
-asio::awaitable<std::optional<PlacementResult>>
-PlacementLink::queryScheduler(VmName scheduler, GroupName group, SelectionQuery query)
+asio::awaitable<PlacementLink::SchedulerResult> PlacementLink::queryScheduler(VmName scheduler,
+                                                                              GroupName group,
+                                                                              SelectionQuery query,
+                                                                              Duration waited)
 {
     const QueryId id = m_queries.open(scheduler);
-    const std::string payload = encodePlacementQuery(makeQuery(id, group, query));
-    sendTo(scheduler, PeerMessageKind::PlacementQuery, payload);
-    Waiter waiter(m_io);
+    PlacementQuery message = makeQuery(id, group, query);
+    if (mayWait(query))
+        message.queue = makeQueueTerms(query, waited);
+    sendTo(scheduler, PeerMessageKind::PlacementQuery, encodePlacementQuery(message));
+    Waiter waiter(m_io, scheduler);
     const auto waiters = m_waiters; // may outlive the link
     waiters->emplace(id, &waiter);
     error_code ec;
     waiter.timer.expires_after(m_options.replyTimeout);
     co_await waiter.timer.async_wait(storeError(&ec));
+    if (waiter.isQueued) {
+        m_queries.conclude(id);
+        SchedulerResult result = co_await waitForGrant(waiter, id, group, query);
+        waiters->erase(id);
+        result.wasQueried = true;
+        result.waited += waited;
+        co_return result;
+    }
     waiters->erase(id);
-    PlacementResult placed;
-    placed.placedBy = scheduler;
-    if (waiter.reply && waiter.reply->retryAfterMs) {
+    SchedulerResult result;
+    result.wasQueried = true;
+    result.waited = waited;
+    const std::optional<PlacementReply> &reply = waiter.reply;
+    if (reply && (reply->placed || reply->retryAfterMs)) {
         m_queries.conclude(id);
-        placed.retryAfter = milliseconds(*waiter.reply->retryAfterMs);
-        co_return placed;
+        result.placed = acceptReply(*reply, group, query);
+        co_return result;
+    }
+    // A scheduler without an available upstream is still queried next time: the others do not
+    // know which cold upstreams have received their share of calls.
+    if (reply && !reply->isStopping)
+        m_queries.conclude(id);
+    else
+        m_queries.queryFailed(id, RuntimeClock::now());
+    LogLine(LogLevel::Info, "placement-unanswered")
+        .with("scheduler", scheduler.text)
+        .with("service", group.service.text)
+        .with("group", group.number)
+        .with("declined", reply.has_value());
+    co_return result;
+}
+
+/// Takes over a placement or a refusal. None if this gateway knows that the upstream takes no work.
+std::optional<PlacementResult> PlacementLink::acceptReply(const PlacementReply &reply,
+                                                          const GroupName &group,
+                                                          const SelectionQuery &query)
+{
+    PlacementResult placed;
+    placed.placedBy = reply.from;
+    if (reply.queue) {
+        m_busyUntil[group] = RuntimeClock::now() + PlacementQueue::busyTime;
+        placed.waited = milliseconds(reply.queue->waitedMs);
     }
-    const bool isPlaced = waiter.reply && waiter.reply->placed;
-    if (!isPlaced) {
-        // A scheduler without an available upstream is still queried next time: the others do not
-        // know which cold upstreams have received their share of calls.
-        if (waiter.reply && !waiter.reply->isStopping)
-            m_queries.conclude(id);
-        else
-            m_queries.queryFailed(id, RuntimeClock::now());
-        LogLine(LogLevel::Info, "placement-unanswered")
-            .with("scheduler", scheduler.text)
-            .with("service", group.service.text)
-            .with("group", group.number)
-            .with("declined", waiter.reply.has_value());
-        co_return std::nullopt;
+    if (reply.retryAfterMs) {
+        placed.retryAfter = milliseconds(*reply.retryAfterMs);
+        if (reply.queue && reply.queue->refusal < errorKindCount)
+            placed.refusal = static_cast<ErrorKind>(reply.queue->refusal);
+        return placed;
     }
-    m_queries.conclude(id);
-    placed.selection = toSelection(*waiter.reply->placed, query);
+    placed.selection = toSelection(*reply.placed, query);
+    if (reply.queue && reply.queue->grant != 0)
+        m_lastGrants[group] = {reply.from, reply.queue->grant};
     if (!placed.selection)
-        co_return std::nullopt;
+        return std::nullopt;
     // The scheduler has counted the call since its reply, so it needs no report of it.
     UpstreamLoad &reported = m_lastReports[group].load[placed.selection->upstream];
     ++reported.running;
     reported.prefillTokens += placed.selection->prefillTokens;
     reported.shortPrompts += placed.selection->isShortPrompt ? 1 : 0;
-    co_return placed;
+    return placed;
 }
 
 /// Converts the reply by this gateway's own state. None if by that state the upstream is unknown,
@@ -319,6 +359,9 @@
     report.limits =
         m_peers.limitsToReport(now, &m_state.groups().groupMembers(group, m_state.directory()));
     report.leaving = m_peers.leavingToReport(now, &group.service);
+    const auto grant = m_lastGrants.find(group);
+    if (grant != m_lastGrants.end() && grant->second.first == schedulerFor(group))
+        report.lastGrant = grant->second.second;
     m_lastReports[group] = {load, RuntimeClock::now()};
     return report;
 }
@@ -338,7 +381,7 @@
     Timer timer(m_io);
     while (!m_peers.isStopped()) {
         error_code ec;
-        timer.expires_after(m_options.reportInterval);
+        timer.expires_after(nextReportDelay());
         co_await timer.async_wait(storeError(&ec));
         sendReports();
     }
@@ -350,7 +393,13 @@
     for (const GroupName &group : m_lastReports | std::views::keys)
         loads.try_emplace(group); // also reports loads that have dropped to zero
     const Time now = RuntimeClock::now();
+    std::erase_if(m_busyUntil, [&](const auto &it) { return it.second <= now; });
+    const bool isRegular = m_regularReportAt <= now;
+    if (isRegular)
+        m_regularReportAt = now + m_options.reportInterval;
     for (const auto &[group, load] : loads) {
+        if (!isRegular && !m_busyUntil.contains(group))
+            continue;
         const LastReport &last = m_lastReports[group];
         const bool isRefreshDue = !load.empty() && last.at + refreshInterval <= now;
         if (last.load == load && !isRefreshDue)
@@ -386,6 +435,11 @@
         isValid = report.has_value();
         if (report)
             applyReport(*report);
+    } else if (kind == PeerMessageKind::WaitingCallNote) {
+        const auto note = decodeWaitingCallNote(message, &reason);
+        isValid = note.has_value();
+        if (note)
+            handleNote(*note, from);
     }
     if (!isValid)
         LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
@@ -400,12 +454,28 @@
     m_state.upstreams().setPeerLoad(
         report.from, {expandLoad(report.load, m_state.directory()), report.oldestPendingQuery},
         group, RuntimeClock::now());
+    if (report.lastGrant)
+        m_state.upstreams().dropPendingGrants(report.from, group, *report.lastGrant);
     if (!report.rateSample.empty())
         m_state.upstreams().addRateSample(report.group.service, report.rateSample);
     m_state.learnLimits(expandLimits(report.limits, m_state.directory()), report.from);
     m_state.learnLeaving(report.leaving, report.from);
 }
 
+PlacedCall PlacementLink::compactSelection(const Selection &selection)
+{
+    PlacedCall placed;
+    placed.upstream = upstreamHash(selection.upstream);
+    placed.prefillTokens = static_cast<std::uint32_t>(selection.prefillTokens);
+    placed.costMs = static_cast<std::int32_t>(selection.cost);
+    placed.tokensToFirstEvent = static_cast<std::uint32_t>(selection.tokensToFirstEvent);
+    placed.isPreferred = selection.isPreferred;
+    placed.isShortPrompt = selection.isShortPrompt;
+    if (selection.fetchFrom)
+        placed.fetchFrom = upstreamHash(*selection.fetchFrom);
+    return placed;
+}
+
 void PlacementLink::handleQuery(const PlacementQuery &query, const UdpEndpoint &from)
 {
     applyReport(query.report);
@@ -445,6 +515,10 @@
     selectionQuery.isLocal = false;
     selectionQuery.isGroupScheduler = true;
     selectionQuery.ownsLimits = ownsGroupLimits(group);
+    if (query.queue && m_queue.isEnabled() && !m_stopping) {
+        handleQueuedQuery(query, selectionQuery, from);
+        return;
+    }
     PlacementResult result;
     reply.isStopping = m_stopping;
     if (!m_stopping)
@@ -455,16 +529,7 @@
     if (selection) {
         m_state.upstreams().addPendingPlacement(query.report.from, query.queryId, selectionQuery,
                                                 *selection, now);
-        PlacedCall placed;
-        placed.upstream = upstreamHash(selection->upstream);
-        placed.prefillTokens = static_cast<std::uint32_t>(selection->prefillTokens);
-        placed.costMs = static_cast<std::int32_t>(selection->cost);
-        placed.tokensToFirstEvent = static_cast<std::uint32_t>(selection->tokensToFirstEvent);
-        placed.isPreferred = selection->isPreferred;
-        placed.isShortPrompt = selection->isShortPrompt;
-        if (selection->fetchFrom)
-            placed.fetchFrom = upstreamHash(*selection->fetchFrom);
-        reply.placed = placed;
+        reply.placed = compactSelection(*selection);
     }
     count(selection ? Counter::PlacementsGiven : Counter::PlacementsDeclined);
     m_peers.sendTo(from, PeerMessageKind::PlacementReply, encodePlacementReply(reply));
@@ -474,13 +539,16 @@
 {
     if (reply.querier != m_peers.incarnation())
         return;
-    if (!m_queries.replyReceived(reply.queryId, reply.from))
-        return;
+    const bool isPending = m_queries.replyReceived(reply.queryId, reply.from);
     const auto it = m_waiters->find(reply.queryId);
     if (it == m_waiters->end())
         return;
-    it->second->reply = std::move(reply);
-    it->second->timer.cancel();
+    Waiter &waiter = *it->second;
+    if (!isPending && !(waiter.isQueued && waiter.scheduler == reply.from))
+        return;
+    waiter.isQueued |= reply.queue && reply.queue->waitMs > 0;
+    waiter.reply = std::move(reply);
+    waiter.timer.cancel();
 }
 
 } // namespace reachlead
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -23,6 +23,7 @@
 
 #include "peer/gatewaypeers.h"
 #include "peer/placementmessages.h"
+#include "peer/placementqueue.h"
 
 namespace reachlead {
 
@@ -46,20 +47,32 @@
         EarlyRefusal refusal; ///< of calls whose engines' queues are too long
         /// Time after the refusal of a call during which less urgent calls are refused too.
         Duration lessUrgentHold = RefusalOrder::defaultHold;
+        /// Calls wait at the schedulers; the bounds above then do not apply to them.
+        PlacementQueue::Options queue;
         Counters *counters = nullptr; ///< must outlive the link; may be null
     };
 
     /// Interval at which an unchanged load is reported again, as reports may be lost. A reported
     /// load expires after UpstreamTable::peerLoadLifetime.
     static constexpr Duration refreshInterval = seconds(1);
+    /// Interval of reports on groups where calls wait, as upstreams with room must not be idle
+    /// until the next regular one.
+    static constexpr Duration busyReportInterval = milliseconds(20);
+    /// Interval of notes on a waiting call, each of which the scheduler answers. A lost grant or a
+    /// lost scheduler is noticed after two of them.
+    static constexpr Duration noteInterval = milliseconds(200);
+    /// Waiting for a scheduler is ended after this time without any reply.
+    static constexpr Duration lostAfter = milliseconds(450);
 
     PlacementLink(boost::asio::io_context &io, const Options &options, GatewayState &state,
                   GatewayPeers &peers);
 
     boost::asio::awaitable<PlacementResult> select(SelectionQuery query) override;
 
-    /// Declines queries from now on, as the process is about to exit.
-    void beginStop() { m_stopping = true; }
+    bool usesQueue() const override { return m_options.queue.isEnabled; }
+
+    /// Declines queries from now on and hands back what waits, as the process is about to exit.
+    void beginStop();
 
 private:
     using UdpEndpoint = boost::asio::ip::udp::endpoint;
@@ -67,13 +80,42 @@
     /// A call that waits for a reply. Lives in the call's coroutine frame.
     struct Waiter
     {
-        explicit Waiter(boost::asio::io_context &io) : timer(io) { }
+        Waiter(boost::asio::io_context &io, VmName at) : timer(io), scheduler(std::move(at)) { }
 
         Timer timer;
+        VmName scheduler;
         std::optional<PlacementReply> reply;
+        bool isQueued = false; ///< the scheduler replied that the call waits there
     };
     using Waiters = std::map<QueryId, Waiter *>;
 
+    /// A call of this gateway that waits in its own queue. Lives in the call's coroutine frame.
+    struct LocalWaiter
+    {
+        explicit LocalWaiter(boost::asio::io_context &io) : timer(io) { }
+
+        Timer timer;
+        std::optional<QueueOutcome> outcome;
+    };
+    using LocalWaiters = std::map<QueryId, LocalWaiter *>;
+
+    /// A reply that ended the wait of another gateway's call, for the case that it is lost.
+    struct SentReply
+    {
+        PlacementReply reply;
+        Time at;
+    };
+
+    /// What became of a call at a scheduler.
+    struct SchedulerResult
+    {
+        /// none: the call is to be placed elsewhere
+        std::optional<PlacementResult> placed;
+        bool wasQueried = false; ///< another gateway was
+        bool isHandedBack = false; ///< it had waited there; another scheduler is to be queried
+        Duration waited{}; ///< at schedulers
+    };
+
     /// The load last reported to a scheduler, plus the calls that it has placed since then.
     struct LastReport
     {
@@ -83,8 +125,28 @@
     using LoadByGroup = std::map<GroupName, LoadByUpstream>;
 
     boost::asio::awaitable<void> reportLoop();
-    boost::asio::awaitable<std::optional<PlacementResult>>
-    queryScheduler(VmName scheduler, GroupName group, SelectionQuery query);
+    boost::asio::awaitable<SchedulerResult> queryScheduler(VmName scheduler, GroupName group,
+                                                           SelectionQuery query, Duration waited);
+    boost::asio::awaitable<SchedulerResult> waitForGrant(Waiter &waiter, QueryId id,
+                                                         GroupName group, SelectionQuery query);
+    boost::asio::awaitable<SchedulerResult> placeByScheduler(SelectionQuery *query,
+                                                             GroupName group);
+    boost::asio::awaitable<SchedulerResult> waitLocally(SelectionQuery query, GroupName group,
+                                                        Duration waited);
+    std::optional<PlacementResult> acceptReply(const PlacementReply &reply, const GroupName &group,
+                                               const SelectionQuery &query);
+    bool mayWait(const SelectionQuery &query) const;
+    QueueTerms makeQueueTerms(const SelectionQuery &query, Duration waited) const;
+    static QueuedCall makeQueuedCall(const PlacementQuery &query, const SelectionQuery &selection);
+    void queueEnded(const QueuedCall &call, const QueueOutcome &outcome);
+    void handleQueuedQuery(const PlacementQuery &query, const SelectionQuery &selection,
+                           const UdpEndpoint &from);
+    void handleNote(const WaitingCallNote &note, const UdpEndpoint &from);
+    PlacementReply makeWaitReply(const QueuedCall &call, Duration remaining) const;
+    PlacementReply makeOutcomeReply(const QueuedCall &call, const QueueOutcome &outcome) const;
+    void sendNote(const VmName &scheduler, const GroupName &group, QueryId id, bool isWithdrawn);
+    void dropOldReplies(Time now);
+    Duration nextReportDelay() const;
     PlacementResult selectLocally(SelectionQuery query, const std::optional<GroupName> &group);
     PlacementResult selectOrRefuse(const SelectionQuery &query);
     std::optional<Selection> toSelection(const PlacedCall &placed,
@@ -92,6 +154,7 @@
     std::vector<UpstreamId> backedOffUpstreams(const GroupName &group);
     PlacementQuery makeQuery(QueryId id, const GroupName &group,
                              const SelectionQuery &selectionQuery);
+    static PlacedCall compactSelection(const Selection &selection);
     GroupLoad makeReport(const GroupName &group, const LoadByUpstream &load);
     LoadByGroup ownLoads();
     void sendReports();
@@ -119,8 +182,16 @@
     std::set<VmName> m_limitOwners; ///< of these, the live ones; if none is live, all live gateways
     const Time m_startedAt = RuntimeClock::now();
     RefusalOrder m_refusals{m_options.lessUrgentHold};
+    PlacementQueue m_queue;
+    std::shared_ptr<LocalWaiters> m_localWaiters = std::make_shared<LocalWaiters>();
+    QueryId m_lastLocalId = 0;
+    std::map<WaitingCallId, SentReply> m_sentReplies; ///< of the last replyLifetime
+    Time m_repliesDroppedAt{};
+    std::map<GroupName, std::pair<VmName, QueryId>> m_lastGrants; ///< received, by group
+    std::map<GroupName, Time> m_busyUntil; ///< groups at whose schedulers calls wait
     std::optional<Time> m_fleetReadAt;
     std::mt19937_64 m_random{std::random_device{}()};
+    Time m_regularReportAt{}; ///< when all groups are reported next
     bool m_stopping = false;
 };
 
--- a/src/peer/placementmessages.cpp
+++ b/src/peer/placementmessages.cpp
@@ -37,4 +37,14 @@
     return pvt::decodePayload<PlacementReply>(payload, reason);
 }
 
+std::string encodeWaitingCallNote(const WaitingCallNote &note)
+{
+    return pvt::encodePayload(note);
+}
+
+std::optional<WaitingCallNote> decodeWaitingCallNote(std::string_view payload, std::string *reason)
+{
+    return pvt::decodePayload<WaitingCallNote>(payload, reason);
+}
+
 } // namespace reachlead
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -29,11 +29,14 @@
     RateSample rateSample; ///< of the group's service, since the last report
     std::vector<CompactLimit> limits; ///< of the group's upstreams, received recently
     std::vector<UpstreamId> leaving; ///< upstreams of the service that recently announced it
+    /// The last grant of the scheduler whose call is included in the load; none: no call has
+    /// waited.
+    std::optional<QueryId> lastGrant = std::nullopt;
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(from, incarnation, sequence, group, oldestPendingQuery, load, rateSample, limits,
-           leaving);
+           leaving, lastGrant);
     }
 };
 
@@ -46,6 +49,21 @@
     template <class Archive> void serialize(Archive &ar) { ar(id, tokens); }
 };
 
+/// What a scheduler needs to know of a call that may wait there.
+struct QueueTerms
+{
+    AccountName account;
+    std::uint64_t requestKey = 0; ///< as in SelectionQuery
+    std::uint32_t outputTokens = 0; ///< as in SelectionQuery
+    std::uint32_t bytes = 0; ///< as in SelectionQuery
+    std::uint32_t waitedMs = 0; ///< at schedulers that were lost or are stopping
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(account, requestKey, outputTokens, bytes, waitedMs);
+    }
+};
+
 /// Query for the upstream at which to place a call.
 struct PlacementQuery
 {
@@ -65,11 +83,13 @@
     bool mayRefuse = false; ///< as in SelectionQuery
     std::optional<ZoneSet> permittedZones; ///< as in SelectionQuery
     std::optional<SoftwareVersion> softwareVersion; ///< as in SelectionQuery
+    std::optional<QueueTerms> queue =
+        std::nullopt; ///< none: the call does not wait at the scheduler
 
     template <class Archive> void serialize(Archive &ar)
     {
         ar(report, queryId, zone, model, prompt, excluded, failing, targetMs, timeLeftMs,
-           isMostUrgent, urgencyRank, mayRefuse, permittedZones, softwareVersion);
+           isMostUrgent, urgencyRank, mayRefuse, permittedZones, softwareVersion, queue);
     }
 };
 
@@ -96,7 +116,19 @@
     }
 };
 
-/// Reply to a PlacementQuery.
+/// What a scheduler at which calls wait adds to a reply.
+struct QueueReply
+{
+    /// The call waits, and there will be another reply within this time; 0: this is the last one.
+    std::uint32_t waitMs = 0;
+    QueryId grant = 0; ///< number of the grant to a call that waited; 0: none
+    std::uint32_t waitedMs = 0; ///< until this reply
+    std::uint8_t refusal = 0; ///< the ErrorKind of a refusal
+
+    template <class Archive> void serialize(Archive &ar) { ar(waitMs, grant, waitedMs, refusal); }
+};
+
+/// Reply to a PlacementQuery. A call that waits gets a second one.
 struct PlacementReply
 {
     VmName from;
@@ -105,10 +137,27 @@
     std::optional<PlacedCall> placed; ///< none: refused, or the querying gateway is to select
     std::optional<std::uint32_t> retryAfterMs; ///< set if the call is refused
     bool isStopping = false; ///< the querying gateway is to query another one from now on
+    std::optional<QueueReply> queue = std::nullopt; ///< set while calls of the group wait
+
+    template <class Archive> void serialize(Archive &ar)
+    {
+        ar(from, querier, queryId, placed, retryAfterMs, isStopping, queue);
+    }
+};
+
+/// Tells a scheduler that a call still waits, to which the reply is the last one that concerns the
+/// call, or that it was withdrawn.
+struct WaitingCallNote
+{
+    VmName from;
+    Incarnation incarnation;
+    GroupName group;
+    QueryId queryId = 0;
+    bool isWithdrawn = false;
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, querier, queryId, placed, retryAfterMs, isStopping);
+        ar(from, incarnation, group, queryId, isWithdrawn);
     }
 };
 
@@ -119,5 +168,7 @@
 std::optional<PlacementQuery> decodePlacementQuery(std::string_view payload, std::string *reason);
 std::string encodePlacementReply(const PlacementReply &reply);
 std::optional<PlacementReply> decodePlacementReply(std::string_view payload, std::string *reason);
+std::string encodeWaitingCallNote(const WaitingCallNote &note);
+std::optional<WaitingCallNote> decodeWaitingCallNote(std::string_view payload, std::string *reason);
 
 } // namespace reachlead
--- a/src/peer/placementpair.h
+++ b/src/peer/placementpair.h
@@ -49,9 +49,10 @@
 
     struct Node
     {
-        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key)
+        Node(boost::asio::io_context &io, const std::string &vm, const std::string &key,
+             bool queues)
             : state(stateOptions(vm)), peers(io, peerOptions(vm, key, &counters), state),
-              link(io, linkOptions(&counters), state, peers)
+              link(io, linkOptions(&counters, queues), state, peers)
         {
             state.upstreamsListed(upstreams(upstreamCount), 1);
         }
@@ -74,11 +75,12 @@
             options.counters = counters;
             return options;
         }
-        static PlacementLink::Options linkOptions(Counters *counters)
+        static PlacementLink::Options linkOptions(Counters *counters, bool queues)
         {
             PlacementLink::Options options;
             options.counters = counters;
             options.refusal.waitTargets = 0.25;
+            options.queue.isEnabled = queues;
             return options;
         }
         GatewayEntry entry() const { return peers.self(); }
@@ -93,15 +95,17 @@
         PlacementLink link;
     };
 
-    explicit PlacementPair(const std::string &otherKey = "the key of this fleet")
+    /// \p queues: calls wait at the scheduler.
+    explicit PlacementPair(const std::string &otherKey = "the key of this fleet",
+                           bool queues = false)
     {
         RuntimeClock::pause(start);
         const GroupName group{ServiceName("llm"), 0};
         const std::set<VmName> names{VmName("a"), VmName("b")};
         const VmName first = *electScheduler(group, names);
         const VmName second = first == VmName("a") ? VmName("b") : VmName("a");
-        scheduler = std::make_unique<Node>(io, first.text, otherKey);
-        querier = std::make_unique<Node>(io, second.text, "the key of this fleet");
+        scheduler = std::make_unique<Node>(io, first.text, otherKey, queues);
+        querier = std::make_unique<Node>(io, second.text, "the key of this fleet", queues);
         const std::vector<GatewayEntry> gateways{scheduler->entry(), querier->entry()};
         scheduler->state.gatewaysChanged({1, gateways});
         querier->state.gatewaysChanged({1, gateways});
@@ -129,21 +133,23 @@
     }
 
     /// Requests a placement at the querying gateway; `placed` is empty until there is a result.
-    void query()
+    void query() { queryAt(*querier); }
+    void queryAt(Node &node)
     {
         placed.reset();
-        boost::asio::co_spawn(io, queryOnce(), boost::asio::detached);
+        boost::asio::co_spawn(io, queryOnce(node), boost::asio::detached);
     }
-    boost::asio::awaitable<void> queryOnce()
+    boost::asio::awaitable<void> queryOnce(Node &node)
     {
         SelectionQuery selectionQuery{ServiceName("llm"), "m", prompt, nullptr};
-        selectionQuery.slack = {milliseconds(600), seconds(6), false};
+        selectionQuery.slack = slack;
+        selectionQuery.cancel = &cancel;
         selectionQuery.mayRefuse = true;
         selectionQuery.softwareVersion = softwareVersion ? &*softwareVersion : nullptr;
-        PlacementResult result = co_await querier->link.select(selectionQuery);
+        PlacementResult result = co_await node.link.select(selectionQuery);
         if (result.selection)
-            querier->state.upstreams().sent(result.selection->upstream, selectionQuery,
-                                            *result.selection, RuntimeClock::now());
+            node.state.upstreams().sent(result.selection->upstream, selectionQuery,
+                                        *result.selection, RuntimeClock::now());
         placed = std::move(result);
     }
 
@@ -156,11 +162,22 @@
         scheduler->state.upstreams().setPeerLoad(VmName("third"), {load}, RuntimeClock::now());
     }
 
+    /// Sends a note on a call of a gateway to the scheduler, as that gateway would.
+    void sendNote(const VmName &from, QueryId queryId, bool isWithdrawn) const
+    {
+        const WaitingCallNote note{
+            from, querier->peers.incarnation(), {ServiceName("llm"), 0}, queryId, isWithdrawn};
+        querier->peers.sendTo(scheduler->entry().address, PeerMessageKind::WaitingCallNote,
+                              encodeWaitingCallNote(note));
+    }
+
     std::vector<PromptPart> prompt{{1, 4'000}, {2, 3'000}};
     boost::asio::io_context io{1};
     std::unique_ptr<Node> scheduler;
     std::unique_ptr<Node> querier;
     std::optional<PlacementResult> placed;
+    LatencySlack slack{milliseconds(600), seconds(6), false}; ///< of the queries
+    CancelSignal cancel; ///< of the queries
     std::optional<SoftwareVersion> softwareVersion; ///< of the queries
 };
 
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -49,14 +49,14 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 9> readers{
-        &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
-        &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
-        &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
-        &GatewaySettings::readStop,      &GatewaySettings::readLogSection,
-        &GatewaySettings::readRegions};
+    constexpr std::array<Reader, 10> readers{
+        &GatewaySettings::readGateway,    &GatewaySettings::readPeers,
+        &GatewaySettings::readAddresses,  &GatewaySettings::readRetries,
+        &GatewaySettings::readPlacement,  &GatewaySettings::readQueue,
+        &GatewaySettings::readUsage,      &GatewaySettings::readStop,
+        &GatewaySettings::readLogSection, &GatewaySettings::readRegions};
     if (auto error = unknownSection(file,
-                                    {"gateway", "peers", "operators", "store", "placement",
+                                    {"gateway", "peers", "operators", "store", "placement", "queue",
                                      "retries", "usage", "stop", "log", "regions"}))
         return error;
     for (const Reader reader : readers) {
@@ -206,6 +206,27 @@
     return reader.finish();
 }
 
+/// The queue at the schedulers of placement groups. It needs `group_scheduler`.
+std::optional<std::string> GatewaySettings::readQueue(const IniFile &file)
+{
+    constexpr double bytesPerMb = 1e6;
+    PlacementQueue::Options &queue = placement.queue;
+    auto calls = static_cast<std::int64_t>(queue.bounds.calls);
+    double mb = static_cast<double>(queue.bounds.bytes) / bytesPerMb;
+    double aheadMs = toMillis(state.costs.room.maxAhead);
+    IniReader reader(file, "queue");
+    reader.takeFlag("enabled", &queue.isEnabled)
+        .takeFlag("plain", &queue.queuesPlainCalls)
+        .takeInteger("calls_per_rank", 1, 1'000'000, &calls)
+        .takeNumber("mb_per_rank", 0.001, 1e6, &mb)
+        .takeNumber("wait_targets", 0.0, 100.0, &queue.waitTargets)
+        .takeNumber("ahead_ms", 0.0, 60'000.0, &aheadMs);
+    queue.bounds.calls = static_cast<std::size_t>(calls);
+    queue.bounds.bytes = static_cast<std::size_t>(mb * bytesPerMb);
+    state.costs.room.maxAhead = fromSeconds(aheadMs / 1000.0);
+    return reader.finish();
+}
+
 std::optional<std::string> GatewaySettings::readRetries(const IniFile &file)
 {
     double windowSeconds = toSeconds(state.retries.window);
