--- a/src/forward/forwardcall_room.cpp
+++ b/src/forward/forwardcall_room.cpp
@@ -70,8 +70,7 @@
 /// True if the upstream cut an answer that was not read from it, as the caller did not read.
 bool ForwardCall::isLostToCaller(SendResult result) const
 {
-    const bool isLost = result == SendResult::Lost || result == SendResult::Corrupt;
-    return m_context.pressure && m_stop == Stop::None && isLost && m_headDelivered
+    return m_context.pressure && m_stop == Stop::None && result == SendResult::Lost
         && m_caller.writes().explainsLoss(RuntimeClock::now());
 }
 
