placement: a waiting call begins where it costs least

Change: a selection that requires room selects nothing while the best upstream by cost has none; what has the same best upstream is told apart by its shared parts, and a pass of offers is bounded. Ruled out: a higher price of reading again, which would change calls that do not wait.

--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -69,7 +69,8 @@
     /// Identifies the caller's request over its attempts and over gateways; 0: not known.
     std::uint64_t requestKey = 0;
     TokenCount outputTokens = 0; ///< expected length of the answer; 0: not known
-    bool requiresRoom = false; ///< exclude upstreams that could not begin with the call at once
+    /// Select nothing while the best upstream could not begin with the call at once.
+    bool requiresRoom = false;
     bool mayRefuse = false; ///< the call was not sent yet, and does not resume an answer
     bool isGroupScheduler = false; ///< the selector places the calls of all gateways to its group
     /// The selector gets most of the rate of the limited upstreams of its group. Unlike
@@ -109,6 +110,7 @@
     TokenCount tokensToFirstEvent = 0;
     Duration coldSpacing{}; ///< until the selector may select the upstream again while it is cold
     Duration queueWait{}; ///< predicted queueing time at the selected upstream
+    bool hasRoom = false; ///< as in UpstreamRoom
     Duration minQueueWait{}; ///< shortest queueing time of any healthy upstream
 };
 
--- a/src/include/reachlead/scheduling/callqueue.h
+++ b/src/include/reachlead/scheduling/callqueue.h
@@ -42,7 +42,7 @@
     std::uint64_t size = 0; ///< an upstream with room for this size has room for smaller ones
     std::size_t bytes = 0; ///< held at the gateway while the call waits
     std::uint64_t requestKey = 0; ///< as in SelectionQuery; 0: not known
-    std::uint64_t eligibility = 0; ///< calls with the same value may use the same upstreams
+    std::uint64_t eligibility = 0; ///< calls with the same value have the same best upstream
     Time arrivedAt;
     Time latestStart; ///< when it is refused if it has not begun
     /// When its answer must have begun at the latest to be of use; no place is kept beyond it.
@@ -80,6 +80,10 @@
     /// while more urgent calls fill the upstreams.
     static constexpr Duration floorInterval = seconds(1);
 
+    /// Calls that found no room in a pass, after which it ends: each offer examines all upstreams
+    /// of the group, and the first ones in order will be the next to begin.
+    static constexpr std::size_t maxRefusedOffers = 48;
+
     /// What happened to a call that was offered to the upstreams.
     enum class Offer : std::uint8_t {
         Begun,
--- a/src/libreachlead/placement/upstreamtable_selection.cpp
+++ b/src/libreachlead/placement/upstreamtable_selection.cpp
@@ -348,13 +348,16 @@
                                                candidate.entry->slots, 0, ownRate);
         if (candidate.isHealthy && (!minQueueWait || wait < *minQueueWait))
             minQueueWait = wait;
-        if (query.requiresRoom
-            && !m_costs.room.canBegin(wait, candidate.load.running, candidate.entry->slots))
-            continue;
         selection.queueWait = wait;
+        selection.hasRoom =
+            m_costs.room.canBegin(wait, candidate.load.running, candidate.entry->slots);
         if (!best || selection.cost < best->cost)
             best = selection;
     }
+    // An upstream with room that would prefill again what another has cached costs all callers more
+    // than the wait for that one.
+    if (query.requiresRoom && best && !best->hasRoom)
+        return std::nullopt;
     if (best) {
         best->minQueueWait = minQueueWait.value_or(Duration{});
         best->coldSpacing = coldSpacing(query, best->upstream);
--- a/src/libreachlead/scheduling/callqueue.cpp
+++ b/src/libreachlead/scheduling/callqueue.cpp
@@ -94,6 +94,8 @@
         const Offer result = offer(it->second);
         if (result == Offer::NoRoom) {
             refused[it->second.eligibility] = it->second.size;
+            if (refused.size() == maxRefusedOffers)
+                break;
             continue;
         }
         begun(it->second, now);
--- a/src/libreachlead/scheduling/callqueue_test.cpp
+++ b/src/libreachlead/scheduling/callqueue_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(leastServedAccountIsNext);
     CPPUNIT_TEST(smallCallIsNotHeldByALargeOne);
     CPPUNIT_TEST(callWithoutRoomElsewhereHoldsNobody);
+    CPPUNIT_TEST(passEndsAfterManyRefusedOffers);
     CPPUNIT_TEST(waitIsPredictedFromTheWorkAhead);
     CPPUNIT_TEST(callThatCannotBeginInTimeIsRefusedAtOnce);
     CPPUNIT_TEST(overdueCallIsRefused);
@@ -135,6 +136,22 @@
         CPPUNIT_ASSERT(started.size() == 1 && started.front().id.query == 2);
     }
 
+    void passEndsAfterManyRefusedOffers()
+    {
+        CallQueue queue = makeQueue();
+        for (std::uint32_t n = 0; n < 2 * CallQueue::maxRefusedOffers; ++n) {
+            WaitingCall call = makeCall(n);
+            call.eligibility = n;
+            queue.add(call, start);
+        }
+        std::size_t offers = 0;
+        queue.dispatch(start, [&offers](const WaitingCall &) {
+            ++offers;
+            return CallQueue::Offer::NoRoom;
+        });
+        CPPUNIT_ASSERT_EQUAL(CallQueue::maxRefusedOffers, offers);
+    }
+
     /// A pace of ten calls a second.
     static CallQueue pacedQueue()
     {
--- a/src/peer/placementqueue.cpp
+++ b/src/peer/placementqueue.cpp
@@ -26,7 +26,14 @@
                                  [](const PromptPart &part) { return part.tokens; });
 }
 
-/// A hash of what restricts the upstreams of a call.
+/// All parts but the last, which is of the call alone.
+std::size_t sharedPartCount(const QueuedCall &call)
+{
+    return call.prompt.empty() ? 0 : call.prompt.size() - 1;
+}
+
+/// A hash of what decides which upstream is the best for a call: what restricts the choice, and the
+/// shared parts of the prompt, as they may be cached.
 std::uint64_t eligibilityOf(const QueuedCall &call)
 {
     std::string key = call.isLocal ? "l" : "r";
@@ -39,6 +46,9 @@
             append(zone.text);
     }
     append(call.softwareVersion ? call.softwareVersion->text : "any");
+    append(call.model);
+    for (const PromptPart &part : call.prompt | std::views::take(sharedPartCount(call)))
+        append(std::to_string(part.id));
     return std::hash<std::string>{}(key);
 }
 
