streams: tests for unguarded edits, and a lookup that waits for newer replies

Ruled out: waiting for all replies, as the gateway that began a stream is often gone and each resumption would take the whole timeout.

--- a/src/peer/streamlink.cpp
+++ b/src/peer/streamlink.cpp
@@ -121,6 +121,11 @@
         lookup.timer.expires_after(timeout);
         co_await lookup.timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
+    if (lookup.found.binding && !lookup.unanswered.empty()) {
+        boost::system::error_code ec;
+        lookup.timer.expires_after(settleTime);
+        co_await lookup.timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
     lookups->erase(query.number);
     co_return lookup.found;
 }
@@ -178,14 +183,15 @@
     if (lookup.unanswered.erase(reply.from) == 0)
         return;
     lookup.found.versions.insert(reply.versions.begin(), reply.versions.end());
-    const bool isNewer = reply.binding
-        && (!lookup.found.binding || lookup.found.binding->send < reply.binding->send);
+    const bool isFirst = reply.binding && !lookup.found.binding;
+    const bool isNewer =
+        isFirst || (reply.binding && lookup.found.binding->send < reply.binding->send);
     if (isNewer) {
         lookup.found.binding = reply.binding;
         lookup.found.age = milliseconds(reply.ageMs);
         lookup.found.source = reply.from;
     }
-    if (lookup.found.binding || lookup.unanswered.empty())
+    if (isFirst || lookup.unanswered.empty())
         lookup.timer.cancel();
 }
 
--- a/src/peer/streamlink.h
+++ b/src/peer/streamlink.h
@@ -47,6 +47,9 @@
     /// round trips between availability zones, and the scheduling delay of a busy process.
     static constexpr Duration replyTimeout = milliseconds(60);
     static constexpr Duration repeatTimeout = milliseconds(120);
+    /// Time after the first binding in which other gateways may report one of a later send: a
+    /// gateway that missed a datagram knows an earlier one, and may be the first to reply.
+    static constexpr Duration settleTime = milliseconds(10);
 
 private:
     using UdpEndpoint = boost::asio::ip::udp::endpoint;
--- a/src/peer/streamlink_test.cpp
+++ b/src/peer/streamlink_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(gatewayThatStartsLaterFindsTheStream);
     CPPUNIT_TEST(streamsSurviveTheLossOfHalfOfTheGateways);
     CPPUNIT_TEST(lastSendIsFoundAfterAMove);
+    CPPUNIT_TEST(newestOfSeveralRepliesIsUsed);
+    CPPUNIT_TEST(lookupDoesNotWaitForALostGateway);
     CPPUNIT_TEST(unknownStreamBringsTheVersionsInUse);
     CPPUNIT_TEST(singleGatewayDoesNotWait);
     CPPUNIT_TEST(copyWithAnotherKeyIsIgnored);
@@ -133,6 +135,34 @@
         CPPUNIT_ASSERT_EQUAL(std::string("v2"), version(fleet.find(*fleet.nodes[1], 1)));
     }
 
+    /// Some gateways missed the datagram of a move, whichever of them replies first.
+    void newestOfSeveralRepliesIsUsed()
+    {
+        Fleet fleet(5);
+        const Time now = RuntimeClock::now();
+        for (std::size_t n = 0; n < 8; ++n) {
+            for (std::size_t node = 1; node < fleet.nodes.size(); ++node) {
+                const bool missedTheMove = node != 1 + n % 4;
+                fleet.nodes[node]->state.streams().record(
+                    stream(n), missedTheMove ? binding("v1", 1) : binding("v2", 2), retention, now);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("v2"), version(fleet.find(*fleet.nodes[0], n)));
+        }
+    }
+
+    void lookupDoesNotWaitForALostGateway()
+    {
+        Fleet fleet(4);
+        fleet.nodes[3]->link.record(stream(1), binding("v1"), retention);
+        fleet.advance(milliseconds(30));
+        fleet.keepFirst(3);
+        fleet.nodes[0]->state.streams() = StreamBindings();
+        const Time before = RuntimeClock::now();
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), version(fleet.find(*fleet.nodes[0], 1)));
+        CPPUNIT_ASSERT(RuntimeClock::now() - before
+                       <= StreamLink::settleTime + milliseconds(20)); // two steps of the clock
+    }
+
     void unknownStreamBringsTheVersionsInUse()
     {
         Fleet fleet(3);
