engines: the speed of each upstream

Cause: speed is learned for a whole service, so an engine at half the speed of its siblings is sent as much as a fast one, and the shortest predicted wait, by which calls are refused, is that of a mean engine.

Change: UpstreamSpeeds keeps an estimate for each upstream, with the median of its siblings as the prior; evidence expires, so a slow one is looked at again. Costs, predicted waits, room and the readiness of cached parts use it. Reports to schedulers carry the samples by upstream, and a scheduler that takes over is told all that a gateway remembers. Off unless [engines] own_speeds asks for it.

Ruled out: speeds in heartbeats, reports of the engines themselves, absolute speeds in the costs; see docs/design/engine-models.md.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -317,6 +317,7 @@
         .with("resumes", m_metadata.resumedAttempt)
         .with("resume_after", m_metadata.resumeAfter.value_or(0))
         .with("cost", static_cast<std::int64_t>(m_lastCost))
+        .with("speed", m_lastSpeed)
         .with("placed_by", m_placedBy.text)
         .with("placing_ms", static_cast<std::int64_t>(toMillis(m_placementDuration)))
         .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -150,6 +150,7 @@
     std::string m_lastReason;
     bool m_isConnectionRefused = false; ///< by the last upstream
     double m_lastCost = 0;
+    double m_lastSpeed = 1.0; ///< as UpstreamSpeeds::speed() when the call was sent
     VmName m_placedBy; ///< the gateway that selected the last upstream
     Duration m_placementDuration{}; ///< total duration of upstream selections
     TokenCount m_prefillTokens = 0; ///< expected by the last selection
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -201,8 +201,9 @@
                                                std::exchange(m_pendingPrefillTokens, 0));
     recordExecutionStart();
     if (std::exchange(m_awaitsFirstEvent, false)) {
-        m_context.state.upstreams().recordPrefill(m_service, m_tokensToFirstEvent,
-                                                  RuntimeClock::now() - m_sentAt);
+        m_context.state.upstreams().recordPrefill(m_service, m_lastUpstream, m_tokensToFirstEvent,
+                                                  RuntimeClock::now() - m_sentAt,
+                                                  RuntimeClock::now());
         recordBegin();
     }
     if (m_firstByteAt)
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -143,6 +143,7 @@
     m_lastUpstream = entry.id;
     m_lastVersion = entry.softwareVersion;
     m_lastCost = selection->cost;
+    m_lastSpeed = state.upstreams().speeds().speed(m_service, entry.id, RuntimeClock::now());
     m_pendingPrefillTokens = selection->prefillTokens;
     m_prefillTokens = selection->prefillTokens;
     m_tokensToFirstEvent = selection->tokensToFirstEvent;
@@ -282,6 +283,9 @@
         m_context.onRequestCleared(digest());
     if (result == SendResult::Complete && !m_metadata.prompt.empty())
         table.recordCallDuration(m_service, RuntimeClock::now() - m_sentAt);
+    if (result == SendResult::Complete && m_metadata.prompt.empty())
+        table.recordPlainCall(m_service, entry.id, RuntimeClock::now() - m_sentAt,
+                              RuntimeClock::now());
     if (result == SendResult::Complete || result == SendResult::ServerError)
         table.succeeded(entry.id);
     else if (std::exchange(m_isConnectionRefused, false))
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -62,6 +62,7 @@
     StreamsUnknown,
     StreamsEvicted,
     QuarantinesReleased,
+    UpstreamsSlow,
     Size
 };
 
@@ -74,6 +75,7 @@
     Sessions,
     SettingsVersion,
     Draining,
+    SlowUpstreams,
     Size
 };
 
--- a/src/include/reachlead/placement/servicerate.h
+++ b/src/include/reachlead/placement/servicerate.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include <reachlead/clock.h>
 #include <reachlead/ids.h>
@@ -45,9 +46,11 @@
     void addSample(const RateSample &sample);
 
     /// Predicts the time to the first event of a call with \p prefillTokens of its own on an
-    /// upstream with \p queuedTokens to be prefilled, \p running calls and \p slots.
+    /// upstream with \p queuedTokens to be prefilled, \p running calls and \p slots. \p tokensPerMs
+    /// is the upstream's own speed; none: that of the service.
     Duration predictWait(TokenCount queuedTokens, std::uint32_t running, unsigned slots,
-                         TokenCount prefillTokens) const;
+                         TokenCount prefillTokens,
+                         std::optional<double> tokensPerMs = std::nullopt) const;
 
     double tokensPerMs() const { return m_tokensPerMs; }
 
--- a/src/include/reachlead/placement/upstreamtable.h
+++ b/src/include/reachlead/placement/upstreamtable.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include <reachlead/circuit.h>
+#include <reachlead/engines/upstreamspeeds.h>
 #include <reachlead/headercodec.h>
 #include <reachlead/placement/coldstartlimiter.h>
 #include <reachlead/placement/dedicatedengines.h>
@@ -151,6 +152,8 @@
         double fetchSetup = 20.0;
         /// Copying 1,000 tokens: about half the price of prefilling them again.
         double fetchPerKiloToken = 90.0;
+        /// Speed of each upstream instead of that of its service.
+        UpstreamSpeeds::Settings speeds;
         /// Whether an upstream can begin with one more call at once.
         UpstreamRoom room;
         /// An upstream whose circuit is open is selected only if there is no other.
@@ -173,7 +176,8 @@
     static constexpr std::size_t maxHints = 35;
 
     UpstreamTable(ZoneName zone, const Costs &costs)
-        : m_zone(std::move(zone)), m_costs(costs), m_dedicated(costs.dedicated)
+        : m_zone(std::move(zone)), m_costs(costs), m_dedicated(costs.dedicated),
+          m_speeds(costs.speeds)
     { }
 
     /// Sets the number of gateways, and a number that distinguishes this one from the others.
@@ -309,15 +313,21 @@
     /// Observations from calls of this gateway: the first event came \p duration after a call was
     /// sent that had \p tokensToFirstEvent to be prefilled; a call occupied its slot for \p
     /// duration.
-    void recordPrefill(const ServiceName &service, TokenCount tokensToFirstEvent,
-                       Duration duration);
+    void recordPrefill(const ServiceName &service, const UpstreamId &id,
+                       TokenCount tokensToFirstEvent, Duration duration, Time now);
     void recordCallDuration(const ServiceName &service, Duration duration);
+    /// The same for a call without a prompt, which shows the speed of its upstream.
+    void recordPlainCall(const ServiceName &service, const UpstreamId &id, Duration duration,
+                         Time now);
     /// Adds the observations of other gateways.
     void addRateSample(const ServiceName &service, const RateSample &sample);
     /// Returns and clears what was observed since the last call.
     RateSample takeRateSample(const ServiceName &service);
     const ServiceRate &serviceRate(const ServiceName &service);
 
+    /// Speed of each upstream.
+    UpstreamSpeeds &speeds() { return m_speeds; }
+
     /// Prompt placements of the last \p window, to be sent to other gateways.
     std::vector<PromptHint> recentHints(Time now, Duration window = hintWindow);
     /// Adds prompt placements of another gateway.
@@ -368,6 +378,7 @@
         TokenCount cachedShared = 0; ///< of the shared parts, probably cached
         UpstreamLoad load; ///< of all known gateways
         double loadCost = 0; ///< ms; without the prompt to be placed
+        double speed = 1.0; ///< as UpstreamSpeeds::speed()
     };
     /// A prompt to be placed, and where it is cached.
     struct PromptLocation
@@ -394,7 +405,8 @@
     void dropPendingPlacements(PeerLoad *peer, QueryId oldestPendingQuery, Time now);
     void recordParts(Record *record, const SelectionQuery &query, const Selection &selection,
                      Time now, bool isReported);
-    Duration prefillTime(const ServiceName &service, TokenCount tokensToFirstEvent);
+    Duration prefillTime(const ServiceName &service, const UpstreamId &id,
+                         TokenCount tokensToFirstEvent, Time now);
     void dropExpiredPeers(Time now);
     double costByCost(const Candidate &candidate, const SelectionQuery &query,
                       const PromptLocation &location, Selection *selection) const;
@@ -406,8 +418,7 @@
                           const PromptLocation &location, Selection *selection) const;
     std::vector<Candidate> candidates(const SelectionQuery &query, const PromptLocation &location,
                                       const UpstreamDirectory &directory, Time now);
-    double loadCost(const SelectionQuery &query, const UpstreamEntry &entry,
-                    const UpstreamLoad &load, bool isHealthy) const;
+    double loadCost(const SelectionQuery &query, const Candidate &candidate) const;
     UpstreamLoad knownLoad(const UpstreamId &id) const;
     static bool isFailing(Record *record, Time now);
     bool isBackedOff(const SelectionQuery &query, const UpstreamId &id, Time now) const;
@@ -446,6 +457,7 @@
     std::unordered_map<UpstreamId, UpstreamLoad> m_peerTotals; ///< sum over m_peers
     std::deque<RecentHint> m_recentHints; ///< oldest first
     DedicatedEngines m_dedicated;
+    UpstreamSpeeds m_speeds;
     UpstreamLimits m_limits;
     UpstreamBackoffs m_backoffs;
 };
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -31,11 +31,12 @@
     "limits_heard",        "leaving_heard",
     "backoffs_heard",      "store_restores",
     "streams_resumed",     "streams_unknown",
-    "streams_evicted",     "quarantines_released"};
+    "streams_evicted",     "quarantines_released",
+    "upstreams_slow"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
-    "open_connections", "open_requests", "queued",           "running",
-    "window",           "sessions",      "settings_version", "draining"};
+    "open_connections", "open_requests",    "queued",   "running",       "window",
+    "sessions",         "settings_version", "draining", "slow_upstreams"};
 
 } // namespace
 
--- a/src/libreachlead/placement/servicerate.cpp
+++ b/src/libreachlead/placement/servicerate.cpp
@@ -31,9 +31,10 @@
 }
 
 Duration ServiceRate::predictWait(TokenCount queuedTokens, std::uint32_t running, unsigned slots,
-                                  TokenCount prefillTokens) const
+                                  TokenCount prefillTokens, std::optional<double> tokensPerMs) const
 {
-    double ms = static_cast<double>(queuedTokens + prefillTokens) / std::max(m_tokensPerMs, 0.001);
+    const double rate = std::max(tokensPerMs.value_or(m_tokensPerMs), 0.001);
+    double ms = static_cast<double>(queuedTokens + prefillTokens) / rate;
     if (slots > 0 && running >= slots)
         ms += m_callMs * static_cast<double>(running - slots + 1) / slots;
     return fromSeconds(ms / 1000.0);
--- a/src/libreachlead/placement/upstreamtable.cpp
+++ b/src/libreachlead/placement/upstreamtable.cpp
@@ -44,6 +44,7 @@
     std::erase_if(m_records, [&](const auto &record) {
         return directory.find(record.first) == nullptr && record.second.load.running == 0;
     });
+    m_speeds.removeUnlisted(directory);
 }
 
 void UpstreamTable::addPeerLoad(const UpstreamId &id, const UpstreamLoad &load)
@@ -137,7 +138,8 @@
 void UpstreamTable::recordParts(Record *record, const SelectionQuery &query,
                                 const Selection &selection, Time now, bool isReported)
 {
-    const Time readyAt = now + prefillTime(query.service, selection.tokensToFirstEvent);
+    const Time readyAt =
+        now + prefillTime(query.service, selection.upstream, selection.tokensToFirstEvent, now);
     const PromptLocation location = locatePrompt(query);
     for (const KeyedPart &part : location.shared()) {
         if (record->cache.insert(part.key, readyAt) && isReported)
@@ -148,9 +150,11 @@
 }
 
 /// The time an engine needs to prefill this much, queue included.
-Duration UpstreamTable::prefillTime(const ServiceName &service, TokenCount tokensToFirstEvent)
+Duration UpstreamTable::prefillTime(const ServiceName &service, const UpstreamId &id,
+                                    TokenCount tokensToFirstEvent, Time now)
 {
-    return serviceRate(service).predictWait(tokensToFirstEvent, 0, 0, 0);
+    return serviceRate(service).predictWait(tokensToFirstEvent, 0, 0, 0,
+                                            m_speeds.workPerMs(service, id, now));
 }
 
 void UpstreamTable::addPendingPlacement(const VmName &peer, QueryId queryId,
@@ -182,8 +186,8 @@
     m_rates.try_emplace(service, m_costs.tokensPerMs).first->second.addSample(sample);
 }
 
-void UpstreamTable::recordPrefill(const ServiceName &service, TokenCount tokensToFirstEvent,
-                                  Duration duration)
+void UpstreamTable::recordPrefill(const ServiceName &service, const UpstreamId &id,
+                                  TokenCount tokensToFirstEvent, Duration duration, Time now)
 {
     if (tokensToFirstEvent < ServiceRate::minSampleTokens)
         return;
@@ -191,6 +195,14 @@
                             0};
     addRateSample(service, sample);
     m_unreportedSamples[service] += sample;
+    m_speeds.observe(service, id,
+                     {static_cast<std::uint32_t>(tokensToFirstEvent), sample.prefillMs}, now);
+}
+
+void UpstreamTable::recordPlainCall(const ServiceName &service, const UpstreamId &id,
+                                    Duration duration, Time now)
+{
+    m_speeds.observe(service, id, {1, static_cast<std::uint32_t>(toMillis(duration))}, now);
 }
 
 void UpstreamTable::recordCallDuration(const ServiceName &service, Duration duration)
--- a/src/libreachlead/placement/upstreamtable_selection.cpp
+++ b/src/libreachlead/placement/upstreamtable_selection.cpp
@@ -103,7 +103,7 @@
     const TokenCount recomputed = maxCachedShared - std::min(maxCachedShared, cached);
     const TokenCount prefillTokens = location.tokens - std::min(location.tokens, cached);
     selection->prefillTokens = location.tokens - std::min(location.tokens, candidate.cachedTokens);
-    double cost = msPerToken * static_cast<double>(prefillTokens);
+    double cost = msPerToken * static_cast<double>(prefillTokens) / candidate.speed;
     cost += m_costs.recomputeFactor * msPerToken * static_cast<double>(recomputed);
     const bool canFetch =
         location.source != nullptr && query.serviceInfo != nullptr && query.serviceInfo->canFetch();
@@ -122,18 +122,22 @@
 }
 
 /// The cost of queueing behind the load of an upstream.
-double UpstreamTable::loadCost(const SelectionQuery &query, const UpstreamEntry &entry,
-                               const UpstreamLoad &load, bool isHealthy) const
+double UpstreamTable::loadCost(const SelectionQuery &query, const Candidate &candidate) const
 {
+    const UpstreamEntry &entry = *candidate.entry;
+    const UpstreamLoad &load = candidate.load;
     double cost = static_cast<double>(load.prefillTokens) / m_costs.tokensPerMs;
     cost += m_costs.perRunningRequest * load.running;
     if (load.running >= entry.slots)
         cost += m_costs.perQueuedRequest * (load.running - entry.slots + 1);
+    cost /= candidate.speed;
+    if (query.prompt.empty()) // the call itself takes longer on a slow upstream
+        cost += m_costs.perQueuedRequest * (1.0 / candidate.speed - 1.0);
     if (entry.zone != callerZone(query))
         cost += m_costs.crossZone;
     if (query.group != nullptr && !query.group->contains(entry.id))
         cost += m_costs.crossGroup;
-    if (!isHealthy)
+    if (!candidate.isHealthy)
         cost += m_costs.unhealthy;
     return cost;
 }
@@ -202,9 +206,9 @@
         candidate.isDedicated = dedicated.contains(entry->id);
         candidate.cachedTokens = record.cache.cachedTokens(location.parts);
         candidate.cachedShared = record.cache.cachedTokens(location.shared());
-        const UpstreamLoad load = knownLoad(entry->id);
-        candidate.load = load;
-        candidate.loadCost = loadCost(query, *entry, load, candidate.isHealthy);
+        candidate.load = knownLoad(entry->id);
+        candidate.speed = m_speeds.speed(query.service, entry->id, now);
+        candidate.loadCost = loadCost(query, candidate);
         all.push_back(candidate);
     }
     return all;
@@ -340,8 +344,10 @@
         selection.isShortPrompt = !query.prompt.empty() && isShortPrompt(query);
         selection.cost = (this->*cost)(candidate, query, location, &selection);
         selection.tokensToFirstEvent = candidate.load.prefillTokens + selection.prefillTokens;
+        const std::optional<double> ownRate =
+            m_speeds.workPerMs(query.service, candidate.entry->id, now);
         const Duration wait = rate.predictWait(candidate.load.prefillTokens, candidate.load.running,
-                                               candidate.entry->slots, 0);
+                                               candidate.entry->slots, 0, ownRate);
         if (candidate.isHealthy && (!minQueueWait || wait < *minQueueWait))
             minQueueWait = wait;
         if (query.requiresRoom
--- a/src/peer/gatewaymessages.cpp
+++ b/src/peer/gatewaymessages.cpp
@@ -97,6 +97,26 @@
     return updates;
 }
 
+std::vector<CompactWorkSample> compactWorkSamples(const UpstreamSpeeds::SamplesByUpstream &samples)
+{
+    std::vector<CompactWorkSample> compact;
+    std::ranges::transform(samples, std::back_inserter(compact), [](const auto &it) {
+        return CompactWorkSample{upstreamHash(it.first), it.second};
+    });
+    return compact;
+}
+
+UpstreamSpeeds::SamplesByUpstream expandWorkSamples(const std::vector<CompactWorkSample> &samples,
+                                                    const UpstreamDirectory &directory)
+{
+    UpstreamSpeeds::SamplesByUpstream expanded;
+    for (const CompactWorkSample &compact : samples) {
+        if (const UpstreamEntry *entry = directory.findByHash(compact.upstream))
+            expanded[entry->id] = compact.sample;
+    }
+    return expanded;
+}
+
 std::string encodeGatewayHeartbeat(const GatewayHeartbeat &heartbeat)
 {
     return pvt::encodePayload(heartbeat);
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -70,6 +70,23 @@
 std::vector<LimitUpdate> expandLimits(const std::vector<CompactLimit> &limits,
                                       const UpstreamDirectory &directory);
 
+/// Compact form of the observed speed of an upstream.
+struct CompactWorkSample
+{
+    UpstreamHash upstream = 0;
+    WorkSample sample;
+
+    template <class Archive> void serialize(Archive &ar) { ar(upstream, sample.work, sample.ms); }
+};
+
+/// Conversion to the compact form and back, without upstreams that are not in the directory.
+std::vector<CompactWorkSample> compactWorkSamples(const UpstreamSpeeds::SamplesByUpstream &samples);
+UpstreamSpeeds::SamplesByUpstream expandWorkSamples(const std::vector<CompactWorkSample> &samples,
+                                                    const UpstreamDirectory &directory);
+
+/// Maximum number of speeds in one report: 0.2 KB. A few reports cover a group of upstreams.
+inline constexpr std::size_t maxReportedSpeeds = 16;
+
 /// Maximum number of limits in one message: 0.13 KB.
 inline constexpr std::size_t maxReportedLimits = 8;
 
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -181,7 +182,7 @@
 PlacementLink::queryScheduler(VmName scheduler, GroupName group, SelectionQuery query)
 {
     const QueryId id = m_queries.open(scheduler);
-    const std::string payload = encodePlacementQuery(makeQuery(id, group, query));
+    const std::string payload = encodePlacementQuery(makeQuery(id, group, scheduler, query));
     sendTo(scheduler, PeerMessageKind::PlacementQuery, payload);
     Waiter waiter(m_io);
     const auto waiters = m_waiters; // may outlive the link
@@ -267,14 +268,14 @@
     return upstreams;
 }
 
-PlacementQuery PlacementLink::makeQuery(QueryId id, const GroupName &group,
+PlacementQuery PlacementLink::makeQuery(QueryId id, const GroupName &group, const VmName &scheduler,
                                         const SelectionQuery &selectionQuery)
 {
     const UpstreamDirectory &directory = m_state.directory();
     PlacementQuery query;
     const LoadByGroup own = ownLoads();
     const auto it = own.find(group);
-    query.report = makeReport(group, it == own.end() ? LoadByUpstream{} : it->second);
+    query.report = makeReport(group, it == own.end() ? LoadByUpstream{} : it->second, scheduler);
     query.queryId = id;
     query.zone = m_state.zone();
     query.model = selectionQuery.model;
@@ -305,7 +306,8 @@
 
 // Reports
 
-GroupLoad PlacementLink::makeReport(const GroupName &group, const LoadByUpstream &load)
+GroupLoad PlacementLink::makeReport(const GroupName &group, const LoadByUpstream &load,
+                                    const VmName &scheduler)
 {
     GroupLoad report;
     report.from = m_state.vm();
@@ -315,6 +317,7 @@
     report.oldestPendingQuery = m_queries.oldestPendingQuery();
     report.load = compactLoad(load);
     report.rateSample = m_state.upstreams().takeRateSample(group.service);
+    report.workSamples = workSamplesToReport(group, scheduler);
     const Time now = RuntimeClock::now();
     report.limits =
         m_peers.limitsToReport(now, &m_state.groups().groupMembers(group, m_state.directory()));
@@ -323,6 +326,41 @@
     return report;
 }
 
+/// Observations for a group's scheduler. One that has just taken over is told what it did not see:
+/// all that this gateway still remembers.
+std::vector<CompactWorkSample> PlacementLink::workSamplesToReport(const GroupName &group,
+                                                                  const VmName &scheduler)
+{
+    UpstreamSpeeds &speeds = m_state.upstreams().speeds();
+    if (!speeds.isEnabled())
+        return {};
+    const std::set<UpstreamId> &members = m_state.groups().groupMembers(group, m_state.directory());
+    if (std::exchange(m_speedReceivers[group], scheduler) != scheduler)
+        speeds.reportAgain(members, RuntimeClock::now());
+    return compactWorkSamples(speeds.takeUnreported(members, maxReportedSpeeds));
+}
+
+/// Logs upstreams that became slow, and those that recovered.
+void PlacementLink::logSpeedChanges()
+{
+    UpstreamSpeeds &speeds = m_state.upstreams().speeds();
+    if (!speeds.isEnabled())
+        return;
+    for (const UpstreamSpeeds::Change &it : speeds.takeChanges(RuntimeClock::now())) {
+        if (it.isSlow)
+            count(Counter::UpstreamsSlow);
+        LogLine(LogLevel::Info, it.isSlow ? "upstream-slow" : "upstream-recovered")
+            .with("upstream", it.upstream.text)
+            .with("service", it.service.text)
+            .with("speed", it.speed)
+            .with("per_ms", it.workPerMs)
+            .with("median", it.workPerMs / it.speed);
+    }
+    if (m_options.counters != nullptr)
+        m_options.counters->set(Gauge::SlowUpstreams,
+                                static_cast<std::int64_t>(speeds.slowCount()));
+}
+
 PlacementLink::LoadByGroup PlacementLink::ownLoads()
 {
     LoadByGroup loads;
@@ -341,6 +379,7 @@
         timer.expires_after(m_options.reportInterval);
         co_await timer.async_wait(storeError(&ec));
         sendReports();
+        logSpeedChanges();
     }
 }
 
@@ -356,7 +395,7 @@
         if (last.load == load && !isRefreshDue)
             continue;
         const VmName scheduler = schedulerFor(group);
-        const GroupLoad report = makeReport(group, load);
+        const GroupLoad report = makeReport(group, load, scheduler);
         if (scheduler == m_state.vm())
             continue;
         sendTo(scheduler, PeerMessageKind::GroupLoad, encodeGroupLoad(report));
@@ -400,6 +439,10 @@
     m_state.upstreams().setPeerLoad(
         report.from, {expandLoad(report.load, m_state.directory()), report.oldestPendingQuery},
         group, RuntimeClock::now());
+    const auto samples = expandWorkSamples(report.workSamples, m_state.directory());
+    for (const auto &[id, sample] : samples)
+        m_state.upstreams().speeds().addReported(report.group.service, id, sample,
+                                                 RuntimeClock::now());
     if (!report.rateSample.empty())
         m_state.upstreams().addRateSample(report.group.service, report.rateSample);
     m_state.learnLimits(expandLimits(report.limits, m_state.directory()), report.from);
--- a/src/peer/placementlink.h
+++ b/src/peer/placementlink.h
@@ -90,9 +90,13 @@
     std::optional<Selection> toSelection(const PlacedCall &placed,
                                          const SelectionQuery &query) const;
     std::vector<UpstreamId> backedOffUpstreams(const GroupName &group);
-    PlacementQuery makeQuery(QueryId id, const GroupName &group,
+    PlacementQuery makeQuery(QueryId id, const GroupName &group, const VmName &scheduler,
                              const SelectionQuery &selectionQuery);
-    GroupLoad makeReport(const GroupName &group, const LoadByUpstream &load);
+    GroupLoad makeReport(const GroupName &group, const LoadByUpstream &load,
+                         const VmName &scheduler);
+    std::vector<CompactWorkSample> workSamplesToReport(const GroupName &group,
+                                                       const VmName &scheduler);
+    void logSpeedChanges();
     LoadByGroup ownLoads();
     void sendReports();
     void handleDatagram(PeerMessageKind kind, std::string_view message, const UdpEndpoint &from);
@@ -113,6 +117,7 @@
     PendingQueries m_queries;
     std::shared_ptr<Waiters> m_waiters = std::make_shared<Waiters>();
     std::map<GroupName, LastReport> m_lastReports;
+    std::map<GroupName, VmName> m_speedReceivers; ///< schedulers that got the observed speeds
     std::map<VmName, GatewayEntry> m_fleet; ///< as of m_fleetReadAt
     std::set<VmName> m_names; ///< of the gateways in m_fleet
     std::set<VmName> m_strong; ///< of these, the ones that act as schedulers
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(callThatCannotBeginInTimeIsRefused);
     CPPUNIT_TEST(withoutItsSchedulerNothingIsRefused);
     CPPUNIT_TEST(rateSamplesReachTheScheduler);
+    CPPUNIT_TEST(newSchedulerLearnsSpeedsWithTheFirstQuery);
     CPPUNIT_TEST(continuedStreamIsPlacedAtItsVersion);
     CPPUNIT_TEST_SUITE_END();
 
@@ -45,6 +46,7 @@
                         11,
                         {{1, 2, 3, 4}},
                         {8'000, 300, 2, 900},
+                        {{6, {8'000, 300}}},
                         {{5, CallRate{2200}, 7}},
                         {UpstreamId("u", 9)}};
         query.queryId = 5;
@@ -61,8 +63,11 @@
         CPPUNIT_ASSERT_EQUAL(QueryId{11}, decoded->report.oldestPendingQuery);
         CPPUNIT_ASSERT_EQUAL(UnixMillis{7}, decoded->report.limits.at(0).timestamp);
         CPPUNIT_ASSERT(decoded->report.leaving.at(0) == UpstreamId("u", 9));
+        CPPUNIT_ASSERT_EQUAL(UpstreamHash{6}, decoded->report.workSamples.at(0).upstream);
+        CPPUNIT_ASSERT_EQUAL(8'000U, decoded->report.workSamples.at(0).sample.work);
         query.report.limits.clear(); // usually there is no limit in force and no leaving upstream
         query.report.leaving.clear();
+        query.report.workSamples.clear(); // sent only if speeds are learned by upstream
         PlacementReply reply{VmName("vm"), Incarnation{7}, 5,
                              PlacedCall{1, 2, 3, 9, true, false, 4}, 5};
         const auto decodedReply = decodePlacementReply(encodePlacementReply(reply), &reason);
@@ -287,12 +292,35 @@
         const ServiceName service("llm");
         const double before = pair.scheduler->state.upstreams().serviceRate(service).tokensPerMs();
         for (int n = 0; n < 5; ++n)
-            pair.querier->state.upstreams().recordPrefill(service, 10'000, seconds(1));
+            pair.querier->state.upstreams().recordPrefill(service, UpstreamId("u0"), 10'000,
+                                                          seconds(1), RuntimeClock::now());
         pair.query();
         pair.advance(milliseconds(10));
         const double after = pair.scheduler->state.upstreams().serviceRate(service).tokensPerMs();
         CPPUNIT_ASSERT(before > 30 && after < 20);
     }
+
+    /// The scheduler before took the reports, and is gone.
+    void newSchedulerLearnsSpeedsWithTheFirstQuery()
+    {
+        Pair pair;
+        const ServiceName service("llm");
+        UpstreamSpeeds &known = pair.querier->state.upstreams().speeds();
+        std::set<UpstreamId> group;
+        for (const UpstreamEntry &entry : upstreams(upstreamCount)) {
+            group.insert(entry.id);
+            const std::uint32_t tokens = entry.id == UpstreamId("u0") ? 10'000 : 40'000;
+            for (int n = 0; n < 10; ++n)
+                known.observe(service, entry.id, {tokens, 200}, RuntimeClock::now());
+        }
+        known.takeUnreported(group, maxReportedSpeeds);
+        pair.query();
+        pair.advance(milliseconds(10));
+        const Time now = RuntimeClock::now();
+        UpstreamSpeeds &learned = pair.scheduler->state.upstreams().speeds();
+        CPPUNIT_ASSERT(learned.speed(service, UpstreamId("u0"), now) < 0.5);
+        CPPUNIT_ASSERT(learned.speed(service, UpstreamId("u1"), now) > 0.95);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacementLinkTest);
--- a/src/peer/placementmessages.h
+++ b/src/peer/placementmessages.h
@@ -27,13 +27,16 @@
     QueryId oldestPendingQuery = 0; ///< as in ReportedLoad
     std::vector<CompactLoad> load;
     RateSample rateSample; ///< of the group's service, since the last report
+    /// Observed at some of the group's upstreams and not reported yet; empty unless speeds are
+    /// learned by upstream.
+    std::vector<CompactWorkSample> workSamples;
     std::vector<CompactLimit> limits; ///< of the group's upstreams, received recently
     std::vector<UpstreamId> leaving; ///< upstreams of the service that recently announced it
 
     template <class Archive> void serialize(Archive &ar)
     {
-        ar(from, incarnation, sequence, group, oldestPendingQuery, load, rateSample, limits,
-           leaving);
+        ar(from, incarnation, sequence, group, oldestPendingQuery, load, rateSample, workSamples,
+           limits, leaving);
     }
 };
 
--- a/src/peer/placementpair.h
+++ b/src/peer/placementpair.h
@@ -63,6 +63,7 @@
         {
             GatewayState::Options options;
             options.vm = VmName(vm);
+            options.costs.speeds.isEnabled = true;
             return options;
         }
         static GatewayPeers::Options peerOptions(const std::string &vm, const std::string &key,
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -49,15 +49,15 @@
 std::optional<std::string> GatewaySettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (GatewaySettings::*)(const IniFile &);
-    constexpr std::array<Reader, 9> readers{
+    constexpr std::array<Reader, 10> readers{
         &GatewaySettings::readGateway,   &GatewaySettings::readPeers,
         &GatewaySettings::readAddresses, &GatewaySettings::readRetries,
         &GatewaySettings::readPlacement, &GatewaySettings::readUsage,
         &GatewaySettings::readStop,      &GatewaySettings::readLogSection,
-        &GatewaySettings::readRegions};
+        &GatewaySettings::readRegions,   &GatewaySettings::readEngines};
     if (auto error = unknownSection(file,
                                     {"gateway", "peers", "operators", "store", "placement",
-                                     "retries", "usage", "stop", "log", "regions"}))
+                                     "retries", "usage", "stop", "log", "regions", "engines"}))
         return error;
     for (const Reader reader : readers) {
         if (auto error = (this->*reader)(file))
@@ -206,6 +206,24 @@
     return reader.finish();
 }
 
+std::optional<std::string> GatewaySettings::readEngines(const IniFile &file)
+{
+    UpstreamSpeeds::Settings &speeds = state.costs.speeds;
+    double windowMs = toMillis(speeds.window);
+    double priorMs = toMillis(speeds.priorTime);
+    double halfLifeSeconds = toSeconds(speeds.halfLife);
+    IniReader reader(file, "engines");
+    reader.takeFlag("own_speeds", &speeds.isEnabled)
+        .takeNumber("speed_window_ms", 100.0, 600'000.0, &windowMs)
+        .takeNumber("speed_prior_ms", 1.0, 600'000.0, &priorMs)
+        .takeNumber("speed_half_life_s", 0.1, 3600.0, &halfLifeSeconds)
+        .takeNumber("slow_below", 0.0, 1.0, &speeds.slowBelow);
+    speeds.window = fromSeconds(windowMs / 1000.0);
+    speeds.priorTime = fromSeconds(priorMs / 1000.0);
+    speeds.halfLife = fromSeconds(halfLifeSeconds);
+    return reader.finish();
+}
+
 std::optional<std::string> GatewaySettings::readRetries(const IniFile &file)
 {
     double windowSeconds = toSeconds(state.retries.window);
--- a/src/reachlead-gateway/gatewaysettings.h
+++ b/src/reachlead-gateway/gatewaysettings.h
@@ -46,6 +46,7 @@
     std::optional<std::string> readPeers(const IniFile &file);
     std::optional<std::string> readAddresses(const IniFile &file);
     std::optional<std::string> readPlacement(const IniFile &file);
+    std::optional<std::string> readEngines(const IniFile &file);
     std::optional<std::string> readRetries(const IniFile &file);
     std::optional<std::string> readUsage(const IniFile &file);
     std::optional<std::string> readStop(const IniFile &file);
