--- a/src/libreachlead/engines/upstreamspeeds.cpp
+++ b/src/libreachlead/engines/upstreamspeeds.cpp
@@ -18,6 +18,16 @@
 /// Evidence below this is dropped, so that a zero is reached.
 constexpr double minEvidenceMs = 0.5;
 
+/// The sample of a call, with the weight that one call may have.
+WorkSample bounded(const WorkSample &sample, Duration window)
+{
+    const double weight = UpstreamSpeeds::maxSampleShare * toMillis(window) / sample.ms;
+    if (weight >= 1.0)
+        return sample;
+    return {static_cast<std::uint32_t>(weight * sample.work),
+            static_cast<std::uint32_t>(weight * sample.ms)};
+}
+
 } // namespace
 
 void UpstreamSpeeds::Evidence::decay(Duration halfLife, Time now)
@@ -37,7 +47,7 @@
 {
     decay(settings.halfLife, now);
     const double window = toMillis(settings.window);
-    const double weight = std::min(1.0, maxSampleShare * window / sample.ms);
+    const double weight = std::min(1.0, window / sample.ms);
     const double sampleMs = weight * sample.ms;
     const double kept = ms > 0 ? std::min(1.0, (window - sampleMs) / ms) : 1.0;
     work = kept * work + weight * sample.work;
@@ -52,10 +62,11 @@
 }
 
 void UpstreamSpeeds::observe(const ServiceName &service, const UpstreamId &id,
-                             const WorkSample &sample, Time now)
+                             const WorkSample &observed, Time now)
 {
-    if (!m_settings.isEnabled || sample.ms == 0)
+    if (!m_settings.isEnabled || observed.ms == 0)
         return;
+    const WorkSample sample = bounded(observed, m_settings.window);
     Record &known = record(service, id);
     known.all.add(sample, m_settings, now);
     known.own.add(sample, m_settings, now);
--- a/src/peer/placementlink_test.cpp
+++ b/src/peer/placementlink_test.cpp
@@ -46,6 +46,7 @@
                         11,
                         {{1, 2, 3, 4}},
                         {8'000, 300, 2, 900},
+                        {{6, {8'000, 300}}},
                         {{5, CallRate{2200}, 7}},
                         {UpstreamId("u", 9)}};
         query.queryId = 5;
@@ -62,8 +63,11 @@
         CPPUNIT_ASSERT_EQUAL(QueryId{11}, decoded->report.oldestPendingQuery);
         CPPUNIT_ASSERT_EQUAL(UnixMillis{7}, decoded->report.limits.at(0).timestamp);
         CPPUNIT_ASSERT(decoded->report.leaving.at(0) == UpstreamId("u", 9));
+        CPPUNIT_ASSERT_EQUAL(UpstreamHash{6}, decoded->report.workSamples.at(0).upstream);
+        CPPUNIT_ASSERT_EQUAL(8'000U, decoded->report.workSamples.at(0).sample.work);
         query.report.limits.clear(); // usually there is no limit in force and no leaving upstream
         query.report.leaving.clear();
+        query.report.workSamples.clear(); // sent only if speeds are learned by upstream
         PlacementReply reply{VmName("vm"), Incarnation{7}, 5,
                              PlacedCall{1, 2, 3, 9, true, false, 4}, 5};
         const auto decodedReply = decodePlacementReply(encodePlacementReply(reply), &reason);
