--- a/src/libreachlead/scheduling/callqueue_test.cpp
+++ b/src/libreachlead/scheduling/callqueue_test.cpp
@@ -382,7 +382,7 @@
                     WaitingCall call = makeCall(++n, value % 3, fmt::format("{}", value % 5));
                     call.eligibility = value % 2;
                     call.requestKey = value % 11;
-                    call.bytes = value * 10;
+                    call.bytes = std::size_t{10} * value;
                     call.latestStart = now + milliseconds(value * 20);
                     call.latestReturn = call.latestStart + seconds(1);
                     queue.add(call, now);
