eventsplitter: only new bytes are searched for the end of an event

Cause: each piece of a stream had the whole incomplete event searched twice, a character at a time. Change: the search covers the new bytes and looks at line feeds alone. Ruled out: the kernel's window probes after a stall (a larger receive buffer of the stalled caller, a trial, changed nothing of it and was taken back).

--- a/src/libreachlead/eventsplitter.cpp
+++ b/src/libreachlead/eventsplitter.cpp
@@ -4,27 +4,33 @@
 #include <reachlead/eventsplitter.h>
 
 #include <charconv>
+#include <cstring>
 
 namespace reachlead {
 
 namespace {
 
-/// The offset behind the last complete event in \p text; 0 when there is none.
-std::size_t endOfLastEvent(std::string_view text)
+/// The offset behind the last complete event in \p text; 0 when there is none. None ends before
+/// \p searched, so that a long event is not searched again with each of its parts.
+std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
 {
-    const std::size_t lf = text.rfind("\n\n");
-    const std::size_t crlf = text.rfind("\n\r\n");
-    const std::size_t lfEnd = lf == std::string_view::npos ? 0 : lf + 2;
-    const std::size_t crlfEnd = crlf == std::string_view::npos ? 0 : crlf + 3;
-    return std::max(lfEnd, crlfEnd);
+    std::string_view unsearched = text.substr(searched);
+    while (const void *newline = ::memrchr(unsearched.data(), '\n', unsearched.size())) {
+        unsearched = unsearched.substr(0, static_cast<const char *>(newline) - unsearched.data());
+        const std::string_view before = text.substr(0, searched + unsearched.size());
+        if (before.ends_with("\n") || before.ends_with("\n\r"))
+            return before.size() + 1;
+    }
+    return 0;
 }
 
 } // namespace
 
 std::string EventSplitter::feed(std::string_view bytes, bool *tooLong)
 {
+    const std::size_t searched = m_held.size();
     m_held.append(bytes);
-    const std::size_t end = endOfLastEvent(m_held);
+    const std::size_t end = endOfLastEvent(m_held, searched);
     std::string whole = m_held.substr(0, end);
     m_held.erase(0, end);
     *tooLong = m_held.size() > maxEventBytes;
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <ctime>
 #include <mutex>
 #include <numeric>
 
@@ -28,6 +29,7 @@
     CPPUNIT_TEST(eventsAreSplitAtTheirEnds);
     CPPUNIT_TEST(eventsAreTheSameWhereverTheStreamWasCut);
     CPPUNIT_TEST(partOfAnEventIsHeldBack);
+    CPPUNIT_TEST(longEventIsSearchedOnce);
     CPPUNIT_TEST(endlessEventIsRefused);
     CPPUNIT_TEST(partCountsOnlyAfterItsPrefix);
     CPPUNIT_TEST(cacheEvictsTheLeastRecentlyUsed);
@@ -81,10 +83,11 @@
     {
         CPPUNIT_ASSERT(rc::check("events over any pieces", [] {
             const auto count = *rc::gen::inRange(0U, 20U);
+            const std::string lineEnd = *rc::gen::element<std::string>("\n", "\r\n");
             std::string all;
             for (unsigned n = 1; n <= count; ++n)
-                all +=
-                    fmt::format("{}id: {}\ndata: x{}\n\n", n % 3 == 0 ? "versions: 2\n" : "", n, n);
+                all += fmt::format("{0}id: {1}{2}data: x{1}{2}{2}",
+                                   n % 3 == 0 ? "versions: 2" + lineEnd : "", n, lineEnd);
             const std::string tail = *rc::gen::element<std::string>("", "id: 99\ndata: y\n", "i");
             EventSplitter splitter;
             std::string out;
@@ -150,6 +153,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *splitter.lastId());
     }
 
+    /// The load: events as long as they may be, in the pieces of a slow network.
+    void longEventIsSearchedOnce()
+    {
+        constexpr double limit = 2; // seconds; about 5 with a search for each piece
+        const std::string piece(256, 'x');
+        EventSplitter splitter;
+        bool tooLong = false;
+        const std::clock_t begin = std::clock();
+        for (std::size_t n = 0; n < EventSplitter::maxEventBytes / piece.size(); ++n)
+            CPPUNIT_ASSERT(splitter.feed(piece, &tooLong).empty());
+        CPPUNIT_ASSERT(!tooLong);
+        CPPUNIT_ASSERT_EQUAL(EventSplitter::maxEventBytes + 2,
+                             splitter.feed("\n\n", &tooLong).size());
+        CPPUNIT_ASSERT(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC < limit);
+    }
+
     void endlessEventIsRefused()
     {
         EventSplitter splitter;
