--- a/Makefile
+++ b/Makefile
@@ -24,16 +24,16 @@
 test: unit whole
 
 unit: build
-	@$(BUILD)/bin/reachlead-tests
+	@./src/build-scripts/unit-tests.bash $(BUILD)/bin/reachlead-tests
 
 whole: build
 	@BIN=$(CURDIR)/$(BUILD)/bin ./testsuite/run-all
 
-asan:
-	@$(MAKE) PRESET=asan unit
-
-tsan:
-	@$(MAKE) PRESET=tsan unit
+# The sanitizers run the unit tests alone.
+asan tsan: deps
+	@cmake --preset $@ >/dev/null
+	@cmake --build build/$@ -j $(JOBS) --target reachlead-tests
+	@./src/build-scripts/unit-tests.bash build/$@/bin/reachlead-tests
 
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
 	'platform/*.cpp' 'platform/*.h')
--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -6,13 +6,12 @@
 #include <algorithm>
 
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 
 #include "caller/callerserver.h"
@@ -26,8 +25,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
 constexpr std::string_view idHeader = "Reachlead-Request-Id";
 constexpr std::string_view outcomeHeader = "Reachlead-Outcome";
 constexpr std::string_view kindHeader = "Reachlead-Kind";
--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include <reachlead/completion.h>
+
 namespace reachlead {
 
 namespace {
@@ -17,11 +19,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-auto redirectError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 /// Maps an error of Beast's parser.
 ErrorKind toErrorKind(const error_code &ec)
 {
@@ -82,7 +79,7 @@
             co_return;
         error_code ec;
         const std::size_t n =
-            co_await m_socket.async_read_some(asio::buffer(m_readBuffer), redirectError(&ec));
+            co_await m_socket.async_read_some(asio::buffer(m_readBuffer), storeError(&ec));
         m_input.commit(asio::buffer_copy(m_input.prepare(n), asio::buffer(m_readBuffer, n)));
         if (ec)
             setDisconnected();
@@ -209,7 +206,7 @@
 {
     const WriteScope scope(m_writes);
     error_code ec;
-    co_await http::async_write(m_socket, answer, redirectError(&ec));
+    co_await http::async_write(m_socket, answer, storeError(&ec));
     m_busy = false;
     co_return !ec;
 }
@@ -221,7 +218,7 @@
     m_chunked = head.chunked();
     m_endsWithConnection = !m_chunked;
     http::response_serializer<http::empty_body> serializer(head);
-    co_await http::async_write_header(m_socket, serializer, redirectError(&ec));
+    co_await http::async_write_header(m_socket, serializer, storeError(&ec));
     co_return !ec;
 }
 
@@ -231,9 +228,9 @@
     error_code ec;
     const asio::const_buffer buf(bytes.data(), bytes.size());
     if (m_chunked)
-        co_await asio::async_write(m_socket, http::make_chunk(buf), redirectError(&ec));
+        co_await asio::async_write(m_socket, http::make_chunk(buf), storeError(&ec));
     else
-        co_await asio::async_write(m_socket, buf, redirectError(&ec));
+        co_await asio::async_write(m_socket, buf, storeError(&ec));
     co_return !ec;
 }
 
@@ -242,7 +239,7 @@
     const WriteScope scope(m_writes);
     error_code ec;
     if (m_chunked)
-        co_await asio::async_write(m_socket, http::make_chunk_last(), redirectError(&ec));
+        co_await asio::async_write(m_socket, http::make_chunk_last(), storeError(&ec));
     m_endsWithConnection = false;
     m_busy = false;
     co_return !ec;
@@ -256,7 +253,7 @@
     m_socket.cancel(ec);
     Timer linger(m_socket.get_executor());
     linger.expires_after(lingerTime);
-    co_await linger.async_wait(redirectError(&ec));
+    co_await linger.async_wait(storeError(&ec));
     abort();
 }
 
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -18,7 +18,9 @@
 if(REACHLEAD_SANITIZE)
     # Sanitizer builds also instrument the standard headers, for which GCC 12 reports false warnings.
     target_compile_options(reachlead_options INTERFACE -fsanitize=${REACHLEAD_SANITIZE}
-        -fno-omit-frame-pointer -g1 -Wno-maybe-uninitialized -Wno-tsan)
+        -fno-omit-frame-pointer -g1 -Wno-maybe-uninitialized -Wno-tsan
+        # GCC takes a unity source for a header, whose types must not use anonymous namespaces.
+        $<$<BOOL:${CMAKE_UNITY_BUILD}>:-Wno-subobject-linkage>)
     target_link_options(reachlead_options INTERFACE -fsanitize=${REACHLEAD_SANITIZE})
 endif()
 
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -1,6 +1,7 @@
 // Copyright Contributors to the reachlead project.
 // SPDX-License-Identifier: Apache-2.0
 
+#include <reachlead/completion.h>
 #include <reachlead/http.h>
 
 #include <algorithm>
@@ -9,10 +10,8 @@
 #include <ranges>
 
 #include <boost/algorithm/string/predicate.hpp>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
@@ -26,7 +25,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxBodyBytes = 8U << 20U;
 constexpr std::chrono::seconds idleTimeout{60};
 
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -10,9 +10,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 
 #include "peer/messageauth.h"
@@ -35,11 +34,6 @@
 constexpr Duration maxOtherGatewaysAge = seconds(2);
 constexpr Duration maxTransitTime = milliseconds(20); ///< usual upper bound of a heartbeat's delay
 
-auto keepError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 } // namespace
 
 GatewayPeers::GatewayPeers(asio::io_context &io, Options options, GatewayState &state)
@@ -105,7 +99,7 @@
             error_code ec;
             timer.expires_after(
                 std::min(HeartbeatBudget::checkInterval, m_options.heartbeats.interval));
-            co_await timer.async_wait(keepError(&ec));
+            co_await timer.async_wait(storeError(&ec));
         }
     }
 }
@@ -310,7 +304,7 @@
         error_code ec;
         udp::endpoint from;
         const std::size_t n =
-            co_await m_udpSocket.async_receive_from(asio::buffer(buf), from, keepError(&ec));
+            co_await m_udpSocket.async_receive_from(asio::buffer(buf), from, storeError(&ec));
         if (ec)
             continue;
         handleDatagram(std::string_view(buf.data(), n), from);
--- a/src/peer/gatewaypeers_update.cpp
+++ b/src/peer/gatewaypeers_update.cpp
@@ -10,10 +10,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 #include <reachlead/sockettimeouts.h>
 
@@ -32,11 +31,6 @@
 constexpr Duration fetchTimeout =
     milliseconds(1000); ///< for one fetch, which takes a few round trips
 
-auto keepError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 /// Writes a message with a length prefix.
 asio::awaitable<bool> writeMessage(tcp::socket &socket, const std::string &text)
 {
@@ -45,7 +39,7 @@
     std::memcpy(framed.data(), &size, sizeof size);
     framed += text;
     error_code ec;
-    co_await asio::async_write(socket, asio::buffer(framed), keepError(&ec));
+    co_await asio::async_write(socket, asio::buffer(framed), storeError(&ec));
     co_return !ec;
 }
 
@@ -54,11 +48,11 @@
 {
     std::uint32_t size = 0;
     error_code ec;
-    co_await asio::async_read(socket, asio::buffer(&size, sizeof size), keepError(&ec));
+    co_await asio::async_read(socket, asio::buffer(&size, sizeof size), storeError(&ec));
     if (ec || size > maxUpdateBytes)
         co_return std::nullopt;
     std::string text(size, '\0');
-    co_await asio::async_read(socket, asio::buffer(text), keepError(&ec));
+    co_await asio::async_read(socket, asio::buffer(text), storeError(&ec));
     if (ec)
         co_return std::nullopt;
     co_return text;
@@ -88,7 +82,7 @@
     error_code ec;
     const auto ip = asio::ip::make_address(peer.address.address, ec);
     if (!ec)
-        co_await socket->async_connect(tcp::endpoint(ip, peer.address.port), keepError(&ec));
+        co_await socket->async_connect(tcp::endpoint(ip, peer.address.port), storeError(&ec));
     std::optional<std::string> text;
     std::string reason = ec.message();
     const StateQuery query{m_state.versions(), m_random()};
@@ -128,7 +122,7 @@
 {
     while (!m_stopped) {
         error_code ec;
-        Socket socket = co_await m_acceptor.async_accept(keepError(&ec));
+        Socket socket = co_await m_acceptor.async_accept(storeError(&ec));
         if (ec)
             continue;
         setSocketTimeouts(socket);
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -10,9 +10,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 
 namespace reachlead {
@@ -25,11 +24,6 @@
 /// Minimum interval between updates of the known gateways.
 constexpr Duration minFleetReadInterval = milliseconds(250);
 
-auto storeError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 } // namespace
 
 PlacementLink::PlacementLink(asio::io_context &io, const Options &options, GatewayState &state,
--- a/src/peer/placementlink_queue.cpp
+++ b/src/peer/placementlink_queue.cpp
@@ -7,9 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 
 #include "peer/placementlink.h"
@@ -27,11 +25,6 @@
 /// Schedulers at which one call may wait before its gateway places it by its own knowledge.
 constexpr int maxSchedulers = 2;
 
-auto storeError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 std::uint32_t toMs(Duration d)
 {
     return static_cast<std::uint32_t>(std::max(0.0, toMillis(d)));
--- a/src/reachlead-standin/enginestandin.cpp
+++ b/src/reachlead-standin/enginestandin.cpp
@@ -5,10 +5,8 @@
 
 #include <algorithm>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +14,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include <reachlead/completion.h>
+
 namespace reachlead::standin {
 
 namespace asio = boost::asio;
@@ -25,7 +25,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t cacheKeyBytes = 256;
 
 std::string chunk(std::string_view data)
--- a/src/reachlead-standin/platformstandin.cpp
+++ b/src/reachlead-standin/platformstandin.cpp
@@ -15,6 +15,8 @@
 
 #include "objectapi/platformjson.h"
 
+#include "jsonreply.h"
+
 namespace reachlead::standin {
 
 namespace asio = boost::asio;
@@ -31,11 +33,6 @@
     return value;
 }
 
-HttpResponse reply(unsigned status, std::string body)
-{
-    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
-}
-
 } // namespace
 
 asio::awaitable<HttpResponse> PlatformStandin::serve(HttpRequest request)
@@ -51,21 +48,21 @@
     if (m_faults.slowMillis > 0)
         co_await sleepFor(m_io, milliseconds(m_faults.slowMillis));
     if (m_faults.down)
-        co_return reply(503, "{}");
+        co_return jsonReply(503, "{}");
     if (path == "/members")
-        co_return reply(200, membersToJson(m_members));
+        co_return jsonReply(200, membersToJson(m_members));
     if (path == "/watch") {
         HttpResponse answer = co_await watch(std::move(request));
         co_return answer;
     }
     if (path != "/objects")
-        co_return reply(404, "{}");
+        co_return jsonReply(404, "{}");
     if (request.method == "GET")
         co_return read(request);
     HttpResponse answer = write(request);
     if (m_faults.loseReplies > 0) {
         --m_faults.loseReplies;
-        answer = reply(500, ""); // does not tell the client whether the write took effect
+        answer = jsonReply(500, ""); // does not tell the client whether the write took effect
     }
     co_return answer;
 }
@@ -90,15 +87,15 @@
     if (!key.empty()) {
         const auto it = state.find(key);
         if (it == state.end() || it->second.deleted)
-            return reply(404, objectsToJson(ObjectVersion{version}, {}));
-        return reply(200, objectsToJson(it->second.version, {it->second}));
+            return jsonReply(404, objectsToJson(ObjectVersion{version}, {}));
+        return jsonReply(200, objectsToJson(it->second.version, {it->second}));
     }
     const std::string prefix = request.queryParameter("prefix");
     for (const auto &[name, object] : state) {
         if (name.starts_with(prefix) && !object.deleted)
             matches.push_back(object);
     }
-    return reply(200, objectsToJson(ObjectVersion{version}, matches));
+    return jsonReply(200, objectsToJson(ObjectVersion{version}, matches));
 }
 
 HttpResponse PlatformStandin::write(const HttpRequest &request)
@@ -113,14 +110,14 @@
         std::vector<PlatformObject> now;
         if (exists)
             now.push_back(it->second);
-        return reply(409, objectsToJson(ObjectVersion{currentVersion}, now));
+        return jsonReply(409, objectsToJson(ObjectVersion{currentVersion}, now));
     }
     const bool deletes = request.method == "DELETE";
     const PlatformObject object{key, ObjectVersion{++m_version}, deletes ? "" : request.body,
                                 deletes};
     m_objects[key] = object;
     m_changes.push_back(object);
-    return reply(200, objectsToJson(object.version, {object}));
+    return jsonReply(200, objectsToJson(object.version, {object}));
 }
 
 std::vector<PlatformObject> PlatformStandin::changesAfter(const std::string &prefix,
@@ -150,8 +147,8 @@
     }
     --m_pendingWatches;
     if (m_faults.down)
-        co_return reply(503, "{}");
-    co_return reply(200, objectsToJson(ObjectVersion{m_version}, changes));
+        co_return jsonReply(503, "{}");
+    co_return jsonReply(200, objectsToJson(ObjectVersion{m_version}, changes));
 }
 
 HttpResponse PlatformStandin::setFaults(const HttpRequest &request)
@@ -159,7 +156,7 @@
     json::error_code ec;
     const json::value root = json::parse(request.body, ec);
     if (ec || !root.is_object())
-        return reply(400, "{}");
+        return jsonReply(400, "{}");
     const json::object &object = root.get_object();
     const auto assign = [&](const char *name, std::uint64_t *out) {
         if (const json::value *value = object.if_contains(name))
@@ -170,16 +167,16 @@
     assign("lose_replies", &m_faults.loseReplies);
     assign("stale_reads", &m_faults.staleReads);
     assign("slow_ms", &m_faults.slowMillis);
-    return reply(200, "{}");
+    return jsonReply(200, "{}");
 }
 
 HttpResponse PlatformStandin::setMembers(const HttpRequest &request)
 {
     auto members = membersFromJson(request.body);
     if (!members)
-        return reply(400, "{}");
+        return jsonReply(400, "{}");
     m_members = std::move(*members);
-    return reply(200, "{}");
+    return jsonReply(200, "{}");
 }
 
 HttpResponse PlatformStandin::counts() const
@@ -187,11 +184,11 @@
     json::object calls;
     for (const auto &[name, n] : m_calls)
         calls[name] = n;
-    return reply(200,
-                 json::serialize(json::object{{"calls", calls},
-                                              {"version", m_version},
-                                              {"waiting_watches", m_pendingWatches},
-                                              {"most_waiting_watches", m_maxPendingWatches}}));
+    return jsonReply(200,
+                     json::serialize(json::object{{"calls", calls},
+                                                  {"version", m_version},
+                                                  {"waiting_watches", m_pendingWatches},
+                                                  {"most_waiting_watches", m_maxPendingWatches}}));
 }
 
 } // namespace reachlead::standin
--- a/src/reachlead-standin/servicestandin.cpp
+++ b/src/reachlead-standin/servicestandin.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "jsonreply.h"
+
 namespace reachlead::standin {
 
 namespace asio = boost::asio;
@@ -22,34 +24,29 @@
     return object;
 }
 
-HttpResponse reply(unsigned status, std::string body)
-{
-    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
-}
-
 } // namespace
 
 asio::awaitable<HttpResponse> ServiceStandin::serve(HttpRequest request)
 {
     if (request.pathOnly() == "/runs") {
-        co_return reply(200,
-                        json::serialize(json::object{{"total", m_runCount},
-                                                     {"by_request", toJson(m_runsByRequest)},
-                                                     {"by_key", toJson(m_runsByKey)}}));
+        co_return jsonReply(200,
+                            json::serialize(json::object{{"total", m_runCount},
+                                                         {"by_request", toJson(m_runsByRequest)},
+                                                         {"by_key", toJson(m_runsByKey)}}));
     }
     if (request.pathOnly() == "/faults") {
         json::error_code ec;
         const json::value root = json::parse(request.body, ec);
         if (ec || !root.is_object())
-            co_return reply(400, "{}");
+            co_return jsonReply(400, "{}");
         if (const json::value *slow = root.get_object().if_contains("slow_ms"))
             m_slowMillis = slow->to_number<std::uint64_t>();
         if (const json::value *refuse = root.get_object().if_contains("refuse"))
             m_refuse = refuse->as_bool();
-        co_return reply(200, "{}");
+        co_return jsonReply(200, "{}");
     }
     if (m_refuse)
-        co_return reply(503, "{}");
+        co_return jsonReply(503, "{}");
     ++m_runCount;
     const std::uint64_t run =
         ++m_runsByRequest[std::string(request.header("Reachlead-Request-Id"))];
@@ -61,13 +58,13 @@
         Timer timer(m_io, milliseconds(m_slowMillis));
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    co_return reply(200,
-                    json::serialize(json::object{{"service", m_name},
-                                                 {"method", request.method},
-                                                 {"path", request.path},
-                                                 {"body", request.body},
-                                                 {"run", run},
-                                                 {"total", total}}));
+    co_return jsonReply(200,
+                        json::serialize(json::object{{"service", m_name},
+                                                     {"method", request.method},
+                                                     {"path", request.path},
+                                                     {"body", request.body},
+                                                     {"run", run},
+                                                     {"total", total}}));
 }
 
 } // namespace reachlead::standin
--- a/src/reachlead-tests/main.cpp
+++ b/src/reachlead-tests/main.cpp
@@ -4,13 +4,15 @@
 /// \file
 /// Runs every unit test: `reachlead-tests [NAME-PART]`. Ends with `N passed, N failed`. Where
 /// REACHLEAD_KNOWN_RED names a file, the tests whose whole names begin its lines are passed over
-/// and printed.
+/// and printed. Where REACHLEAD_TEST_SHARD is `K/N`, only every Nth test is run, from the Kth on.
 
+#include <cstddef>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 
 #include <cppunit/BriefTestProgressListener.h>
@@ -36,19 +38,42 @@
     return names;
 }
 
-/// Runs the tests whose name holds \p part, but those of \p red.
-void runMatching(CppUnit::Test &test, const std::string &part, const std::set<std::string> &red,
+/// Which of the tests are run.
+struct Choice
+{
+    std::string part; ///< of the names
+    std::set<std::string> red;
+    std::size_t shard = 1; ///< from 1 on
+    std::size_t shards = 1;
+};
+
+/// Reads `K/N` from the environment; false if it is set to anything else.
+bool readShard(Choice *choice)
+{
+    const char *text = getenv("REACHLEAD_TEST_SHARD");
+    if (text == nullptr)
+        return true;
+    std::istringstream in(text);
+    char slash = 0;
+    return in >> choice->shard >> slash >> choice->shards && slash == '/' && choice->shard > 0
+        && choice->shard <= choice->shards && in.peek() == std::istringstream::traits_type::eof();
+}
+
+/// Runs the chosen tests; \p count is the number of tests met so far.
+void runMatching(CppUnit::Test &test, const Choice &choice, std::size_t *count,
                  CppUnit::TestResult *result)
 {
     if (test.getChildTestCount() == 0) {
-        if (red.contains(test.getName()))
+        if (++*count % choice.shards != choice.shard % choice.shards)
+            return;
+        if (choice.red.contains(test.getName()))
             std::cout << "known red, passed over: " << test.getName() << std::endl;
-        else if (test.getName().find(part) != std::string::npos)
+        else if (test.getName().find(choice.part) != std::string::npos)
             test.run(result);
         return;
     }
     for (int n = 0; n < test.getChildTestCount(); ++n)
-        runMatching(*test.getChildTestAt(n), part, red, result);
+        runMatching(*test.getChildTestAt(n), choice, count, result);
 }
 
 } // namespace
@@ -56,6 +81,13 @@
 int main(int argc, char **argv)
 {
     reachlead::setLogLevel(reachlead::LogLevel::Error);
+    Choice choice;
+    choice.part = argc > 1 ? argv[1] : "";
+    choice.red = knownRed();
+    if (!readShard(&choice)) {
+        std::cerr << "REACHLEAD_TEST_SHARD must be K/N with 1 <= K <= N" << std::endl;
+        return 2;
+    }
     // The same seed gives the same verdict; another can be given in the environment.
     setenv("RC_PARAMS", "seed=20261202 max_success=300", 0);
     std::cout << "RC_PARAMS=" << getenv("RC_PARAMS") << std::endl;
@@ -66,7 +98,8 @@
     result.addListener(&progress);
     const std::unique_ptr<CppUnit::Test> all(
         CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runMatching(*all, argc > 1 ? argv[1] : "", knownRed(), &result);
+    std::size_t count = 0;
+    runMatching(*all, choice, &count, &result);
     CppUnit::CompilerOutputter(&collector, std::cout).write();
     std::set<const CppUnit::Test *> failed;
     for (const CppUnit::TestFailure *failure : collector.failures())
--- a/src/upstream/ssecall.cpp
+++ b/src/upstream/ssecall.cpp
@@ -3,10 +3,10 @@
 
 #include "upstream/ssecall.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <reachlead/completion.h>
+
 namespace reachlead {
 
 namespace asio = boost::asio;
@@ -14,12 +14,6 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-namespace {
-
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
-} // namespace
-
 SseCall::SseCall(const asio::any_io_executor &executor, Endpoint to, Timeouts timeouts)
     : m_stream(executor), m_endpoint(std::move(to)), m_timeouts(timeouts)
 {
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -6,17 +6,16 @@
 #include <algorithm>
 #include <array>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <fmt/format.h>
 
+#include <reachlead/completion.h>
 #include <reachlead/log.h>
 
 #include "upstream/enginejson.h"
@@ -30,8 +29,6 @@
 
 namespace {
 
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-
 /// Timeout of the probe whether an upstream still listens, which delays the report of a lost call.
 /// The upstream runs on the agent's VM, so that an exit completes in much less time.
 constexpr Duration probeTimeout = milliseconds(200);
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -5,10 +5,10 @@
 
 #include <charconv>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <reachlead/completion.h>
+
 namespace reachlead {
 
 namespace {
@@ -19,11 +19,6 @@
 
 constexpr std::size_t maxChunkBytes = 16U << 10U;
 
-auto redirectError(error_code *ec)
-{
-    return asio::redirect_error(asio::use_awaitable, *ec);
-}
-
 /// True for the errors of Beast's parser that mean malformed bytes, not a truncated message.
 bool isParseError(const error_code &ec)
 {
@@ -54,7 +49,7 @@
     m_isWriting = true;
     while (!serializer.is_done() && !ec) {
         m_lastTakenAt = RuntimeClock::now();
-        co_await http::async_write_some(m_channel->socket, serializer, redirectError(&ec));
+        co_await http::async_write_some(m_channel->socket, serializer, storeError(&ec));
     }
     m_isWriting = static_cast<bool>(ec);
     co_return !ec || setError(ec);
@@ -89,7 +84,7 @@
         m_parser->skip(m_isHead);
         error_code ec;
         co_await http::async_read_header(m_channel->socket, m_channel->buffer, *m_parser,
-                                         redirectError(&ec));
+                                         storeError(&ec));
         if (ec)
             co_return setError(ec);
     } while (status() < 200); // skip informational answers
@@ -116,7 +111,7 @@
         body.size = m_chunk.size();
         error_code ec;
         co_await http::async_read_some(m_channel->socket, m_channel->buffer, *m_parser,
-                                       redirectError(&ec));
+                                       storeError(&ec));
         if (ec == http::error::need_buffer)
             ec = {};
         if (ec) {
