--- a/src/peer/placementlink_queue_test.cpp
+++ b/src/peer/placementlink_queue_test.cpp
@@ -30,6 +30,13 @@
 
         /// Each engine has \p tokens still to be prefilled, at 35 tokens/ms.
         void fill(TokenCount tokens) const { load(tokens); }
+        /// A call waits at the scheduler, as every engine has 200 ms of prefill ahead.
+        void queryAndWait()
+        {
+            fill(7'000);
+            query();
+            advance(milliseconds(20));
+        }
         std::int64_t waiting() const { return scheduler->counters.value(Gauge::WaitingCalls); }
         std::uint32_t runningAtScheduler() const
         {
@@ -86,9 +93,7 @@
     void callerWhoLeavesIsWithdrawn()
     {
         Pair pair;
-        pair.fill(7'000);
-        pair.query();
-        pair.advance(milliseconds(20));
+        pair.queryAndWait();
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, pair.waiting());
         pair.cancel.cancel();
         pair.advance(milliseconds(10));
@@ -99,9 +104,7 @@
     void lostSchedulerEndsTheWaitInAPlacement()
     {
         Pair pair;
-        pair.fill(7'000);
-        pair.query();
-        pair.advance(milliseconds(20));
+        pair.queryAndWait();
         pair.scheduler->peers.stop();
         pair.advance(milliseconds(600));
         CPPUNIT_ASSERT(pair.placed && pair.placed->selection);
@@ -114,9 +117,7 @@
     void stoppingSchedulerHandsBackWhatWaits()
     {
         Pair pair;
-        pair.fill(7'000);
-        pair.query();
-        pair.advance(milliseconds(20));
+        pair.queryAndWait();
         pair.scheduler->link.beginStop();
         pair.advance(milliseconds(15));
         CPPUNIT_ASSERT(pair.placed && pair.placed->selection);
@@ -129,14 +130,12 @@
     void restartedSchedulerHandsBackWhatItDoesNotKnow()
     {
         Pair pair;
-        pair.fill(7'000);
-        pair.query();
-        pair.advance(milliseconds(20));
+        pair.queryAndWait();
         pair.sendNote(pair.querier->state.vm(), 1, true);
         pair.advance(milliseconds(10));
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, pair.waiting());
         pair.fill(0);
-        pair.advance(milliseconds(400)); // a note is due each 200 ms
+        pair.advance(milliseconds(250)); // a note is due each 200 ms
         CPPUNIT_ASSERT(pair.placed && pair.placed->selection);
         CPPUNIT_ASSERT(pair.placed->placedBy == pair.scheduler->state.vm());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
@@ -146,9 +145,7 @@
     void lostGrantIsSentAgain()
     {
         Pair pair;
-        pair.fill(7'000);
-        pair.query();
-        pair.advance(milliseconds(20));
+        pair.queryAndWait();
         // The scheduler cannot reach the gateway at the time of its grant.
         const std::vector<GatewayEntry> known{pair.scheduler->entry(), pair.querier->entry()};
         std::vector<GatewayEntry> wrong = known;
