--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -2,12 +2,15 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// The store loses its answers to the watches that tell of one change of the desired state; all its
-/// other answers arrive. Checks CONFIG: once the store has been stable for stableWindowMs, requests
-/// are handled as the newest desired state says.
+/// The store acknowledges a change of the desired state and is then silent for a tenth of a second.
+/// Checks CONFIG: once it has been stable for stableWindowMs, requests are handled as the newest
+/// desired state says.
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <set>
 #include <string>
 
 #include "../support/support.h"
@@ -20,7 +23,7 @@
 constexpr int configMs = 2000;
 constexpr int stableWindowMs = 3000;
 
-constexpr int lossMs = 300; ///< how long answers are lost
+constexpr int defaultSilenceMs = 100; ///< SILENCE_MS in the environment sets another time
 constexpr int observedMs = 9000; ///< after the lost change
 
 /// Version 2 changes a time-out. Version 3 moves the route to another service and drops a key.
@@ -37,10 +40,19 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 }
 
+/// Whether the store falls silent to gateway \p number: to all unless QUIET in the environment
+/// lists some.
+bool isConcerned(int number)
+{
+    const char *quiet = std::getenv("QUIET");
+    return quiet == nullptr || std::string(quiet).find(std::to_string(number)) != std::string::npos;
+}
+
 int run(const Arguments &arguments)
 {
     Record record(arguments.record);
-    record.line(arguments.hasTrouble ? "with lost answers" : "TROUBLE=0: without lost answers");
+    record.line(arguments.hasTrouble ? "with a silence of the store"
+                                     : "TROUBLE=0: without a silence of the store");
     Store store(record);
     Arrivals arrivals;
     Replica oldOne(record, arrivals, "i-old-1", "old", 20);
@@ -62,7 +74,7 @@
         settings.ip = "127.0.0." + std::to_string(n + 2);
         settings.frontPort = port;
         settings.peerPort = port + 3;
-        settings.storePort = store.port();
+        settings.storePort = isConcerned(n + 1) ? store.port() : store.otherPort();
         settings.seeds = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
         settings.configMs = configMs;
         settings.drainMs = drainMs;
@@ -86,13 +98,14 @@
     sleepMs(stableWindowMs + 2000);
     store.put("config", "main", config(2));
     sleepMs(500);
-    if (arguments.hasTrouble)
-        store.loseWatchAnswers("config");
-    const std::int64_t acknowledgedAt = store.put("config", "main", config(3));
-    sleepMs(lossMs);
-    store.loseWatchAnswers("");
-    const std::int64_t lossEndedAt = nowMs();
-    const std::int64_t boundAt = std::max(acknowledgedAt + configMs, lossEndedAt + stableWindowMs);
+    const char *variable = std::getenv("SILENCE_MS");
+    const int silenceMs =
+        arguments.hasTrouble ? (variable ? std::atoi(variable) : defaultSilenceMs) : 0;
+    const std::int64_t acknowledgedAt =
+        store.putThenFallSilent("config", "main", config(3), silenceMs);
+    const std::int64_t silenceEndedAt = acknowledgedAt + silenceMs;
+    const std::int64_t boundAt =
+        std::max(acknowledgedAt + configMs, silenceEndedAt + stableWindowMs);
     sleepUntilMs(acknowledgedAt + observedMs);
     client.stop();
     droppedClient.stop();
@@ -118,6 +131,16 @@
         ++byOld;
         lastAt = it.at;
     }
+    std::map<std::string, int> byOldAt; // by gateway
+    for (const Client *it : {&client, &droppedClient}) {
+        for (const Result &result : it->results()) {
+            if (result.sentAt > boundAt && result.answer.body.starts_with("i-old"))
+                ++byOldAt[result.gateway];
+        }
+    }
+    for (const auto &[gateway, n] : byOldAt)
+        record.line("bound requests run by the old service at " + gateway + ": "
+                    + std::to_string(n));
     int withDroppedKey = 0;
     for (const Result &result : droppedClient.results())
         withDroppedKey += result.sentAt > boundAt && result.status == 200 ? 1 : 0;
@@ -128,9 +151,9 @@
                 + ", served with the dropped key: " + std::to_string(withDroppedKey));
     std::printf(
         "CONFIG: of %zu bound requests, %d were run by the old service (until %lld ms after "
-        "the acknowledgement), %d with the dropped key; answers lost: %d\n",
+        "the acknowledgement), %d with the dropped key; answers lost: %d, stale gateways: %zu\n",
         bound.size(), byOld, static_cast<long long>(lastAt > 0 ? lastAt - acknowledgedAt : 0),
-        withDroppedKey, store.lostAnswers());
+        withDroppedKey, store.lostAnswers(), byOldAt.size());
     if (served == 0 || bound.empty() || (arguments.hasTrouble && store.lostAnswers() == 0))
         return 2;
     return byOld > 0 || withDroppedKey > 0 ? 1 : 0;
--- a/review/support/support.cpp
+++ b/review/support/support.cpp
@@ -327,12 +327,19 @@
 
 Store::Store(Record &record)
     : m_record(record),
-      m_server("127.0.0.1", [this](const std::shared_ptr<Channel> &it) { serve(it); })
+      m_server("127.0.0.1", [this](const std::shared_ptr<Channel> &it) { serve(it, true); }),
+      m_otherServer("127.0.0.1", [this](const std::shared_ptr<Channel> &it) { serve(it, false); })
 { }
 
 std::int64_t Store::put(const std::string &kind, const std::string &name, const std::string &spec)
 {
     const std::lock_guard lock(m_mutex);
+    return putLocked(kind, name, spec);
+}
+
+std::int64_t Store::putLocked(const std::string &kind, const std::string &name,
+                              const std::string &spec)
+{
     m_objects[kind][name] = {spec, ++m_revision};
     m_history.push_back({m_revision, kind, name, spec, false});
     m_changed.notify_all();
@@ -341,6 +348,22 @@
     return nowMs();
 }
 
+std::int64_t Store::putThenFallSilent(const std::string &kind, const std::string &name,
+                                      const std::string &spec, std::int64_t ms)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::int64_t at = putLocked(kind, name, spec);
+    m_silentUntil = at + ms;
+    m_record.line("store: silent for " + std::to_string(ms) + " ms");
+    return at;
+}
+
+bool Store::isSilent()
+{
+    const std::lock_guard lock(m_mutex);
+    return nowMs() < m_silentUntil;
+}
+
 std::int64_t Store::remove(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(m_mutex);
@@ -351,15 +374,7 @@
     return nowMs();
 }
 
-void Store::loseWatchAnswers(const std::string &kind)
-{
-    const std::lock_guard lock(m_mutex);
-    m_losingKind = kind;
-    m_record.line(kind.empty() ? "store: answers are lost no longer"
-                               : "store: answers to watches of " + kind + " are lost from here on");
-}
-
-void Store::serve(const std::shared_ptr<Channel> &channel)
+void Store::serve(const std::shared_ptr<Channel> &channel, bool maySilence)
 {
     while (!m_server.isOver()) {
         const auto request = channel->read(200, false);
@@ -367,9 +382,8 @@
             return;
         if (!request)
             continue;
-        bool isLost = false;
-        const std::string bytes = answer(*request, &isLost);
-        if (isLost) {
+        const std::string bytes = answer(*request);
+        if (maySilence && isSilent()) {
             ++m_lost;
             m_record.line("store: the answer to " + request->start + " is lost");
             channel->waitForClose(m_server.isOver());
@@ -381,7 +395,7 @@
     }
 }
 
-std::string Store::answer(const Message &request, bool *isLost)
+std::string Store::answer(const Message &request)
 {
     const std::string root = "/-/objects/";
     const std::string method = request.word(0);
@@ -398,7 +412,7 @@
     const std::string since = queryValue(target, "watch");
     if (!since.empty())
         return watch(kind, std::strtoull(since.c_str(), nullptr, 10),
-                     std::atoll(queryValue(target, "waitMs").c_str()), isLost);
+                     std::atoll(queryValue(target, "waitMs").c_str()));
     const std::lock_guard lock(m_mutex);
     const auto one = [](const std::string &itsName, const Object &it) {
         return "{\"metadata\":{\"name\":\"" + itsName
@@ -417,8 +431,7 @@
                             + "],\"truncated\":false,\"asOf\":" + std::to_string(m_revision) + "}");
 }
 
-std::string Store::watch(const std::string &kind, std::uint64_t revision, std::int64_t waitMs,
-                         bool *isLost)
+std::string Store::watch(const std::string &kind, std::uint64_t revision, std::int64_t waitMs)
 {
     const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(waitMs);
     std::unique_lock lock(m_mutex);
@@ -434,7 +447,6 @@
         }
         const bool isDue = std::chrono::steady_clock::now() >= until || m_server.isOver();
         if (!events.empty() || isDue) {
-            *isLost = !events.empty() && m_losingKind == kind;
             return jsonResponse(
                 200, "{\"events\":[" + events + "],\"asOf\":" + std::to_string(m_revision) + "}");
         }
--- a/review/support/support.h
+++ b/review/support/support.h
@@ -117,15 +117,18 @@
     explicit Store(Record &record);
 
     int port() const { return m_server.port(); }
+    /// Another address of the store, which a silence does not concern.
+    int otherPort() const { return m_otherServer.port(); }
 
     /// Writes an object as the operator, a replica or another program would. Returns the time of
     /// the acknowledgement.
     std::int64_t put(const std::string &kind, const std::string &name, const std::string &spec);
     std::int64_t remove(const std::string &kind, const std::string &name);
 
-    /// While set, the store loses its answers to watches of \p kind that have a change to tell.
-    /// The channel of a lost answer returns nothing further. An empty kind ends this.
-    void loseWatchAnswers(const std::string &kind);
+    /// As put(), after which the store is silent for \p ms: answers that are due in that time are
+    /// lost. The channel of a lost answer returns nothing further.
+    std::int64_t putThenFallSilent(const std::string &kind, const std::string &name,
+                                   const std::string &spec, std::int64_t ms);
     int lostAnswers() const { return m_lost; }
 
 private:
@@ -143,10 +146,12 @@
         bool removed = false;
     };
 
-    void serve(const std::shared_ptr<Channel> &channel);
-    std::string answer(const Message &request, bool *isLost);
-    std::string watch(const std::string &kind, std::uint64_t revision, std::int64_t waitMs,
-                      bool *isLost);
+    void serve(const std::shared_ptr<Channel> &channel, bool maySilence);
+    std::string answer(const Message &request);
+    std::int64_t putLocked(const std::string &kind, const std::string &name,
+                           const std::string &spec);
+    bool isSilent();
+    std::string watch(const std::string &kind, std::uint64_t revision, std::int64_t waitMs);
     std::string write(const std::string &method, const std::string &kind, const std::string &name,
                       const Message &request);
 
@@ -156,9 +161,10 @@
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_history;
     std::uint64_t m_revision = 1;
-    std::string m_losingKind;
+    std::int64_t m_silentUntil = 0;
     std::atomic<int> m_lost{0};
-    Server m_server; ///< last: its threads use the other members
+    Server m_server; ///< last, as the next: their threads use the other members
+    Server m_otherServer;
 };
 
 /// A request that reached a replica.
