platform: log and count kinds of state that are not known to be current

A gateway that watches the store logged nothing while the answer of a watch was lost: the probe on another connection succeeded, and the state counted as current. With FeedTracker it reports, for each kind, the revision up to which it is complete, the newest one that the store is known to have, and the time since an answer last showed that it is current (event feed-overdue, counter feeds_overdue). The gauge state_age_ms is the age of the confirmed state.

--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -78,6 +78,7 @@
     RunsContinued,
     ContinuationsRefused,
     UpstreamsSlow,
+    FeedsOverdue,
     Size
 };
 
@@ -95,6 +96,7 @@
     WaitingCalls,
     KeptPlaces,
     SlowUpstreams,
+    StateAgeMs,
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -69,12 +69,17 @@
     "runs_backed_up",
     "runs_continued",
     "runs_not_continued",
-    "upstreams_slow"};
+    "upstreams_slow",
+    "feeds_overdue"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
-    "open_connections", "open_requests",    "queued",        "running",    "window",
-    "sessions",         "settings_version", "draining",      "held_bytes", "calls_waiting_for_room",
-    "waiting_calls",    "kept_places",      "slow_upstreams"};
+    "open_connections", "open_requests",
+    "queued",           "running",
+    "window",           "sessions",
+    "settings_version", "draining",
+    "held_bytes",       "calls_waiting_for_room",
+    "waiting_calls",    "kept_places",
+    "slow_upstreams",   "state_age_ms"};
 
 } // namespace
 
--- /dev/null
+++ b/src/libreachlead/feedtracker.cpp
@@ -0,0 +1,70 @@
+// Copyright Contributors to the reachlead project.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <reachlead/feedtracker.h>
+
+#include <algorithm>
+
+namespace reachlead {
+
+void FeedTracker::follow(FeedKind kind, bool required)
+{
+    feed(kind).isFollowed = true;
+    feed(kind).isRequired = required;
+}
+
+void FeedTracker::listed(FeedKind kind, StoreRevision revision)
+{
+    feed(kind).revision = revision;
+    m_newest = std::max(m_newest, revision);
+}
+
+void FeedTracker::received(FeedKind kind, StoreRevision revision, Time askedAt)
+{
+    listed(kind, std::max(revision, feed(kind).revision));
+    verify(feed(kind), askedAt);
+}
+
+void FeedTracker::storeRevisionRead(StoreRevision revision, Time askedAt)
+{
+    m_newest = std::max(m_newest, revision);
+    for (Feed &it : m_feeds) {
+        if (it.isFollowed && it.revision >= revision)
+            verify(it, askedAt);
+    }
+}
+
+void FeedTracker::verify(Feed &feed, Time askedAt)
+{
+    feed.verifiedAt = std::max(feed.verifiedAt.value_or(askedAt), askedAt);
+    feed.isReported = false;
+}
+
+std::optional<Time> FeedTracker::verifiedAt() const
+{
+    std::optional<Time> earliest;
+    for (const Feed &it : m_feeds) {
+        if (!it.isFollowed || !it.isRequired)
+            continue;
+        if (!it.verifiedAt)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(*it.verifiedAt), *it.verifiedAt);
+    }
+    return earliest;
+}
+
+std::vector<FeedTracker::Overdue> FeedTracker::takeOverdue(Time now, Duration limit)
+{
+    std::vector<Overdue> overdue;
+    for (std::size_t n = 0; n < m_feeds.size(); ++n) {
+        Feed &it = m_feeds[n];
+        const Time since = std::max(it.verifiedAt.value_or(m_startedAt), m_startedAt);
+        if (!it.isFollowed || it.isReported || now <= since + limit)
+            continue;
+        it.isReported = true;
+        overdue.push_back({static_cast<FeedKind>(n), it.revision, m_newest, now - since});
+    }
+    return overdue;
+}
+
+} // namespace reachlead
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -207,6 +207,9 @@
                 .with("config_version", m_state.configVersion())
                 .with("upstreams", m_state.directory().entries().size());
         m_counters.set(Gauge::SettingsVersion, static_cast<std::int64_t>(m_state.configVersion()));
+        if (const auto at = m_state.currentAt())
+            m_counters.set(Gauge::StateAgeMs,
+                           static_cast<std::int64_t>(toMillis(RuntimeClock::now() - *at)));
         m_counters.set(Gauge::Draining, m_context.stopping ? 1 : 0);
         co_await sleepFor(m_io, tickInterval);
     }
--- a/src/reachlead-gateway/main.cpp
+++ b/src/reachlead-gateway/main.cpp
@@ -47,6 +47,7 @@
         platform::PlatformSource::Options options;
         options.store = settings.store;
         options.counters = counters;
+        options.verifyLimit = settings.state.watcherElection.staleLimit;
         options.followsEvacuations = settings.state.followsEvacuations;
         return std::make_unique<platform::PlatformSource>(io, options);
     };
