platform: verify the state by the store's revision, not by a pending watch

Cause: the answer that was due on the watch of `config` was lost. A watch whose answer was lost looks like one without changes until its own time-out of 9.5 s. The probe uses another connection; after each one that succeeded the state was reported as current, if the watch of the registry had once caught up.

Ruled out: a store that does not respond (probes succeed, no registry-lost), a refused configuration (no object-unreadable), late peers (none of the three had the version).

Change: FleetSink::caughtUp() becomes verified(at), from answers alone. Whenever the confirmed state is older than WatcherElection::verifyAfter(), a gateway that watches reads the store's revision; kinds that are not complete up to it ask for their changes on a connection of their own, and a watch that does not return them within 0.2 s is replaced.

Why it works: it does not depend on the length or the time of a silence, only on an answer to a call that was made after it. LostAnswerTest draws silences of 0.05 to 4.5 s, changes of three kinds before, in and after them, and which of three gateways are concerned.

--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -79,6 +79,7 @@
     ContinuationsRefused,
     UpstreamsSlow,
     FeedsOverdue,
+    WatchAnswersLost,
     Size
 };
 
--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -91,8 +91,12 @@
     /// The registry started or stopped responding to this gateway.
     virtual void contactChanged(bool inContact) = 0;
 
-    /// The registry has just responded, and all of its changes have been delivered.
-    virtual void caughtUp() = 0;
+    /// The configuration, the registry and the evacuations were current at \p at: all of their
+    /// changes until then have been delivered.
+    virtual void verified(Time at) = 0;
+
+    /// When the state was last known to be current, by this source or by a peer.
+    virtual std::optional<Time> currentAt() const = 0;
 
     /// Quarantines of requests that crash upstreams, as published by any gateway.
     virtual void quarantineRead(std::vector<Quarantine> quarantines) = 0;
@@ -113,6 +117,9 @@
     /// Whether to keep following, or to stop after the first read until this is set again.
     virtual void setWatching(bool watches) = 0;
 
+    /// While following, the age of FleetSink::currentAt() from which the source verifies the state.
+    virtual void setVerifyAfter(Duration age) = 0;
+
     /// Whether peers supply the whole state. If so, a failed first read is not retried.
     virtual void setServedByPeers(bool isServed) = 0;
 
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -57,7 +57,8 @@
     void gatewaysChanged(GatewayRoster roster) override;
     void evacuationsRead(ZoneSet zones, StoreRevision revision) override;
     void contactChanged(bool inContact) override;
-    void caughtUp() override;
+    void verified(Time at) override;
+    std::optional<Time> currentAt() const override { return m_currentAt; }
     void quarantineRead(std::vector<Quarantine> quarantines) override;
     std::vector<Quarantine> quarantined() const override;
 
@@ -108,15 +109,18 @@
     /// Versions and revisions of this gateway's state.
     StateVersions versions() const;
 
-    /// When this gateway's state was last known to be current.
-    std::optional<Time> currentAt() const { return m_currentAt; }
-
     /// A peer with the same state confirms that it was current at \p at.
     void confirmed(Time at);
 
     /// Whether this gateway should follow the platform itself, given the live peers.
     bool shouldWatch(const std::set<VmName> &peers) const;
 
+    /// The age of the state from which this gateway verifies it, if it watches.
+    Duration verifyAfter(const std::set<VmName> &peers) const
+    {
+        return m_watcherElection.verifyAfter(peers);
+    }
+
     /// True while peers confirm a state no older than WatcherElection::Options::staleLimit.
     bool isConfirmed() const;
 
--- a/src/include/reachlead/watcherelection.h
+++ b/src/include/reachlead/watcherelection.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <optional>
 #include <set>
@@ -74,6 +75,15 @@
     /// True if this gateway should watch, given the other live gateways.
     bool isWatcher(const std::set<VmName> &others, Time now) const;
 
+    /// The age of the state from which a gateway that watches verifies it, given the other live
+    /// gateways. The first one verifies it early enough to confirm the state of all others. Each
+    /// of the next does so only after the one before it has failed to.
+    Duration verifyAfter(const std::set<VmName> &others) const;
+
+    /// Fractions of the stale limit for verifyAfter(), by position. Between the first two there is
+    /// time for a heartbeat of the first to be lost.
+    static constexpr std::array<double, 4> verifyFractions{0.4, 0.7, 0.8, 0.9};
+
     /// Gateways that watch at the same time: enough that no change is delayed if one VM is lost or
     /// the store stops serving one gateway.
     static constexpr std::size_t watcherCount = 3;
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -70,7 +70,8 @@
     "runs_continued",
     "runs_not_continued",
     "upstreams_slow",
-    "feeds_overdue"};
+    "feeds_overdue",
+    "watch_answers_lost"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -150,9 +150,9 @@
         .with("upstreams", m_directory.entries().size());
 }
 
-void GatewayState::caughtUp()
+void GatewayState::verified(Time at)
 {
-    setCurrentAt(now());
+    setCurrentAt(at);
 }
 
 /// Records that the state was current at \p at. If it had become old before, that of the peers may
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -172,7 +172,7 @@
         CPPUNIT_ASSERT(!state.currentAt());
         state.confirmed(start - seconds(1));
         CPPUNIT_ASSERT(*state.currentAt() == start - seconds(1));
-        state.caughtUp();
+        state.verified(start);
         state.confirmed(start - seconds(1));
         CPPUNIT_ASSERT(*state.currentAt() == start);
     }
--- a/src/libreachlead/watcherelection.cpp
+++ b/src/libreachlead/watcherelection.cpp
@@ -47,6 +47,13 @@
     m_confirmedAt = std::max(m_confirmedAt, at);
 }
 
+Duration WatcherElection::verifyAfter(const std::set<VmName> &others) const
+{
+    const std::size_t position = rendezvousPosition(m_self, others);
+    const double fraction = verifyFractions.at(std::min(position, verifyFractions.size() - 1));
+    return fromSeconds(toSeconds(m_options.staleLimit) * fraction);
+}
+
 bool WatcherElection::isWatcher(const std::set<VmName> &others, Time now) const
 {
     const std::size_t position = rendezvousPosition(m_self, others);
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -220,6 +220,7 @@
 {
     const std::set<VmName> livePeers = m_peers.livePeers();
     const bool isWatcher = m_state.shouldWatch(livePeers);
+    m_source->setVerifyAfter(m_state.verifyAfter(livePeers));
     m_source->setWatching(isWatcher);
     m_source->setServedByPeers(m_state.isReady() && m_state.isConfirmed());
     const Time now = RuntimeClock::now();
