peer: gateways that are behind no longer keep each other from fetching

Cause: a gateway that watches the store fetches from a peer that is ahead only 0.3 s after it first heard of it, and any heartbeat that was not ahead cleared that time. Heartbeats of a peer are 0.4 s apart, so two gateways that were behind restarted each other's delay for ever. With one gateway behind, the next heartbeat of the peer that is ahead started the fetch, which hid this.

Change: PeerLag (pure) keeps the newest versions that any peer has reported and the time since when this gateway lacks them; only having them ends the lag, or 10 s without a repetition. The fetch starts when the delay is over, not with the next heartbeat, which in a large fleet is seconds away. A lag of 1 s is logged and counted (state-behind-peers, state_behind_total).

Before: gatewaysThatAreBehindFollowTheOneAhead fails on the code before (expected 8, actual 7). After: it passes, as do PeerLagTest and the other tests of GatewayPeersTest (15).

Ruled out: a failed fetch (no peer-fetch-failed in the logs), a peer that does not report its version (its heartbeats carry it).

--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -80,6 +80,7 @@
     UpstreamsSlow,
     FeedsOverdue,
     WatchAnswersLost,
+    StateBehind,
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -71,7 +71,8 @@
     "runs_not_continued",
     "upstreams_slow",
     "feeds_overdue",
-    "watch_answers_lost"};
+    "watch_answers_lost",
+    "state_behind"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",
--- a/src/peer/gatewaymessages.h
+++ b/src/peer/gatewaymessages.h
@@ -15,6 +15,7 @@
 
 #include <reachlead/fleetsource.h>
 #include <reachlead/fleettime.h>
+#include <reachlead/peerlag.h>
 #include <reachlead/placement/upstreamtable.h>
 
 namespace reachlead {
@@ -138,6 +139,11 @@
 
     static constexpr std::int32_t unknownAge = -1;
 
+    ReportedVersions versions() const
+    {
+        return {configVersion, registryRevision, evacuationRevision, rosterRevision};
+    }
+
     template <class Archive> void serialize(Archive &ar)
     {
         ar(from, incarnation, sequence, configVersion, registryRevision, evacuationRevision,
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -88,6 +88,7 @@
 {
     Timer timer(m_io);
     while (!m_stopped) {
+        reportLag();
         sendHeartbeats();
         const Time sent = RuntimeClock::now();
         const auto isNextDue = [&] {
@@ -411,13 +412,6 @@
     return true;
 }
 
-bool GatewayPeers::isBehind(const GatewayHeartbeat &heartbeat) const
-{
-    return heartbeat.configVersion > m_state.configVersion()
-        || heartbeat.registryRevision > m_state.directory().revision()
-        || heartbeat.evacuationRevision > m_state.evacuations().readRevision();
-}
-
 void GatewayPeers::handleHeartbeat(const GatewayHeartbeat &heartbeat)
 {
     if (isStale(heartbeat.from.vm, heartbeat.incarnation, heartbeat.sequence))
@@ -455,22 +449,9 @@
     m_state.upstreams().addHints(expandHints(heartbeat.hints, m_state.directory()), now);
     m_state.learnLimits(expandLimits(heartbeat.limits, m_state.directory()), heartbeat.from.vm);
     m_state.learnLeaving(heartbeat.leaving, heartbeat.from.vm);
-    const bool isLocalBehind = isBehind(heartbeat);
-    if (!isLocalBehind)
-        confirmState(heartbeat, now);
-    // The roster is not part of the state that a peer confirms, since calls do not depend on it.
-    const bool hasNewerRoster =
-        heartbeat.rosterRevision.isKnown() && heartbeat.rosterRevision > m_state.roster().revision;
-    if (!isLocalBehind && !hasNewerRoster) {
-        m_behindSince.reset();
-        return;
-    }
-    if (!m_behindSince)
-        m_behindSince = now;
-    const bool isWatching = m_state.directory().inContact() && m_state.shouldWatch(livePeers());
-    const bool isWaiting = isWatching && *m_behindSince + peerFetchDelay > now;
-    if (!isWaiting && !m_fetching)
-        asio::co_spawn(m_io, fetchState(heartbeat), asio::detached);
+    confirmState(heartbeat, now);
+    m_lag.heard(heartbeat.versions(), ownVersions(), now);
+    fetchIfBehind(heartbeat);
 }
 
 /// A peer that was current at some time and knows nothing newer than this gateway confirms that
@@ -479,7 +460,8 @@
 /// the store.
 void GatewayPeers::confirmState(const GatewayHeartbeat &heartbeat, Time receivedAt)
 {
-    if (!isBehind(heartbeat) && heartbeat.ageMs != GatewayHeartbeat::unknownAge)
+    const bool isBehind = heartbeat.versions().hasNewerState(ownVersions());
+    if (!isBehind && heartbeat.ageMs != GatewayHeartbeat::unknownAge)
         m_state.confirmed(receivedAt - milliseconds(heartbeat.ageMs) - maxTransitTime);
 }
 
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -27,6 +27,7 @@
 #include <reachlead/fleetkeys.h>
 #include <reachlead/fleettime.h>
 #include <reachlead/gatewaystate.h>
+#include <reachlead/peerlag.h>
 #include <reachlead/usagetable.h>
 
 #include "peer/gatewaymessages.h"
@@ -141,10 +142,6 @@
     /// considered lost.
     static constexpr std::size_t maxHeartbeatsPerRound = 4;
 
-    /// A gateway in contact with the registry receives changes from there; it queries a peer only
-    /// if it is still behind after this delay.
-    static constexpr Duration peerFetchDelay = milliseconds(300);
-
     /// A gateway that has sent no more messages than this has just started. It takes calls as soon
     /// as it has read the registry, so it gets a heartbeat at once: upstreams that announced their
     /// leaving in answers only are not known otherwise.
@@ -167,6 +164,10 @@
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serveStateQuery(Socket socket);
     boost::asio::awaitable<void> fetchState(GatewayHeartbeat heartbeat);
+    boost::asio::awaitable<void> fetchAfterDelay(GatewayHeartbeat heartbeat);
+    void fetchIfBehind(const GatewayHeartbeat &heartbeat);
+    void reportLag();
+    ReportedVersions ownVersions() const;
     void confirmState(const GatewayHeartbeat &heartbeat, Time receivedAt);
     void sendHeartbeats();
     const std::vector<Endpoint> &otherGateways();
@@ -177,7 +178,6 @@
     void updateHashIndex();
     void applyLiveGateways(const std::vector<CompactLiveGateway> &gateways, Time now);
     void handleHeartbeat(const GatewayHeartbeat &heartbeat);
-    bool isBehind(const GatewayHeartbeat &heartbeat) const;
     bool isStale(const VmName &from, Incarnation incarnation, std::uint64_t sequence) const;
     void handleDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &from);
     void rejectUnauthenticated(std::string_view what, const std::string &from);
@@ -207,7 +207,8 @@
     std::uint64_t m_sequence = 0; ///< of the last message with this gateway's load
     std::uint64_t m_heartbeatCount = 0; ///< heartbeats made
     Time m_announcedAt{};
-    std::optional<Time> m_behindSince;
+    PeerLag m_lag;
+    bool m_isFetchScheduled = false;
     std::map<PeerMessageKind, DatagramHandler> m_datagramHandlers;
     FleetTime m_time;
     std::function<QueryId()> m_oldestPendingQuery;
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(replyToAnotherQueryIsRejected);
     CPPUNIT_TEST(replayedHeartbeatIsIgnored);
     CPPUNIT_TEST(peerWithOlderStateConfirms);
+    CPPUNIT_TEST(gatewaysThatAreBehindFollowTheOneAhead);
+    CPPUNIT_TEST(lagIsFetchedWithoutAnotherHeartbeat);
+    CPPUNIT_TEST(lagIsLoggedAndCounted);
     CPPUNIT_TEST(gatewaysWithRareHeartbeatsStayLive);
     CPPUNIT_TEST(smallHeartbeatsGoToMoreGateways);
     CPPUNIT_TEST(hintsAreReportedForARound);
@@ -201,6 +204,65 @@
     /// A heartbeat goes to five of the 29 others every 2 s, so that each gateway receives one of
     /// each other every 12 s, after it would be considered lost. Reports of live gateways must
     /// prevent that, and a gateway that stops must still be considered lost by all.
+    /// Guards against gateways that keep each other behind: both watch the store, whose answers to
+    /// them were lost, and each heartbeat of the other, which is behind as well, restarted the time
+    /// after which they fetch from the third, which is ahead.
+    void gatewaysThatAreBehindFollowTheOneAhead()
+    {
+        PausedClock clock;
+        Node ahead(clock.io, "ahead", "the key of this fleet", {});
+        Node second(clock.io, "second", "the key of this fleet", {ahead.address()});
+        Node third(clock.io, "third", "the key of this fleet", {ahead.address(), second.address()});
+        for (Node *it : {&ahead, &second, &third}) {
+            it->state.configRead(config(7));
+            it->state.contactChanged(true);
+        }
+        clock.advance(seconds(3));
+        for (const Node *it : {&second, &third})
+            CPPUNIT_ASSERT(it->state.shouldWatch(it->peers.livePeers()));
+        ahead.state.configRead(config(8));
+        clock.advance(milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, second.state.configVersion());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, third.state.configVersion());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, second.counters.value(Counter::StateBehind));
+    }
+
+    /// In a large fleet, the next heartbeat of the peer that is ahead is seconds away.
+    void lagIsFetchedWithoutAnotherHeartbeat()
+    {
+        PausedClock clock;
+        HeartbeatBudget rare;
+        rare.interval = seconds(8);
+        Node ahead(clock.io, "ahead", "the key of this fleet", {}, rare);
+        Node receiver(clock.io, "receiver", "the key of this fleet", {ahead.address()}, rare);
+        receiver.state.contactChanged(true);
+        clock.advance(seconds(2));
+        ahead.state.configRead(config(8));
+        ahead.peers.announce();
+        clock.advance(milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, receiver.state.configVersion());
+    }
+
+    /// A peer reports newer state, but does not answer queries.
+    void lagIsLoggedAndCounted()
+    {
+        PausedClock clock;
+        Node receiver(clock.io, "receiver", "the key of this fleet", {});
+        boost::asio::ip::udp::socket socket(clock.io, boost::asio::ip::udp::v4());
+        GatewayHeartbeat heartbeat;
+        heartbeat.from = {VmName("other"), {"127.0.0.1", 1}};
+        heartbeat.incarnation = Incarnation{5};
+        heartbeat.sequence = GatewayPeers::maxStartSequence + 1;
+        heartbeat.configVersion = 8;
+        const std::string bytes = static_cast<char>(PeerMessageKind::Heartbeat)
+            + signMessage(keys("the key of this fleet"), PeerMessageKind::Heartbeat, {},
+                          encodeGatewayHeartbeat(heartbeat));
+        socket.send_to(boost::asio::buffer(bytes),
+                       {boost::asio::ip::make_address("127.0.0.1"), receiver.peers.port()});
+        clock.advance(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, receiver.counters.value(Counter::StateBehind));
+    }
+
     void gatewaysWithRareHeartbeatsStayLive()
     {
         constexpr std::size_t size = 30;
--- a/src/peer/gatewaypeers_update.cpp
+++ b/src/peer/gatewaypeers_update.cpp
@@ -6,6 +6,7 @@
 /// ahead.
 
 #include <cstring>
+#include <utility>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +15,7 @@
 
 #include <reachlead/completion.h>
 #include <reachlead/log.h>
+#include <reachlead/sleep.h>
 #include <reachlead/sockettimeouts.h>
 
 #include "peer/gatewaypeers.h"
@@ -71,6 +73,62 @@
 
 } // namespace
 
+/// This gateway's versions, to compare them with reported ones. The evacuations are complete up to
+/// the revision at which they were last read, while peers report that of the last change.
+ReportedVersions GatewayPeers::ownVersions() const
+{
+    return {m_state.configVersion(), m_state.directory().revision(),
+            m_state.evacuations().readRevision(), m_state.roster().revision};
+}
+
+/// Fetches the state of a peer that is ahead. While this gateway watches the store, the changes
+/// have a moment to arrive from there; in a large fleet, the next heartbeat of a peer that is ahead
+/// may be long in coming, so the fetch does not wait for it.
+void GatewayPeers::fetchIfBehind(const GatewayHeartbeat &heartbeat)
+{
+    const bool isAhead = heartbeat.versions().isAheadOf(ownVersions());
+    if (!isAhead || m_fetching)
+        return;
+    const bool isWatching = m_state.directory().inContact() && m_state.shouldWatch(livePeers());
+    if (m_lag.isFetchDue(isWatching, RuntimeClock::now()))
+        asio::co_spawn(m_io, fetchState(heartbeat), asio::detached);
+    else if (!std::exchange(m_isFetchScheduled, true))
+        asio::co_spawn(m_io, fetchAfterDelay(heartbeat), asio::detached);
+}
+
+asio::awaitable<void> GatewayPeers::fetchAfterDelay(GatewayHeartbeat heartbeat)
+{
+    co_await sleepFor(m_io, PeerLag::fetchDelay);
+    m_isFetchScheduled = false;
+    m_lag.update(ownVersions(), RuntimeClock::now());
+    if (!m_stopped)
+        fetchIfBehind(heartbeat);
+}
+
+/// Logs and counts that this gateway has known for some time that peers have newer state.
+void GatewayPeers::reportLag()
+{
+    const Time now = RuntimeClock::now();
+    const ReportedVersions own = ownVersions();
+    m_lag.update(own, now);
+    const auto lag = m_lag.takeLongLag(now);
+    if (!lag)
+        return;
+    if (m_options.counters != nullptr)
+        m_options.counters->add(Counter::StateBehind);
+    const ReportedVersions &newest = m_lag.newest();
+    LogLine(LogLevel::Warn, "state-behind-peers")
+        .with("config", own.config)
+        .with("newest_config", newest.config)
+        .with("registry", own.registry.number)
+        .with("newest_registry", newest.registry.number)
+        .with("evacuations", own.evacuations.number)
+        .with("newest_evacuations", newest.evacuations.number)
+        .with("roster", own.roster.number)
+        .with("newest_roster", newest.roster.number)
+        .with("behind_ms", static_cast<std::int64_t>(toMillis(*lag)));
+}
+
 asio::awaitable<void> GatewayPeers::fetchState(GatewayHeartbeat heartbeat)
 {
     const GatewayEntry peer = heartbeat.from;
@@ -97,7 +155,6 @@
     }
     timer.cancel();
     m_fetching = false;
-    m_behindSince.reset();
     std::optional<StateUpdate> update;
     if (text) {
         const auto message =
@@ -110,6 +167,7 @@
     }
     if (update) {
         m_state.applyPeerUpdate(peer.vm, *update);
+        m_lag.update(ownVersions(), RuntimeClock::now());
         confirmState(heartbeat, receivedAt);
     } else {
         LogLine(LogLevel::Warn, "peer-fetch-failed")
