--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -90,6 +90,8 @@
         logIgnored("roster", roster.revision, m_roster.revision);
     if (roster.revision <= m_roster.revision)
         return;
+    if (roster.isUnreadable)
+        roster.gateways = m_roster.gateways;
     const bool isSame = roster.gateways == m_roster.gateways;
     m_roster = std::move(roster);
     if (isSame)
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -226,9 +226,11 @@
     const Time now = RuntimeClock::now();
     if (!isWatcher || !m_rosterPublisher.isCheckDue(now))
         return;
-    Roster known;
-    for (const GatewayEntry &entry : m_state.roster().gateways)
-        known.emplace(entry.vm, entry);
+    Roster known; // as stored
+    if (!m_state.roster().isUnreadable) {
+        for (const GatewayEntry &entry : m_state.roster().gateways)
+            known.emplace(entry.vm, entry);
+    }
     const auto roster = m_rosterPublisher.rosterToWrite(
         known, m_peers.liveGateways(), rendezvousPosition(m_state.vm(), livePeers), now);
     if (!roster)
