upstream, forward: bytes without an end are bounded in each part of an answer

Callers saw (measured before on, one gateway, 60 safe requests/s, one of two upstreams sends without an end): endless size lines of chunks, extensions and trailers took the gateway from 10 to over 700 MB; endless informational heads and the body of an answer to another call took a core until the deadline, and the caller got 504 though the other upstream was idle.

Cause: the parser bounds a head, but not the size line of a chunk or a trailer, and the buffer before it had no bound; informational heads and dropped bodies were read in loops without one. Found beside it: the body of an answer that its head rules out was read and, above 128 KB, passed on with its head; a connection whose last complete message was refused went back to the pool.

Change: 64 KB of a connection may be unparsed (also of callers, the store and engines), 16 informational answers and 256 KB of dropped bodies a call; such an answer is corrupt, its connection is closed, and its upstream counts as failed. The body of a corrupt head is not read. A peer's state query has at most 4 KB.

--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -37,8 +37,9 @@
 } // namespace
 
 CallerConnection::CallerConnection(CallerServer &server, asio::ip::tcp::socket socket)
-    : m_server(server), m_socket(std::move(socket)), m_deadline(m_socket.get_executor()),
-      m_wakeup(m_socket.get_executor())
+    : m_server(server), m_socket(std::move(socket)),
+      m_buffer(server.m_options.maxHeaderBytes + maxUnparsedBytes),
+      m_deadline(m_socket.get_executor()), m_wakeup(m_socket.get_executor())
 {
     beast::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -111,7 +111,10 @@
         if (n == 0)
             break;
     }
-    return true;
+    if (parser->is_done() || m_input.size() <= std::max(m_maxHeaderBytes, maxUnparsedBytes))
+        return true;
+    m_error = {ErrorKind::HeaderTooLarge, "a chunk's size line or the trailer is too long"};
+    return false;
 }
 
 Time CallerStream::readDeadline(const CallerLimits &limits, Time startedAt, bool headerDone) const
@@ -161,6 +164,7 @@
     RequestParser parser;
     parser.eager(true);
     parser.header_limit(limits.maxHeaderBytes);
+    m_maxHeaderBytes = limits.maxHeaderBytes;
     parser.body_limit(limits.maxBodyBytes);
     m_error = {};
     m_lease = {};
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -129,6 +129,7 @@
     Error m_error;
     ByteLease m_lease; ///< of the request being read
     StallTracker m_writes;
+    std::size_t m_maxHeaderBytes = 0; ///< of the request being read
     bool m_chunked = false; ///< the answer in progress has chunked encoding
     bool m_endsWithConnection = false; ///< the answer in progress has neither a length nor chunks
     bool m_disconnected = false;
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -64,10 +64,15 @@
 {
     const SendResult headResult = classifyHead();
     applyNotice();
-    if (headResult == SendResult::Corrupt)
+    if (headResult == SendResult::Corrupt) {
         m_lastReason = "the answer lacks the upstream's signature or its confirmation of a refusal";
-    if (headResult == SendResult::RefusedNotRun)
+        co_return headResult; // its body is not read, as it may have no end
+    }
+    if (headResult == SendResult::RefusedNotRun) {
         m_lastReason = fmt::format("the upstream refused with {}", m_exchange->status());
+        const bool isWhole = m_headDelivered || co_await m_exchange->discardBody();
+        co_return isWhole ? headResult : failureResult();
+    }
     if (headResult == SendResult::Complete && isEventStream(m_exchange->head()))
         co_return co_await relayEvents();
     if (m_headDelivered)
--- a/src/include/reachlead/http.h
+++ b/src/include/reachlead/http.h
@@ -22,6 +22,10 @@
 
 namespace reachlead {
 
+/// Maximum number of bytes of a connection that have been read and not yet parsed. The size line of
+/// a chunk and the trailer are parsed as a whole, and the parser sets no limit of its own on them.
+constexpr std::size_t maxUnparsedBytes = 64U << 10U;
+
 /// An IP address and a port.
 struct Endpoint
 {
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -185,7 +185,7 @@
         *reason = writeError.message();
         co_return std::nullopt;
     }
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(maxUnparsedBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxBodyBytes);
     if (call.method == "HEAD")
@@ -218,7 +218,7 @@
     beast::tcp_stream stream(std::move(socket));
     beast::error_code ec;
     stream.socket().set_option(tcp::no_delay(true), ec);
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(maxUnparsedBytes);
     for (;;) {
         stream.expires_after(idleTimeout);
         http::request_parser<http::string_body> parser;
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -6,7 +6,9 @@
 #include <memory>
 #include <ranges>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/write.hpp>
 
 #include "peer/gatewaypeers.h"
 #include "peer/messageauth.h"
@@ -21,6 +23,7 @@
     CPPUNIT_TEST(gatewaysOfOneFleetExchangeState);
     CPPUNIT_TEST(messagesFromOutsideTheFleetAreRejected);
     CPPUNIT_TEST(replyToAnotherQueryIsRejected);
+    CPPUNIT_TEST(queryThatIsTooLongIsNotRead);
     CPPUNIT_TEST(replayedHeartbeatIsIgnored);
     CPPUNIT_TEST(peerWithOlderStateConfirms);
     CPPUNIT_TEST(gatewaysThatAreBehindFollowTheOneAhead);
@@ -146,6 +149,25 @@
                        == "text");
     }
 
+    /// Its connection is closed before its time-out, and no room is made for it.
+    void queryThatIsTooLongIsNotRead()
+    {
+        PausedClock clock;
+        Node receiver(clock.io, "receiver", "the key of this fleet", {});
+        boost::asio::ip::tcp::socket socket(clock.io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), receiver.peers.port()});
+        const std::uint32_t size = 1U << 20U;
+        boost::asio::write(socket, boost::asio::buffer(&size, sizeof size));
+        bool closed = false;
+        char byte = 0;
+        socket.async_read_some(boost::asio::buffer(&byte, 1),
+                               [&](const boost::system::error_code &ec, std::size_t) {
+                                   closed = static_cast<bool>(ec);
+                               });
+        clock.advance(milliseconds(100));
+        CPPUNIT_ASSERT(closed);
+    }
+
     void replayedHeartbeatIsIgnored()
     {
         PausedClock clock;
--- a/src/peer/gatewaypeers_update.cpp
+++ b/src/peer/gatewaypeers_update.cpp
@@ -30,6 +30,8 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t maxUpdateBytes = 16U << 20U; ///< of a whole state
+constexpr std::uint32_t maxQueryBytes =
+    4096; ///< anyone may connect, and a query has about 150 bytes
 constexpr Duration fetchTimeout =
     milliseconds(1000); ///< for one fetch, which takes a few round trips
 
@@ -46,12 +48,12 @@
 }
 
 /// Reads a message with a length prefix; returns nothing if it is truncated or too long.
-asio::awaitable<std::optional<std::string>> readMessage(tcp::socket &socket)
+asio::awaitable<std::optional<std::string>> readMessage(tcp::socket &socket, std::uint32_t maxBytes)
 {
     std::uint32_t size = 0;
     error_code ec;
     co_await asio::async_read(socket, asio::buffer(&size, sizeof size), storeError(&ec));
-    if (ec || size > maxUpdateBytes)
+    if (ec || size > maxBytes)
         co_return std::nullopt;
     std::string text(size, '\0');
     co_await asio::async_read(socket, asio::buffer(text), storeError(&ec));
@@ -151,7 +153,7 @@
         reason = "connection closed before the reply was complete";
         const bool sent = co_await writeMessage(*socket, payload);
         if (sent)
-            text = co_await readMessage(*socket);
+            text = co_await readMessage(*socket, maxUpdateBytes);
     }
     timer.cancel();
     m_fetching = false;
@@ -193,7 +195,7 @@
     const auto connection = std::make_shared<Socket>(std::move(socket));
     Timer timer(m_io);
     startTimeout(timer, connection);
-    const auto text = co_await readMessage(*connection);
+    const auto text = co_await readMessage(*connection, maxQueryBytes);
     std::optional<std::string_view> message;
     if (text)
         message = verifyMessage(m_options.keys, PeerMessageKind::StateQuery, {}, *text);
--- a/src/upstream/ssecall.h
+++ b/src/upstream/ssecall.h
@@ -62,7 +62,7 @@
     boost::beast::tcp_stream m_stream;
     Endpoint m_endpoint;
     Timeouts m_timeouts;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{maxUnparsedBytes};
     boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
     std::array<char, readSize> m_bytes{};
     bool m_stalled = false;
--- a/src/upstream/upstreamchannel.h
+++ b/src/upstream/upstreamchannel.h
@@ -27,7 +27,7 @@
     explicit UpstreamChannel(boost::asio::ip::tcp::socket s) : socket(std::move(s)) { }
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer; ///< bytes read and not yet parsed
+    boost::beast::flat_buffer buffer{maxUnparsedBytes}; ///< bytes read and not yet parsed
     Time idleSince{};
     Duration idleTimeout = defaultIdleTimeout; ///< after this the upstream may close the connection
 
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -68,7 +68,7 @@
         m_reason = "the answer has the id of another call";
         m_corrupt = true;
         const bool discarded = co_await discardBody();
-        if (!discarded)
+        if (!discarded || !m_parser->keep_alive())
             co_return false;
         m_corrupt = false;
     }
@@ -78,7 +78,7 @@
 
 asio::awaitable<bool> UpstreamExchange::readOneHead()
 {
-    do {
+    while (true) {
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->skip(m_isHead);
@@ -87,8 +87,11 @@
                                          storeError(&ec));
         if (ec)
             co_return setError(ec);
-    } while (status() < 200); // skip informational answers
-    co_return true;
+        if (status() >= 200)
+            co_return true;
+        if (++m_informational > maxInformationalAnswers)
+            co_return setCorrupt("too many informational answers");
+    }
 }
 
 asio::awaitable<bool> UpstreamExchange::discardBody()
@@ -98,7 +101,10 @@
         if (!chunk)
             co_return false;
         if (chunk->empty())
-            co_return m_parser->keep_alive();
+            co_return true;
+        m_discarded += chunk->size();
+        if (m_discarded > maxDiscardedBytes)
+            co_return setCorrupt("an answer that is dropped is too long");
     }
 }
 
@@ -132,9 +138,16 @@
     return false;
 }
 
+bool UpstreamExchange::setCorrupt(std::string_view reason)
+{
+    m_reason = reason;
+    m_corrupt = true;
+    return false;
+}
+
 bool UpstreamExchange::isReusable() const
 {
-    return m_parser.has_value() && m_parser->is_done() && m_parser->keep_alive()
+    return !m_corrupt && m_parser.has_value() && m_parser->is_done() && m_parser->keep_alive()
         && !m_parser->need_eof();
 }
 
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -81,14 +81,25 @@
 
     const UpstreamChannelPtr &channel() const { return m_channel; }
 
+    /// Reads the rest of the body and drops it. Returns false, with reason() set, if it is
+    /// truncated or malformed, or if the exchange has dropped more than maxDiscardedBytes.
+    boost::asio::awaitable<bool> discardBody();
+
     /// Late answers to former calls that are discarded before the call fails.
     static constexpr int maxStaleAnswers = 3;
 
+    /// Informational answers (1xx) that are skipped before the call fails: an upstream sends a few
+    /// while it works on a request.
+    static constexpr int maxInformationalAnswers = 16;
+
+    /// Bytes of bodies that are dropped before the call fails. Late answers and refusals are short.
+    static constexpr std::size_t maxDiscardedBytes = 256U << 10U;
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     boost::asio::awaitable<bool> readOneHead();
-    boost::asio::awaitable<bool> discardBody();
+    bool setCorrupt(std::string_view reason);
     bool setError(const boost::system::error_code &ec);
 
     UpstreamChannelPtr m_channel;
@@ -101,6 +112,8 @@
     bool m_isWriting = false;
     bool m_isHead = false; ///< the method is HEAD: the answer has no body
     bool m_corrupt = false;
+    int m_informational = 0; ///< answers skipped
+    std::size_t m_discarded = 0; ///< bytes of bodies
     std::vector<char> m_chunk;
 };
 
