--- a/src/objectapi/platformfollower.cpp
+++ b/src/objectapi/platformfollower.cpp
@@ -4,6 +4,7 @@
 #include "objectapi/platformfollower.h"
 
 #include <random>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -86,6 +87,7 @@
 {
     const std::string prefix(settingsPrefix);
     bool listed = false;
+    bool succeeded = true;
     for (;;) {
         // The watch starts at the version of the list, so that no change in between is missed. The
         // replica ignores older versions, so a stale list cannot revert it.
@@ -96,10 +98,14 @@
             reply = co_await m_platform->watch(prefix, m_replica.version(), m_options.watchTimeout);
         if (!reply.ok()) {
             listed = listed && reply.status != PlatformStatus::NotFound;
-            updateStatus(false);
-            co_await randomDelay(m_options.maxRetryDelay);
+            // A single failure may be one lost answer, so the first retry is made at once.
+            if (!std::exchange(succeeded, false)) {
+                updateStatus(false);
+                co_await randomDelay(m_options.maxRetryDelay);
+            }
             continue;
         }
+        succeeded = true;
         const bool changed = applyReply(reply, !listed);
         listed = true;
         updateStatus(true);
--- a/src/objectapi/platformfollower.h
+++ b/src/objectapi/platformfollower.h
@@ -30,7 +30,10 @@
     {
         Endpoint service;
         Duration callTimeout = seconds(2);
-        Duration watchTimeout = seconds(20);
+        /// A watch without changes returns after this. If its answer is lost, the next one is made
+        /// after callTimeout more, which together is below the 4 s within which settings must be in
+        /// force: a lost answer looks like a watch without changes.
+        Duration watchTimeout = milliseconds(1500);
         Duration memberPollInterval = seconds(1);
         Duration maxRetryDelay = seconds(2); ///< while the platform is unavailable
         Counters *counters = nullptr;
