forward, caller: answers to HEAD requests have no body

Cause: makeRefusal() did not know the method; deliverAnswer() left the body out of an upstream's answer alone. The same was so for the errors and the health page of routers, and for HttpServer, which serves pages for operators.

Change: refusals of HEAD have the headers of the same refusal of GET and no body, also where the request could not be read, as far as its method is known.

--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -135,6 +135,7 @@
     clearDeadline();
     if (!ec)
         co_return parser.release();
+    m_isHead = parser.get().method() == http::verb::head;
     ErrorKind kind = ErrorKind::BadRequest;
     if (m_timedOut)
         kind = ErrorKind::SlowSender;
@@ -152,6 +153,7 @@
 
 asio::awaitable<bool> CallerConnection::serve(Request request)
 {
+    m_isHead = request.method() == http::verb::head;
     bool served = false;
     bool more = co_await servePage(request, &served);
     if (!served) {
@@ -209,7 +211,6 @@
 {
     const RequestId id = m_server.nextId();
     exchange.callerRequest.id = id;
-    exchange.isHead = exchange.callerRequest.call.method == "HEAD";
     if (!m_server.acquireSlot(exchange.tier)) {
         const AnswerResult result{ErrorKind::OpenRequests, Outcome::NotRun, "", 0};
         m_server.m_options.counters->refused(result.kind);
@@ -364,7 +365,7 @@
     std::ranges::copy_if(response->headers, std::back_inserter(headers),
                          [](const Header &header) { return !isStrippedHeader(header.name); });
     co_return co_await writeAnswer(response->status, std::move(headers), std::move(response->body),
-                                   exchange.keepAlive, exchange.isHead);
+                                   exchange.keepAlive);
 }
 
 // ---- writing ----------------------------------------------------------------------------
@@ -378,7 +379,7 @@
 }
 
 asio::awaitable<bool> CallerConnection::writeAnswer(unsigned status, std::vector<Header> headers,
-                                                    std::string body, bool keepAlive, bool isHead)
+                                                    std::string body, bool keepAlive)
 {
     const bool keep = keepAlive && !m_server.m_closing;
     const auto reason = toStringView(http::obsolete_reason(static_cast<http::status>(status)));
@@ -387,7 +388,7 @@
         out += fmt::format("{}: {}\r\n", header.name, header.value);
     out += fmt::format("Content-Length: {}\r\nConnection: {}\r\n\r\n", body.size(),
                        keep ? "keep-alive" : "close");
-    if (!isHead)
+    if (!m_isHead)
         out += body;
     const bool written = co_await write(std::move(out));
     co_return written &&keep;
--- a/src/caller/callerconnection.h
+++ b/src/caller/callerconnection.h
@@ -58,7 +58,6 @@
         bool stream = false;
         std::string model;
         bool keepAlive = true;
-        bool isHead = false; ///< the method is HEAD: the answer has no body
     };
 
     Awaitable<bool> waitForRequest();
@@ -71,7 +70,7 @@
     Awaitable<std::vector<CallerEvent>> nextEvents(AnswerChannelPtr channel);
     Awaitable<bool> write(std::string bytes);
     Awaitable<bool> writeAnswer(unsigned status, std::vector<Header> headers, std::string body,
-                                bool keepAlive, bool isHead = false);
+                                bool keepAlive);
     Awaitable<bool> writeError(const RequestId &id, const AnswerResult &result, bool keepAlive);
     Awaitable<bool> refuse(Refusal refusal, bool keepAlive);
 
@@ -96,6 +95,7 @@
     bool m_timedOut = false;
     bool m_disconnected = false;
     bool m_idle = true;
+    bool m_isHead = false; ///< the method of the last request is HEAD: its answer has no body
     bool m_watching = false;
     AccountName m_countedAccount; ///< account whose connection limit counts this connection
 };
--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -104,6 +104,7 @@
         error_code ec;
         const std::size_t n = parser->put(m_input.data(), ec);
         m_input.consume(n);
+        m_isHead = parser->get().method() == http::verb::head;
         if (ec && ec != http::error::need_more) {
             m_error = {toErrorKind(ec), ec.message()};
             return false;
@@ -167,6 +168,7 @@
     m_maxHeaderBytes = limits.maxHeaderBytes;
     parser.body_limit(limits.maxBodyBytes);
     m_error = {};
+    m_isHead = false;
     m_lease = {};
     m_writes = StallTracker(room.pressure ? room.pressure->options().stallTime
                                           : StallTracker::defaultStallTime);
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -93,6 +93,8 @@
     /// True from the first byte of a request to the end of its answer.
     bool isBusy() const { return m_busy; }
     const Error &error() const { return m_error; }
+    /// Whether the method of the last request is HEAD, also if the request could not be read.
+    bool isHead() const { return m_isHead; }
     /// How long the caller took to read the parts of the answer in progress.
     const StallTracker &writes() const { return m_writes; }
 
@@ -134,6 +136,7 @@
     bool m_endsWithConnection = false; ///< the answer in progress has neither a length nor chunks
     bool m_disconnected = false;
     bool m_busy = false;
+    bool m_isHead = false; ///< see isHead()
     bool m_reading = false; ///< read() is in progress
     bool m_isPaused = false; ///< there is no room for more of the body
     bool m_stopWhenIdle = false;
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -309,7 +309,8 @@
         callerTimeLeft = *m_metadata.timeout - (RuntimeClock::now() - m_arrivedAt);
     const auto retryAfter =
         m_retryAfter ? m_retryAfter : computeRetryAfter(error.kind, callerTimeLeft);
-    FullAnswer answer = makeRefusal(error, retryAfter, keepAlive);
+    FullAnswer answer =
+        makeRefusal(error, {retryAfter, keepAlive, m_request.method() == http::verb::head});
     logResult("refused", error.kind, answer.result_int());
     const bool sent = co_await m_caller.send(std::move(answer));
     co_return sent &&keepAlive;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -118,8 +118,8 @@
             LogLine(LogLevel::Info, "request-unreadable")
                 .with("kind", errorRow(error.kind).name)
                 .with("reason", error.reason);
-            FullAnswer answer =
-                makeRefusal(error, computeRetryAfter(error.kind, std::nullopt), false);
+            FullAnswer answer = makeRefusal(
+                error, {computeRetryAfter(error.kind, std::nullopt), false, caller.isHead()});
             co_await caller.send(std::move(answer));
         }
         co_return false;
--- a/src/forward/refusal.cpp
+++ b/src/forward/refusal.cpp
@@ -33,7 +33,7 @@
                               std::min<Duration>(retryAfter, *timeLeft / maxWaitDivisor));
 }
 
-FullAnswer makeRefusal(const Error &error, std::optional<Duration> retryAfter, bool keepAlive)
+FullAnswer makeRefusal(const Error &error, const RefusalOptions &options)
 {
     const ErrorRow &row = errorRow(error.kind);
     const boost::json::object body{
@@ -42,11 +42,13 @@
     answer.version(11);
     answer.result(row.status);
     answer.set(http::field::content_type, "application/json");
-    if (retryAfter)
-        answer.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(*retryAfter)));
-    answer.keep_alive(keepAlive);
+    if (options.retryAfter)
+        answer.set(http::field::retry_after, fmt::format("{:.3f}", toSeconds(*options.retryAfter)));
+    answer.keep_alive(options.keepAlive);
     answer.body() = boost::json::serialize(body);
     answer.prepare_payload();
+    if (options.isHead)
+        answer.body().clear(); // the headers are those of the same answer to GET
     return answer;
 }
 
--- a/src/forward/refusal.h
+++ b/src/forward/refusal.h
@@ -14,9 +14,17 @@
 
 namespace reachlead {
 
-/// Makes the error answer: the status of the error kind, a JSON body with the kind and the outcome
-/// of the call, and a Retry-After header if \p retryAfter is set.
-FullAnswer makeRefusal(const Error &error, std::optional<Duration> retryAfter, bool keepAlive);
+/// How an error answer is sent.
+struct RefusalOptions
+{
+    std::optional<Duration> retryAfter;
+    bool keepAlive = false;
+    bool isHead = false; ///< the method is HEAD: a body would stand before the next answer
+};
+
+/// Makes the error answer: the status of the error kind, and a JSON body with the kind and the
+/// outcome of the call.
+FullAnswer makeRefusal(const Error &error, const RefusalOptions &options);
 
 /// Returns the time after which a refused caller should retry: that of the error kind, reduced so
 /// that enough of \p timeLeft, the caller's remaining timeout, is left for the retry. None if
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -234,6 +234,8 @@
         const unsigned version = request.version();
         HttpResponse reply = co_await shared->handler(std::move(call));
         auto response = toBeast(std::move(reply), version, keepAlive);
+        if (request.method() == http::verb::head)
+            response.body().clear(); // the headers are those of the same answer to GET
         stream.expires_after(idleTimeout);
         const auto [writeError, written] = co_await http::async_write(stream, response, asTuple);
         if (writeError || !keepAlive)
