partsuspects: of two suspect parts, the one with fewer lost calls for each crash

Cause: the first part of all prompts was quarantined (its digest is the one in quarantine-began). It had been cleared between the first two crashes, which forgets its calls and crashes; then three upstreams crashed within 35 ms, nothing could begin for over 0.2 s, and both parts stood at four lost calls, so the order of their digests decided.

Change: lost calls for each counted crash are compared, which is the same where the crashes are equal.

Before: clearedPartIsNotSuspectedForFewerCalls fails. After: it passes with the other 14 tests of PartSuspectsTest, CrashLinkTest (12) and CrashingPartTest (3).

--- a/src/libreachlead/partsuspects.cpp
+++ b/src/libreachlead/partsuspects.cpp
@@ -87,12 +87,15 @@
 }
 
 /// Of several parts that would explain the crashes, the one that holds back the fewest requests
-/// comes first: the one with the most inseparable others, then the rarest.
+/// comes first: the one with the most inseparable others, then the one with the fewest calls for
+/// each crash. A part that was cleared has lost its earlier calls, and its earlier crashes.
 const PartSuspects::Entry *PartSuspects::strongest() const
 {
     const auto order = [](const Entry *entry) {
         const auto size = static_cast<std::ptrdiff_t>(inseparable(*entry).size());
-        return std::tuple(-size, entry->second.calls, entry->first);
+        const double callsPerCrash = static_cast<double>(entry->second.calls)
+            / static_cast<double>(entry->second.crashes.size());
+        return std::tuple(-size, callsPerCrash, entry->first);
     };
     std::vector<const Entry *> due;
     for (const Entry &entry : m_parts) {
--- a/src/libreachlead/partsuspects_test.cpp
+++ b/src/libreachlead/partsuspects_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(partIsSuspectAloneOnceTheOtherIsCleared);
     CPPUNIT_TEST(partThatBeganBetweenCrashesIsNoCompanion);
     CPPUNIT_TEST(rarerPartIsSuspectedFirst);
+    CPPUNIT_TEST(clearedPartIsNotSuspectedForFewerCalls);
     CPPUNIT_TEST(explainedCrashesDoNotCountForOthers);
     CPPUNIT_TEST(noPartIsSuspectBeforeItWasAnnounced);
     CPPUNIT_TEST(crashesAtTheSameTimeCountOnce);
@@ -136,6 +137,31 @@
         CPPUNIT_ASSERT(crashes.lose({parts({1, 9}), parts({1, 4})}) == Sets{parts({1, 9})});
     }
 
+    /// The popular part was cleared after the first crash. Then so many engines crashed at once
+    /// that nothing could begin on it, and as many calls were lost with it since as with the guilty
+    /// one in all. Whichever digest is lower, the guilty one has more crashes for its calls.
+    void clearedPartIsNotSuspectedForFewerCalls()
+    {
+        for (std::uint64_t popular = 1; popular < 8; ++popular) {
+            Crashes crashes;
+            const auto crash = [&](const std::vector<PartSet> &calls) {
+                crashes.now += milliseconds(20);
+                ++crashes.crashed;
+                for (const PartSet &call : calls)
+                    crashes.suspects.recordCrash(call, crashes.crashed,
+                                                 {crashes.now - milliseconds(15), crashes.now});
+                crashes.suspects.takeAnnouncements(crashes.now);
+            };
+            crash({parts({popular, 9})});
+            crashes.begin(popular);
+            crash({parts({popular, 9})});
+            crash({parts({popular, 9})});
+            crash({parts({popular, 9}), parts({popular, 8})});
+            crashes.now += PartSuspects::answerPeriod;
+            CPPUNIT_ASSERT(crashes.suspects.takeSuspects(crashes.now) == Sets{parts({9})});
+        }
+    }
+
     /// Requests of another kind waited at each of the engines.
     void explainedCrashesDoNotCountForOthers()
     {
