partsuspects: a part that was cleared lately is suspected last

A part on which an answer began within 10 s is now suspected after all others with as many inseparable ones. An answer proves that a part does not crash upstreams, while the counts since then are those of one wave of crashes.

Before: clearedPartIsSuspectedLast fails in the variants with one to three calls of the popular part.

--- a/src/include/reachlead/partsuspects.h
+++ b/src/include/reachlead/partsuspects.h
@@ -54,6 +54,9 @@
     static constexpr Duration retention = std::chrono::minutes(20);
     /// An announced part without crashes at this gateway is forgotten sooner.
     static constexpr Duration announcementRetention = seconds(10);
+    /// A part that was cleared within this time is suspected after those that were not. Longer than
+    /// a series of crashes, in which no upstream may be left to clear it again.
+    static constexpr Duration clearedRetention = seconds(10);
     /// Bounds memory at about 400 bytes per part. The one with the oldest last crash is evicted.
     static constexpr std::size_t maxParts = 1024;
 
@@ -71,7 +74,7 @@
     void recordAnnouncement(const ContentDigest &part, Time now);
 
     /// An answer began on these parts. Returns those that were tracked.
-    PartSet recordBegin(std::span<const ContentDigest> parts);
+    PartSet recordBegin(std::span<const ContentDigest> parts, Time now);
 
     /// Returns sets of parts such that a request that contains all parts of one of them is suspect.
     /// Crashes that a set explains no longer count for other parts. A set is returned again without
@@ -113,11 +116,13 @@
     static bool needsAnnouncement(const Entry &entry);
     static PartSet inseparable(const Entry &entry);
     static bool isDue(const Entry &entry);
+    bool wasCleared(const ContentDigest &part) const { return m_clearedAt.contains(part); }
     const Entry *strongest() const;
     void explainCrashes(const ContentDigest &by);
     void evictOldest();
 
     std::map<ContentDigest, Evidence> m_parts;
+    std::map<ContentDigest, Time> m_clearedAt; ///< tracked parts on which an answer began lately
 };
 
 } // namespace reachlead
--- a/src/libreachlead/partsuspects.cpp
+++ b/src/libreachlead/partsuspects.cpp
@@ -59,11 +59,15 @@
         evidence.announcedAt = now;
 }
 
-PartSet PartSuspects::recordBegin(std::span<const ContentDigest> parts)
+PartSet PartSuspects::recordBegin(std::span<const ContentDigest> parts, Time now)
 {
     PartSet cleared;
     std::ranges::copy_if(parts, std::inserter(cleared, cleared.end()),
                          [&](const ContentDigest &part) { return m_parts.erase(part) > 0; });
+    for (const ContentDigest &part : cleared) {
+        if (m_clearedAt.size() < maxParts)
+            m_clearedAt.insert_or_assign(part, now);
+    }
     for (Evidence &evidence : m_parts | std::views::values) {
         for (const ContentDigest &part : parts)
             evidence.companions.erase(part);
@@ -87,15 +91,13 @@
 }
 
 /// Of several parts that would explain the crashes, the one that holds back the fewest requests
-/// comes first: the one with the most inseparable others, then the one with the fewest calls for
-/// each crash. A part that was cleared has lost its earlier calls, and its earlier crashes.
+/// comes first: the one with the most inseparable others, then the rarest. A part that was cleared
+/// has lost its earlier calls and may seem rare, so it comes after the others.
 const PartSuspects::Entry *PartSuspects::strongest() const
 {
-    const auto order = [](const Entry *entry) {
+    const auto order = [this](const Entry *entry) {
         const auto size = static_cast<std::ptrdiff_t>(inseparable(*entry).size());
-        const double callsPerCrash = static_cast<double>(entry->second.calls)
-            / static_cast<double>(entry->second.crashes.size());
-        return std::tuple(-size, callsPerCrash, entry->first);
+        return std::tuple(-size, wasCleared(entry->first), entry->second.calls, entry->first);
     };
     std::vector<const Entry *> due;
     for (const Entry &entry : m_parts) {
@@ -174,6 +176,8 @@
 
 void PartSuspects::dropExpired(Time now)
 {
+    std::erase_if(m_clearedAt,
+                  [now](const auto &it) { return it.second + clearedRetention < now; });
     std::erase_if(m_parts, [&](const Entry &it) {
         const bool hasCrashes = !it.second.crashes.empty();
         return it.second.lastCrashAt + (hasCrashes ? retention : announcementRetention) < now;
--- a/src/libreachlead/partsuspects_test.cpp
+++ b/src/libreachlead/partsuspects_test.cpp
@@ -23,7 +23,7 @@
     CPPUNIT_TEST(partIsSuspectAloneOnceTheOtherIsCleared);
     CPPUNIT_TEST(partThatBeganBetweenCrashesIsNoCompanion);
     CPPUNIT_TEST(rarerPartIsSuspectedFirst);
-    CPPUNIT_TEST(clearedPartIsNotSuspectedForFewerCalls);
+    CPPUNIT_TEST(clearedPartIsSuspectedLast);
     CPPUNIT_TEST(explainedCrashesDoNotCountForOthers);
     CPPUNIT_TEST(noPartIsSuspectBeforeItWasAnnounced);
     CPPUNIT_TEST(crashesAtTheSameTimeCountOnce);
@@ -48,6 +48,8 @@
         return set;
     }
 
+    using Sets = std::vector<PartSet>;
+
     /// Crashes one after the other, with announcements.
     struct Crashes
     {
@@ -63,7 +65,7 @@
         void begin(std::uint64_t id)
         {
             const ContentDigest begun = part(id);
-            suspects.recordBegin(std::span(&begun, 1));
+            suspects.recordBegin(std::span(&begun, 1), now);
         }
 
         PartSuspects suspects;
@@ -71,8 +73,6 @@
         UpstreamHash crashed = 0;
     };
 
-    using Sets = std::vector<PartSet>;
-
     void partsOfDifferentAccountsDiffer()
     {
         const PartContent content{AccountName("a"), "m", 7};
@@ -138,27 +138,37 @@
     }
 
     /// The popular part was cleared after the first crash. Then so many engines crashed at once
-    /// that nothing could begin on it, and as many calls were lost with it since as with the guilty
-    /// one in all. Whichever digest is lower, the guilty one has more crashes for its calls.
-    void clearedPartIsNotSuspectedForFewerCalls()
+    /// that nothing could begin on it. Of the calls that were lost since, \p popularCalls contained
+    /// it without the guilty part, and one the guilty part without it.
+    static Sets suspectsAfterAWave(std::uint64_t popular, int popularCalls)
     {
-        for (std::uint64_t popular = 1; popular < 8; ++popular) {
-            Crashes crashes;
-            const auto crash = [&](const std::vector<PartSet> &calls) {
-                crashes.now += milliseconds(20);
-                ++crashes.crashed;
-                for (const PartSet &call : calls)
-                    crashes.suspects.recordCrash(call, crashes.crashed,
-                                                 {crashes.now - milliseconds(15), crashes.now});
-                crashes.suspects.takeAnnouncements(crashes.now);
-            };
-            crash({parts({popular, 9})});
-            crashes.begin(popular);
-            crash({parts({popular, 9})});
-            crash({parts({popular, 9})});
-            crash({parts({popular, 9}), parts({popular, 8})});
-            crashes.now += PartSuspects::answerPeriod;
-            CPPUNIT_ASSERT(crashes.suspects.takeSuspects(crashes.now) == Sets{parts({9})});
+        Crashes crashes;
+        const auto crash = [&](const std::vector<PartSet> &calls) {
+            crashes.now += milliseconds(20);
+            ++crashes.crashed;
+            for (const PartSet &call : calls)
+                crashes.suspects.recordCrash(call, crashes.crashed,
+                                             {crashes.now - milliseconds(15), crashes.now});
+            crashes.suspects.takeAnnouncements(crashes.now);
+        };
+        crash({parts({popular, 9})});
+        crashes.begin(popular);
+        crash({parts({popular, 9}), parts({7, 9})});
+        crash({parts({popular, 9})});
+        std::vector<PartSet> last{parts({popular, 9})};
+        last.insert(last.end(), static_cast<std::size_t>(popularCalls), parts({popular, 8}));
+        crash(last);
+        crashes.now += PartSuspects::answerPeriod;
+        return crashes.suspects.takeSuspects(crashes.now);
+    }
+
+    /// Guards against a quarantine of the first part of all prompts, by which no stream began any
+    /// more: it had been lost in as few calls since it was cleared as the guilty part in all.
+    void clearedPartIsSuspectedLast()
+    {
+        for (std::uint64_t popular = 1; popular < 7; ++popular) {
+            for (int calls = 1; calls < 4; ++calls)
+                CPPUNIT_ASSERT(suspectsAfterAWave(popular, calls) == Sets{parts({9})});
         }
     }
 
--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -118,8 +118,9 @@
 void CrashLink::partsBegan(const PromptContents &prompt)
 {
     CrashTracker &tracker = m_state.crashes();
-    const PartSet cleared = tracker.parts().recordBegin(prompt.parts);
-    for (const Quarantine &it : tracker.releaseParts(prompt.parts, RuntimeClock::now()))
+    const Time now = RuntimeClock::now();
+    const PartSet cleared = tracker.parts().recordBegin(prompt.parts, now);
+    for (const Quarantine &it : tracker.releaseParts(prompt.parts, now))
         releaseQuarantine(it);
     if (cleared.empty())
         return;
@@ -309,7 +310,7 @@
     const auto parts = pvt::decodePayload<std::vector<ContentDigest>>(message, reason);
     if (!parts)
         return;
-    m_state.crashes().parts().recordBegin(*parts);
+    m_state.crashes().parts().recordBegin(*parts, RuntimeClock::now());
     decideOnParts();
 }
 
