partsuspects: answers that began before a crash prove their parts innocent

Cause: the popular first part of all prompts was quarantined in place of the guilty one. Answers on it had begun at all gateways until milliseconds before the first crash, but only those on parts under suspicion were remembered. Five upstreams crashed within 95 ms, nothing could begin for 0.2 s, and the popular part was in fewer lost calls than the guilty one, as it was known to be innocent of two crashes. clearedPartIsSuspectedLast did not cover it: it clears the part between crashes.

Change: begins are remembered for 10 s (1,024 parts at most), and crashes within that time do not count against them; a gateway that is asked about a part answers at once if one began there lately. This replaces the order of suspects by wasCleared().

Ruled out: lost datagrams (two gateways decided alike within a millisecond from their own evidence).

Before: partThatBeganBeforeAWaveIsInnocent, which replays the lost calls of the timeline, and answersBeforeTheCrashesAreReported fail. After: both pass with the other tests of PartSuspectsTest (18), CrashLinkTest (13), CrashingPartTest (3) and CrashTrackerTest (11).

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -229,11 +229,11 @@
     m_context.latencies.recordLatency(LatencyKind::FirstByte, *m_firstByteAt - m_arrivedAt);
 }
 
-/// Reports that an upstream has begun to answer, if shared parts of the prompt are under suspicion.
+/// Reports that an upstream has begun to answer on the shared parts of the prompt.
 void ForwardCall::recordBegin()
 {
     const bool isSuccess = m_exchange->status() >= 200 && m_exchange->status() < 300;
-    if (isSuccess && m_context.onPartsBegan && !sharedParts().empty() && mayBeSuspect())
+    if (isSuccess && m_context.onPartsBegan && !sharedParts().empty())
         m_context.onPartsBegan(promptContents());
 }
 
--- a/src/include/reachlead/partsuspects.h
+++ b/src/include/reachlead/partsuspects.h
@@ -28,8 +28,8 @@
 /// A part that crashes upstreams does so in any request, but a crash loses all calls of the
 /// upstream, and the requests share their other parts with many that are sound. Two observations
 /// tell the parts apart:
-///  - An answer has begun on a part: it is innocent, and its crashes are forgotten. Popular parts
-///    are cleared this way within milliseconds.
+///  - An answer has begun on a part: it is innocent, its crashes are forgotten, and those within
+///    innocencePeriod do not count. Popular parts are cleared this way within milliseconds.
 ///  - Parts that always came together cannot be told apart. Then only requests that contain all of
 ///    them are suspect, which leaves the others free to clear the parts that they contain.
 ///
@@ -54,11 +54,14 @@
     static constexpr Duration retention = std::chrono::minutes(20);
     /// An announced part without crashes at this gateway is forgotten sooner.
     static constexpr Duration announcementRetention = seconds(10);
-    /// A part that was cleared within this time is suspected after those that were not. Longer than
-    /// a series of crashes, in which no upstream may be left to clear it again.
-    static constexpr Duration clearedRetention = seconds(10);
+    /// How long an answer that began on a part proves it innocent. Longer than a series of crashes,
+    /// in which no upstream may be left to begin on it; short, as a part may be harmless to one
+    /// version of the upstreams' software and not to the next.
+    static constexpr Duration innocencePeriod = seconds(10);
     /// Bounds memory at about 400 bytes per part. The one with the oldest last crash is evicted.
     static constexpr std::size_t maxParts = 1024;
+    /// Parts that are remembered to have begun, of about 70 bytes. The oldest one is evicted.
+    static constexpr std::size_t maxBegunParts = 1024;
 
     /// When a call was sent to the upstream that crashed, and when the connection was lost.
     struct CallTimes
@@ -76,6 +79,9 @@
     /// An answer began on these parts. Returns those that were tracked.
     PartSet recordBegin(std::span<const ContentDigest> parts, Time now);
 
+    /// True if an answer began on the part within innocencePeriod before \p now, or later.
+    bool hasBegunLately(const ContentDigest &part, Time now) const;
+
     /// Returns sets of parts such that a request that contains all parts of one of them is suspect.
     /// Crashes that a set explains no longer count for other parts. A set is returned again without
     /// a part on which an answer began later.
@@ -116,13 +122,13 @@
     static bool needsAnnouncement(const Entry &entry);
     static PartSet inseparable(const Entry &entry);
     static bool isDue(const Entry &entry);
-    bool wasCleared(const ContentDigest &part) const { return m_clearedAt.contains(part); }
     const Entry *strongest() const;
     void explainCrashes(const ContentDigest &by);
     void evictOldest();
+    void rememberBegin(const ContentDigest &part, Time now);
 
     std::map<ContentDigest, Evidence> m_parts;
-    std::map<ContentDigest, Time> m_clearedAt; ///< tracked parts on which an answer began lately
+    std::map<ContentDigest, Time> m_begunAt; ///< when an answer last began on a part
 };
 
 } // namespace reachlead
--- a/src/libreachlead/partsuspects.cpp
+++ b/src/libreachlead/partsuspects.cpp
@@ -20,8 +20,12 @@
 
 void PartSuspects::recordCrash(const PartSet &parts, UpstreamHash upstream, const CallTimes &times)
 {
-    for (const ContentDigest &part : parts)
-        addCrash(part, parts, upstream, times);
+    PartSet suspects;
+    std::ranges::copy_if(
+        parts, std::inserter(suspects, suspects.end()),
+        [&](const ContentDigest &part) { return !hasBegunLately(part, times.lostAt); });
+    for (const ContentDigest &part : suspects)
+        addCrash(part, suspects, upstream, times);
 }
 
 void PartSuspects::addCrash(const ContentDigest &part, const PartSet &call, UpstreamHash upstream,
@@ -64,10 +68,8 @@
     PartSet cleared;
     std::ranges::copy_if(parts, std::inserter(cleared, cleared.end()),
                          [&](const ContentDigest &part) { return m_parts.erase(part) > 0; });
-    for (const ContentDigest &part : cleared) {
-        if (m_clearedAt.size() < maxParts)
-            m_clearedAt.insert_or_assign(part, now);
-    }
+    for (const ContentDigest &part : parts)
+        rememberBegin(part, now);
     for (Evidence &evidence : m_parts | std::views::values) {
         for (const ContentDigest &part : parts)
             evidence.companions.erase(part);
@@ -75,6 +77,23 @@
     return cleared;
 }
 
+void PartSuspects::rememberBegin(const ContentDigest &part, Time now)
+{
+    m_begunAt.insert_or_assign(part, now);
+    if (m_begunAt.size() <= maxBegunParts)
+        return;
+    std::erase_if(m_begunAt, [now](const auto &it) { return it.second + innocencePeriod < now; });
+    if (m_begunAt.size() > maxBegunParts)
+        m_begunAt.erase(
+            std::ranges::min_element(m_begunAt, {}, [](const auto &it) { return it.second; }));
+}
+
+bool PartSuspects::hasBegunLately(const ContentDigest &part, Time now) const
+{
+    const auto it = m_begunAt.find(part);
+    return it != m_begunAt.end() && it->second + innocencePeriod >= now;
+}
+
 /// The part with its companions.
 PartSet PartSuspects::inseparable(const Entry &entry)
 {
@@ -91,13 +110,12 @@
 }
 
 /// Of several parts that would explain the crashes, the one that holds back the fewest requests
-/// comes first: the one with the most inseparable others, then the rarest. A part that was cleared
-/// has lost its earlier calls and may seem rare, so it comes after the others.
+/// comes first: the one with the most inseparable others, then the rarest.
 const PartSuspects::Entry *PartSuspects::strongest() const
 {
-    const auto order = [this](const Entry *entry) {
+    const auto order = [](const Entry *entry) {
         const auto size = static_cast<std::ptrdiff_t>(inseparable(*entry).size());
-        return std::tuple(-size, wasCleared(entry->first), entry->second.calls, entry->first);
+        return std::tuple(-size, entry->second.calls, entry->first);
     };
     std::vector<const Entry *> due;
     for (const Entry &entry : m_parts) {
@@ -176,8 +194,7 @@
 
 void PartSuspects::dropExpired(Time now)
 {
-    std::erase_if(m_clearedAt,
-                  [now](const auto &it) { return it.second + clearedRetention < now; });
+    std::erase_if(m_begunAt, [now](const auto &it) { return it.second + innocencePeriod < now; });
     std::erase_if(m_parts, [&](const Entry &it) {
         const bool hasCrashes = !it.second.crashes.empty();
         return it.second.lastCrashAt + (hasCrashes ? retention : announcementRetention) < now;
--- a/src/libreachlead/partsuspects_test.cpp
+++ b/src/libreachlead/partsuspects_test.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(partThatBeganBetweenCrashesIsNoCompanion);
     CPPUNIT_TEST(rarerPartIsSuspectedFirst);
     CPPUNIT_TEST(clearedPartIsSuspectedLast);
+    CPPUNIT_TEST(partThatBeganBeforeAWaveIsInnocent);
+    CPPUNIT_TEST(partThatBeganLongAgoMayBeGuilty);
+    CPPUNIT_TEST(partsThatBeganAreBounded);
     CPPUNIT_TEST(explainedCrashesDoNotCountForOthers);
     CPPUNIT_TEST(noPartIsSuspectBeforeItWasAnnounced);
     CPPUNIT_TEST(crashesAtTheSameTimeCountOnce);
@@ -172,6 +175,58 @@
         }
     }
 
+    /// Guards against a quarantine of the first part of all prompts, by which no stream began any
+    /// more: answers on it had begun right up to a wave of crashes, but not between them. It was
+    /// lost in fewer calls than the guilty part, as it is known to be innocent of some.
+    void partThatBeganBeforeAWaveIsInnocent()
+    {
+        constexpr Duration betweenWaveCrashes = milliseconds(20);
+        const std::vector<Sets> lostCalls{{parts({9})},
+                                          {parts({1, 9})},
+                                          {parts({9})},
+                                          {parts({1, 9})},
+                                          {parts({1, 8}), parts({1, 9})}};
+        Crashes crashes;
+        crashes.begin(1);
+        for (const Sets &calls : lostCalls) {
+            crashes.now += betweenWaveCrashes;
+            ++crashes.crashed;
+            for (const PartSet &call : calls)
+                crashes.suspects.recordCrash(call, crashes.crashed,
+                                             {crashes.now - milliseconds(15), crashes.now});
+            crashes.suspects.takeAnnouncements(crashes.now);
+        }
+        crashes.now += PartSuspects::answerPeriod;
+        CPPUNIT_ASSERT(crashes.suspects.takeSuspects(crashes.now) == Sets{parts({9})});
+    }
+
+    /// For instance, since upstreams with another software version replaced the earlier ones.
+    void partThatBeganLongAgoMayBeGuilty()
+    {
+        Crashes crashes;
+        crashes.begin(9);
+        crashes.lose({parts({9})});
+        crashes.now += PartSuspects::innocencePeriod;
+        crashes.lose({parts({9})});
+        crashes.lose({parts({9})});
+        CPPUNIT_ASSERT(crashes.lose({parts({9})}) == Sets{parts({9})});
+    }
+
+    /// An account that makes up ids. A part that still begins is remembered.
+    void partsThatBeganAreBounded()
+    {
+        Crashes crashes;
+        crashes.begin(1);
+        for (std::uint64_t n = 2; n < 2 * PartSuspects::maxParts; ++n) {
+            crashes.now += milliseconds(1);
+            crashes.begin(n);
+            if (n % 100 == 0)
+                crashes.begin(1);
+        }
+        CPPUNIT_ASSERT(crashes.suspects.hasBegunLately(part(1), crashes.now));
+        CPPUNIT_ASSERT(!crashes.suspects.hasBegunLately(part(2), crashes.now));
+    }
+
     /// Requests of another kind waited at each of the engines.
     void explainedCrashesDoNotCountForOthers()
     {
--- a/src/peer/crashlink.cpp
+++ b/src/peer/crashlink.cpp
@@ -263,10 +263,8 @@
     const auto row = std::ranges::find(handlers, kind, &HandlerRow::kind);
     if (row == handlers.end())
         return;
-    if (kind == PeerMessageKind::PartAnnouncement)
-        recordAnnouncer(from);
     std::string reason;
-    (this->*row->handle)(message, &reason);
+    (this->*row->handle)(message, from, &reason);
     if (!reason.empty())
         LogLine(LogLevel::Warn, "peer-datagram-refused").with("reason", reason);
 }
@@ -284,28 +282,42 @@
             std::ranges::min_element(m_announcers, {}, [](const auto &it) { return it.second; }));
 }
 
-void CrashLink::handleCrashReport(std::string_view message, std::string *reason)
+void CrashLink::handleCrashReport(std::string_view message, const UdpEndpoint & /*from*/,
+                                  std::string *reason)
 {
     if (const auto report = pvt::decodePayload<CrashReport>(message, reason))
         applyReport(*report);
 }
 
-void CrashLink::handlePartCrashReport(std::string_view message, std::string *reason)
+void CrashLink::handlePartCrashReport(std::string_view message, const UdpEndpoint & /*from*/,
+                                      std::string *reason)
 {
     if (const auto report = pvt::decodePayload<PartCrashReport>(message, reason))
         applyPartReport(*report);
 }
 
-void CrashLink::handlePartAnnouncement(std::string_view message, std::string *reason)
+/// Reports at once which of the parts began here lately: no upstream may be left to begin on them.
+void CrashLink::handlePartAnnouncement(std::string_view message, const UdpEndpoint &from,
+                                       std::string *reason)
 {
     const auto parts = pvt::decodePayload<std::vector<ContentDigest>>(message, reason);
     if (!parts)
         return;
-    for (const ContentDigest &it : *parts)
-        m_state.crashes().parts().recordAnnouncement(it, RuntimeClock::now());
+    recordAnnouncer(from);
+    const Time now = RuntimeClock::now();
+    PartSuspects &suspects = m_state.crashes().parts();
+    std::vector<ContentDigest> begun;
+    for (const ContentDigest &it : *parts) {
+        if (suspects.hasBegunLately(it, now))
+            begun.push_back(it);
+        suspects.recordAnnouncement(it, now);
+    }
+    if (!begun.empty())
+        m_peers.sendTo(from, PeerMessageKind::PartBegin, pvt::encodePayload(begun));
 }
 
-void CrashLink::handlePartBegin(std::string_view message, std::string *reason)
+void CrashLink::handlePartBegin(std::string_view message, const UdpEndpoint & /*from*/,
+                                std::string *reason)
 {
     const auto parts = pvt::decodePayload<std::vector<ContentDigest>>(message, reason);
     if (!parts)
@@ -314,7 +326,8 @@
     decideOnParts();
 }
 
-void CrashLink::handleQuarantine(std::string_view message, std::string *reason)
+void CrashLink::handleQuarantine(std::string_view message, const UdpEndpoint & /*from*/,
+                                 std::string *reason)
 {
     if (const auto quarantines = pvt::decodePayload<std::vector<Quarantine>>(message, reason))
         m_state.learnQuarantines(*quarantines, "peer");
--- a/src/peer/crashlink.h
+++ b/src/peer/crashlink.h
@@ -73,11 +73,11 @@
 /// crashes. Therefore each crash is reported to a few gateways, the collectors, which all gateways
 /// select alike and which add up the evidence: for a request by its digest, and for the parts of
 /// prompts by their account and model. Collectors announce parts that come under suspicion, and
-/// each gateway reports back when an answer begins on one. A new quarantine is sent to all gateways
-/// at once, and published so that it outlives them. Heartbeats carry a checksum of the
-/// quarantines; where two gateways differ, each sends its list to the other, which makes up for
-/// lost datagrams and brings new gateways up to date. A gateway that reaches no other counts only
-/// its own crashes. Not thread-safe.
+/// each gateway reports back on which of them an answer began lately, or begins. A new quarantine
+/// is sent to all gateways at once, and published so that it outlives them. Heartbeats carry a
+/// checksum of the quarantines; where two gateways differ, each sends its list to the other, which
+/// makes up for lost datagrams and brings new gateways up to date. A gateway that reaches no other
+/// counts only its own crashes. Not thread-safe.
 class CrashLink
 {
 public:
@@ -121,7 +121,7 @@
 
 private:
     using UdpEndpoint = boost::asio::ip::udp::endpoint;
-    using Handler = void (CrashLink::*)(std::string_view, std::string *);
+    using Handler = void (CrashLink::*)(std::string_view, const UdpEndpoint &, std::string *);
     struct HandlerRow
     {
         PeerMessageKind kind;
@@ -144,11 +144,13 @@
     void compareChecksum(std::uint64_t checksum, const Endpoint &peer);
     void handleDatagram(PeerMessageKind kind, std::string_view message, const UdpEndpoint &from);
     void recordAnnouncer(const UdpEndpoint &announcer);
-    void handleCrashReport(std::string_view message, std::string *reason);
-    void handlePartCrashReport(std::string_view message, std::string *reason);
-    void handlePartAnnouncement(std::string_view message, std::string *reason);
-    void handlePartBegin(std::string_view message, std::string *reason);
-    void handleQuarantine(std::string_view message, std::string *reason);
+    void handleCrashReport(std::string_view message, const UdpEndpoint &from, std::string *reason);
+    void handlePartCrashReport(std::string_view message, const UdpEndpoint &from,
+                               std::string *reason);
+    void handlePartAnnouncement(std::string_view message, const UdpEndpoint &from,
+                                std::string *reason);
+    void handlePartBegin(std::string_view message, const UdpEndpoint &from, std::string *reason);
+    void handleQuarantine(std::string_view message, const UdpEndpoint &from, std::string *reason);
 
     GatewayState &m_state;
     GatewayPeers &m_peers;
--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(reportWithAnotherKeyIsIgnored);
     CPPUNIT_TEST(partCrashesAtSeveralGatewaysAddUp);
     CPPUNIT_TEST(innocenceIsReportedByOtherGateways);
+    CPPUNIT_TEST(answersBeforeTheCrashesAreReported);
     CPPUNIT_TEST(callThatHadBegunClearsItsParts);
     CPPUNIT_TEST(manyCrashesAtOnceBlameNothing);
     CPPUNIT_TEST(answerReleasesAQuarantineEverywhere);
@@ -195,6 +196,20 @@
         }
     }
 
+    /// Guards against a quarantine of a popular part while no upstream is left to begin on it: the
+    /// gateways that have just sent answers on it did not say so, as nothing was suspect by then.
+    void answersBeforeTheCrashesAreReported()
+    {
+        Fleet fleet(4);
+        fleet.nodes[2]->link.partsBegan(prompt({1, 2}));
+        for (std::uint64_t n = 0; n < 3; ++n)
+            crash(fleet, 0, {prompt({1, guilty}), prompt({1, 20 + n})});
+        for (const auto &node : fleet.nodes) {
+            CPPUNIT_ASSERT(isHeld(*node, prompt({guilty})));
+            CPPUNIT_ASSERT(!isHeld(*node, prompt({1, 20})));
+        }
+    }
+
     void callThatHadBegunClearsItsParts()
     {
         Fleet fleet(1);
