peer: count datagrams; a test fixture waits for those that arrive late

Cause: PlacementPair took a datagram on the loopback interface to arrive as it is sent. The kernel of a busy machine delivers it later, while the paused clock goes on, 5 ms for each 3 ms.

Evidence: the fixture now counts datagrams that were sent and not received once all ready handlers have run.

Change: GatewayPeers counts datagrams sent, unsent and received, which also shows operators what the network loses. The fixture waits up to 0.1 s for datagrams before the clock goes on. The bounds of the tests are as before.

TestFleet, with steps of 10 ms, still takes datagrams to arrive at once.

--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -81,6 +81,9 @@
     FeedsOverdue,
     WatchAnswersLost,
     StateBehind,
+    PeerDatagramsSent,
+    PeerDatagramsUnsent,
+    PeerDatagramsReceived,
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -72,7 +72,10 @@
     "upstreams_slow",
     "feeds_overdue",
     "watch_answers_lost",
-    "state_behind"};
+    "state_behind",
+    "peer_datagrams_sent",
+    "peer_datagrams_unsent",
+    "peer_datagrams_received"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",
--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -283,10 +283,23 @@
                       encodeGatewayHeartbeat(makeHeartbeat()));
     const std::vector<udp::endpoint> targets = nextTargets(bytes.size());
     m_lastHeartbeatBytes = bytes.size();
-    for (const udp::endpoint &target : targets) {
-        error_code ec; // a datagram that is not sent is made up for by the next heartbeat
-        m_udpSocket.send_to(asio::buffer(bytes), target, 0, ec);
-    }
+    for (const udp::endpoint &target : targets)
+        send(bytes, target);
+}
+
+/// Sends a datagram. One that is not sent, or lost, is made up for by the next heartbeat or report,
+/// or by a timeout.
+void GatewayPeers::send(const std::string &bytes, const udp::endpoint &to)
+{
+    error_code ec;
+    m_udpSocket.send_to(asio::buffer(bytes), to, 0, ec);
+    count(ec ? Counter::PeerDatagramsUnsent : Counter::PeerDatagramsSent);
+}
+
+void GatewayPeers::count(Counter counter)
+{
+    if (m_options.counters != nullptr)
+        m_options.counters->add(counter);
 }
 
 void GatewayPeers::announce()
@@ -308,6 +321,7 @@
             co_await m_udpSocket.async_receive_from(asio::buffer(buf), from, storeError(&ec));
         if (ec)
             continue;
+        count(Counter::PeerDatagramsReceived);
         handleDatagram(std::string_view(buf.data(), n), from);
     }
 }
@@ -374,17 +388,13 @@
 
 void GatewayPeers::sendTo(const udp::endpoint &to, PeerMessageKind kind, std::string payload)
 {
-    const std::string bytes =
-        static_cast<char>(kind) + signMessage(m_options.keys, kind, {}, std::move(payload));
-    error_code ec; // a datagram that is not sent is made up for by the next report or a timeout
-    m_udpSocket.send_to(asio::buffer(bytes), to, 0, ec);
+    send(static_cast<char>(kind) + signMessage(m_options.keys, kind, {}, std::move(payload)), to);
 }
 
 /// Counts and logs a message that no gateway of this fleet sent.
 void GatewayPeers::rejectUnauthenticated(std::string_view what, const std::string &from)
 {
-    if (m_options.counters != nullptr)
-        m_options.counters->add(Counter::HostileFrames);
+    count(Counter::HostileFrames);
     LogLine(LogLevel::Warn, "peer-not-of-the-fleet").with("what", what).with("from", from);
 }
 
--- a/src/peer/gatewaypeers.h
+++ b/src/peer/gatewaypeers.h
@@ -170,6 +170,8 @@
     ReportedVersions ownVersions() const;
     void confirmState(const GatewayHeartbeat &heartbeat, Time receivedAt);
     void sendHeartbeats();
+    void send(const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
+    void count(Counter counter);
     const std::vector<Endpoint> &otherGateways();
     std::vector<boost::asio::ip::udp::endpoint> nextTargets(std::size_t bytes);
     GatewayHeartbeat makeHeartbeat();
--- a/src/peer/gatewaypeers_update.cpp
+++ b/src/peer/gatewaypeers_update.cpp
@@ -116,8 +116,7 @@
     const auto lag = m_lag.takeLongLag(now);
     if (!lag)
         return;
-    if (m_options.counters != nullptr)
-        m_options.counters->add(Counter::StateBehind);
+    count(Counter::StateBehind);
     const ReportedVersions &newest = m_lag.newest();
     LogLine(LogLevel::Warn, "state-behind-peers")
         .with("config", own.config)
--- a/src/peer/placementpair.h
+++ b/src/peer/placementpair.h
@@ -122,15 +122,41 @@
     void advance(Duration d)
     {
         constexpr Duration step = milliseconds(5);
-        constexpr int maxPolls = 1000;
         for (Duration elapsed{}; elapsed < d; elapsed += step) {
             RuntimeClock::advance(step);
             io.restart();
             io.run_for(std::chrono::milliseconds(3));
-            // Runs all ready handlers. A datagram on the loopback interface arrives when it is
-            // sent, so its effects do not depend on how much processor time this process gets.
+            deliver();
+        }
+    }
+
+    /// Runs all ready handlers, and waits for datagrams that were sent and have not arrived. The
+    /// kernel of a busy machine delivers them late, while the paused clock would go on.
+    void deliver()
+    {
+        constexpr int maxPolls = 1000;
+        constexpr int maxWaits = 100; // of 1 ms
+        const auto runReady = [&] {
             for (int n = 0; n < maxPolls && io.poll() > 0; ++n) { }
+        };
+        runReady();
+        for (int n = 0; n < maxWaits && pendingDatagrams() > lostDatagrams; ++n) {
+            io.run_for(std::chrono::milliseconds(1));
+            runReady();
+        }
+        lostDatagrams = pendingDatagrams();
+    }
+
+    /// Datagrams that were sent and not received, or received from elsewhere if negative.
+    std::int64_t pendingDatagrams() const
+    {
+        std::int64_t pending = 0;
+        for (const Node *it : {scheduler.get(), querier.get()}) {
+            pending += static_cast<std::int64_t>(it->counters.value(Counter::PeerDatagramsSent));
+            pending -=
+                static_cast<std::int64_t>(it->counters.value(Counter::PeerDatagramsReceived));
         }
+        return pending;
     }
 
     /// Requests a placement at the querying gateway; `placed` is empty until there is a result.
@@ -176,6 +202,7 @@
     boost::asio::io_context io{1};
     std::unique_ptr<Node> scheduler;
     std::unique_ptr<Node> querier;
+    std::int64_t lostDatagrams = 0; ///< sent to an address at which nothing listens
     std::optional<PlacementResult> placed;
     LatencySlack slack{milliseconds(600), seconds(6), false}; ///< of the queries
     CancelSignal cancel; ///< of the queries
