--- a/src/include/reachlead/fleetsource.h
+++ b/src/include/reachlead/fleetsource.h
@@ -45,8 +45,8 @@
 {
     StoreRevision revision; ///< number 0: no list is stored, or none was read yet
     std::vector<GatewayEntry> gateways;
-    bool isUnreadable =
-        false; ///< the stored list; the last readable one holds until it is replaced
+    /// The stored list cannot be read; the last readable one holds until it is replaced.
+    bool isUnreadable = false;
 
     template <class Archive> void serialize(Archive &ar) { ar(revision, gateways); }
 };
--- a/src/peer/gatewaypeers_update.cpp
+++ b/src/peer/gatewaypeers_update.cpp
@@ -30,8 +30,8 @@
 using boost::system::error_code;
 
 constexpr std::uint32_t maxUpdateBytes = 16U << 20U; ///< of a whole state
-constexpr std::uint32_t maxQueryBytes =
-    4096; ///< anyone may connect, and a query has about 150 bytes
+/// Anyone may connect; a query has about 150 bytes.
+constexpr std::uint32_t maxQueryBytes = 4096;
 constexpr Duration fetchTimeout =
     milliseconds(1000); ///< for one fetch, which takes a few round trips
 
