crashlink_test: gateways that are no collector report what began, too

Cause: with the reply to announcements taken out, answersBeforeTheCrashesAreReported still passed (the row begun-parts-are-reported survived): the gateway at which the part had begun was a collector of that account, and knew by itself.

Change: the test goes through five accounts, whose collectors differ.

--- a/src/peer/crashlink_test.cpp
+++ b/src/peer/crashlink_test.cpp
@@ -201,12 +201,14 @@
     void answersBeforeTheCrashesAreReported()
     {
         Fleet fleet(4);
-        fleet.nodes[2]->link.partsBegan(prompt({1, 2}));
-        for (std::uint64_t n = 0; n < 3; ++n)
-            crash(fleet, 0, {prompt({1, guilty}), prompt({1, 20 + n})});
-        for (const auto &node : fleet.nodes) {
-            CPPUNIT_ASSERT(isHeld(*node, prompt({guilty})));
-            CPPUNIT_ASSERT(!isHeld(*node, prompt({1, 20})));
+        for (const std::string account : {"a", "b", "c", "d", "e"}) {
+            fleet.nodes[2]->link.partsBegan(prompt({1, 2}, account)); // a collector or not
+            for (std::uint64_t n = 0; n < 3; ++n)
+                crash(fleet, 0, {prompt({1, guilty}, account), prompt({1, 20 + n}, account)});
+            for (const auto &node : fleet.nodes) {
+                CPPUNIT_ASSERT(isHeld(*node, prompt({guilty}, account)));
+                CPPUNIT_ASSERT(!isHeld(*node, prompt({1, 20}, account)));
+            }
         }
     }
 
