streams: an unknown stream goes on only at a state verified after its caller returned

Callers saw streams joined from two versions: a gateway that was cut off, or stood still, for some seconds during a release resumed streams of the new version at the old one, as the only version that it knew. Its state counted as current for 5 s, and nobody answered its lookup.

A stream began before the call that resumes it arrived. So the call waits until the state is verified for that time, up to the stale limit, looks the stream up once more, and is refused as not run otherwise.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -118,9 +118,13 @@
     bool isResumption() const;
     StreamKey streamKey(std::string_view attemptId) const;
     boost::asio::awaitable<std::optional<Error>> bindResumedStream();
+    boost::asio::awaitable<StreamLookup> findBinding();
     boost::asio::awaitable<StreamLookup> lookUpStream();
+    bool isFinal(const StreamLookup &found) const;
+    void logResumption(const StreamLookup &found) const;
     boost::asio::awaitable<std::optional<StreamBinding>>
     onlyRecentVersion(std::set<SoftwareVersion> versions);
+    boost::asio::awaitable<bool> waitForVerifiedState();
     boost::asio::awaitable<std::optional<std::set<SoftwareVersion>>>
     recentVersions(ServiceName service);
     bool checkVersion(const UpstreamEntry &entry);
--- a/src/forward/forwardcall_streams.cpp
+++ b/src/forward/forwardcall_streams.cpp
@@ -32,23 +32,11 @@
     if (!isResumption())
         co_return std::nullopt;
     m_context.counters.add(Counter::StreamsResumed);
-    StreamLookup found;
-    if (!m_metadata.resumedAttempt.empty())
-        found = co_await lookUpStream();
+    const StreamLookup found = co_await findBinding();
+    logResumption(found);
     m_binding = found.binding;
-    if (!m_binding)
-        m_binding = co_await onlyRecentVersion(std::move(found.versions));
-    std::string_view knownBy = m_binding ? "only-version" : "-";
-    if (found.binding)
-        knownBy = found.source.text;
-    LogLine(LogLevel::Info, "stream-resumed")
-        .with("attempt", m_metadata.attemptId)
-        .with("resumes", m_metadata.resumedAttempt)
-        .with("resume_after", m_metadata.resumeAfter.value_or(0))
-        .with("service", m_binding ? m_binding->service.text : "-")
-        .with("version", m_binding ? m_binding->version.text : "-")
-        .with("known_by", knownBy)
-        .with("age_ms", found.binding ? static_cast<std::int64_t>(toMillis(found.age)) : -1);
+    if (m_stop != Stop::None)
+        co_return Error{stopKind(true), "stopped while the stream was looked up"};
     if (!m_binding) {
         m_context.counters.add(Counter::StreamsUnknown);
         co_return Error{ErrorKind::StreamVersionUnknown,
@@ -65,8 +53,56 @@
     co_return std::nullopt;
 }
 
+/// The binding of the resumed stream: the recorded one, or that of the only version which can have
+/// begun it, without a source.
+asio::awaitable<StreamLookup> ForwardCall::findBinding()
+{
+    StreamLookup found = co_await lookUpStream();
+    if (found.binding || isFinal(found) || !co_await waitForVerifiedState())
+        co_return found;
+    // Gateways that were out of reach may answer by now, and bindings of a second version are
+    // stored.
+    std::set<SoftwareVersion> versions = std::move(found.versions);
+    found = co_await lookUpStream();
+    versions.merge(found.versions);
+    if (!found.binding)
+        found.binding = co_await onlyRecentVersion(std::move(versions));
+    co_return found;
+}
+
+/// True if nothing more can be learned of a stream that was not found: all gateways have answered,
+/// and the service is known to have had several versions.
+bool ForwardCall::isFinal(const StreamLookup &found) const
+{
+    std::set<SoftwareVersion> versions = m_context.state.directory().recentVersions(m_service);
+    versions.insert(found.versions.begin(), found.versions.end());
+    return found.unansweredCount == 0 && versions.size() > 1;
+}
+
+void ForwardCall::logResumption(const StreamLookup &found) const
+{
+    std::string_view knownBy = found.source.text;
+    if (!found.binding)
+        knownBy = "-";
+    else if (knownBy.empty())
+        knownBy = "only-version";
+    LogLine(LogLevel::Info, "stream-resumed")
+        .with("attempt", m_metadata.attemptId)
+        .with("resumes", m_metadata.resumedAttempt)
+        .with("resume_after", m_metadata.resumeAfter.value_or(0))
+        .with("service", found.binding ? found.binding->service.text : "-")
+        .with("version", found.binding ? found.binding->version.text : "-")
+        .with("known_by", knownBy)
+        .with("age_ms",
+              found.source.text.empty() ? -1 : static_cast<std::int64_t>(toMillis(found.age)))
+        .with("unanswered", found.unansweredCount)
+        .with("state_age_ms", stateAgeMs());
+}
+
 asio::awaitable<StreamLookup> ForwardCall::lookUpStream()
 {
+    if (m_metadata.resumedAttempt.empty())
+        co_return StreamLookup{};
     const StreamKey stream = streamKey(m_metadata.resumedAttempt);
     if (m_context.streams != nullptr)
         co_return co_await m_context.streams->find(stream, m_service);
@@ -81,13 +117,16 @@
 }
 
 /// The version that must have begun a stream that no gateway knows: the only one of the route's
-/// services in the time that callers have for resuming. None if a version may have been missed,
-/// for instance as this gateway has just started. \p versions were reported by other gateways.
+/// service in the time that callers have for resuming. None if a version may have been missed,
+/// for instance as this gateway has just started. \p versions were reported by other gateways;
+/// those that did not answer may know more.
 asio::awaitable<std::optional<StreamBinding>>
 ForwardCall::onlyRecentVersion(std::set<SoftwareVersion> versions)
 {
-    for (const ServiceShare &share : m_route->services) {
-        std::optional<std::set<SoftwareVersion>> recent = co_await recentVersions(share.service);
+    // The route may have changed since this call arrived, or between the stream and this call.
+    const std::set<ServiceName> services = m_context.state.recentServices(m_route->name);
+    for (const ServiceName &service : services) {
+        std::optional<std::set<SoftwareVersion>> recent = co_await recentVersions(service);
         if (!recent)
             co_return std::nullopt;
         versions.merge(*recent);
@@ -97,14 +136,27 @@
     co_return StreamBinding{m_service, *versions.begin(), 0};
 }
 
+/// Waits until all versions are known here that can have begun the stream, which was before this
+/// call arrived. Returns false if this gateway is out of touch, or the call was stopped.
+asio::awaitable<bool> ForwardCall::waitForVerifiedState()
+{
+    GatewayState &state = m_context.state;
+    const VerificationWaiters::Registration waiter(state.verificationWaiters(), m_arrivedAt,
+                                                   m_wakeUp);
+    const Time until = std::min(m_deadline, m_arrivedAt + state.staleLimit());
+    while (!state.wasCurrentAt(m_arrivedAt) && m_stop == Stop::None && RuntimeClock::now() < until)
+        co_await m_wakeUp.waitUntil(until);
+    co_return state.wasCurrentAt(m_arrivedAt);
+}
+
 asio::awaitable<std::optional<std::set<SoftwareVersion>>>
 ForwardCall::recentVersions(ServiceName service)
 {
     if (m_context.streams != nullptr)
-        co_return co_await m_context.streams->recentVersions(service);
+        co_return co_await m_context.streams->recentVersions(service, m_arrivedAt);
     const UpstreamDirectory &directory = m_context.state.directory();
-    const bool isKnown =
-        m_context.state.isCurrent() && directory.knowsRecentVersions(RuntimeClock::now());
+    const bool isKnown = m_context.state.wasCurrentAt(m_arrivedAt)
+        && directory.knowsRecentVersions(RuntimeClock::now());
     if (!isKnown)
         co_return std::nullopt;
     co_return directory.recentVersions(service);
--- a/src/include/reachlead/gatewaystate.h
+++ b/src/include/reachlead/gatewaystate.h
@@ -25,6 +25,7 @@
 #include <reachlead/routing.h>
 #include <reachlead/streambindings.h>
 #include <reachlead/upstreamdirectory.h>
+#include <reachlead/verificationwaiters.h>
 #include <reachlead/watcherelection.h>
 
 namespace reachlead {
@@ -147,17 +148,38 @@
     const GatewayRoster &roster() const { return m_roster; }
     std::uint64_t configVersion() const { return m_table ? m_table->version() : 0; }
 
-    /// A state that was not current for longer may have missed upstreams that came and left.
-    static constexpr Duration maxObservationGap = seconds(5);
-
     /// True if all configurations that must be in force are known here.
     bool hasRecentConfig() const
     {
         return m_currentAt && now() <= *m_currentAt + m_options.configBound;
     }
 
-    /// True if the state was current within maxObservationGap.
-    bool isCurrent() const { return m_currentAt && now() <= *m_currentAt + maxObservationGap; }
+    /// True if all changes until \p at are known here.
+    bool wasCurrentAt(Time at) const { return m_currentAt && at <= *m_currentAt; }
+
+    /// Age from which a gateway counts as out of touch.
+    Duration staleLimit() const { return m_options.watcherElection.staleLimit; }
+
+    /// The services of a route now and, as far as former configurations are known, within the time
+    /// in which streams may be resumed.
+    std::set<ServiceName> recentServices(const std::string &route) const;
+
+    /// True if no copy of a binding that other gateways sent since \p at can have been missed while
+    /// this one was out of touch.
+    bool wasInTouchSince(Time at) const
+    {
+        const std::optional<Time> since = m_directory.observedSince();
+        return since && *since <= at && wasCurrentAt(now() - staleLimit());
+    }
+
+    /// What to notify when the state was verified.
+    VerificationWaiters &verificationWaiters() { return m_verificationWaiters; }
+
+    /// Another gateway uses upstreams of this version, which may be unknown here.
+    void versionReported(const ServiceName &service, const SoftwareVersion &version)
+    {
+        m_directory.versionSeen(service, version, now());
+    }
 
     /// Former configurations kept to compute deltas from. In a burst of changes there are several a
     /// second; peers that are further behind are rare and get the whole configuration.
@@ -181,6 +203,13 @@
     }
 
 private:
+    /// A configuration that was in force, to compute deltas from.
+    struct FormerTable
+    {
+        RouteTablePtr table;
+        Time replacedAt;
+    };
+
     static Time now() { return RuntimeClock::now(); }
     void handleChange(const UpstreamDirectory::UsableChanges &changed, std::string_view source);
     void applyConfig(RoutingConfig config, std::string_view source);
@@ -189,7 +218,7 @@
 
     Options m_options;
     RouteTablePtr m_table;
-    std::deque<RouteTablePtr> m_formerTables; ///< to compute deltas from; oldest first
+    std::deque<FormerTable> m_formerTables; ///< oldest first
     UpstreamDirectory m_directory;
     Evacuations m_evacuations;
     UpstreamTable m_upstreams;
@@ -200,6 +229,8 @@
     GatewayRoster m_roster;
     std::size_t m_liveGateways = 1;
     std::optional<Time> m_currentAt;
+    Time m_verificationHandledAt{}; ///< when m_currentAt was last set
+    VerificationWaiters m_verificationWaiters;
     WatcherElection m_watcherElection;
     std::function<void(const std::vector<UpstreamId> &)> m_onUpstreamsWithdrawn;
     std::function<void()> m_onChange;
--- a/src/include/reachlead/streamregistry.h
+++ b/src/include/reachlead/streamregistry.h
@@ -23,6 +23,7 @@
     VmName source; ///< the gateway that knew it
     /// Versions of the service's upstreams that gateways without the binding have seen recently.
     std::set<SoftwareVersion> versions;
+    std::size_t unansweredCount = 0; ///< gateways that were queried and did not answer
 };
 
 /// Keeps the bindings of streams where they outlive this gateway.
@@ -39,10 +40,10 @@
     /// milliseconds, or 0.2 s if gateways do not answer.
     virtual boost::asio::awaitable<StreamLookup> find(StreamKey stream, ServiceName service) = 0;
 
-    /// All versions that can have begun a stream of the service which callers may still resume;
-    /// none: not known.
+    /// All versions that can have begun a stream of the service before \p asOf which callers may
+    /// still resume; none: not known, for instance as the state is older.
     virtual boost::asio::awaitable<std::optional<std::set<SoftwareVersion>>>
-    recentVersions(ServiceName service) = 0;
+    recentVersions(ServiceName service, Time asOf) = 0;
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/upstreamdirectory.h
+++ b/src/include/reachlead/upstreamdirectory.h
@@ -224,6 +224,12 @@
     /// The software versions that the upstreams of a service have had within versionRetention.
     std::set<SoftwareVersion> recentVersions(const ServiceName &service) const;
 
+    /// Records a version that has begun a stream, though its upstreams may be unknown here.
+    void versionSeen(const ServiceName &service, const SoftwareVersion &version, Time now)
+    {
+        m_versions[service].try_emplace(version, now);
+    }
+
     /// Starts to observe the versions of services: before, upstreams may have come and gone unseen.
     void startObservation(Time now) { m_observedSince = now; }
 
--- a/src/libreachlead/gatewaystate.cpp
+++ b/src/libreachlead/gatewaystate.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 #include <reachlead/log.h>
 
@@ -63,7 +64,7 @@
         .with("routes", config.routes.size())
         .with("accounts", config.accounts.size());
     if (m_table)
-        m_formerTables.push_back(m_table);
+        m_formerTables.push_back({m_table, now()});
     if (m_formerTables.size() > maxFormerTables)
         m_formerTables.pop_front();
     m_table = std::make_shared<const RouteTable>(std::move(config));
@@ -165,11 +166,17 @@
 {
     if (m_currentAt && at <= *m_currentAt)
         return;
-    if (!m_currentAt || *m_currentAt + maxObservationGap < at)
+    // Upstreams may have come and left meanwhile. A process that stood still handles in a row what
+    // arrived since.
+    const Time handledAt = std::exchange(m_verificationHandledAt, now());
+    const bool wasStale =
+        !m_currentAt || *m_currentAt + staleLimit() < at || handledAt + staleLimit() < now();
+    if (wasStale)
         m_directory.startObservation(now());
     const Duration halfLimit = m_options.watcherElection.staleLimit / 2;
     const bool wasOld = m_currentAt && *m_currentAt + halfLimit < now();
     m_currentAt = at;
+    m_verificationWaiters.verified(at);
     if (wasOld && at + halfLimit > now() && m_onChange)
         m_onChange();
 }
@@ -245,6 +252,25 @@
     setCurrentAt(at);
 }
 
+std::set<ServiceName> GatewayState::recentServices(const std::string &route) const
+{
+    std::set<ServiceName> names;
+    const auto add = [&](const RouteTablePtr &table) {
+        for (const Route &it : table->config().routes) {
+            if (it.name == route)
+                std::ranges::transform(it.services, std::inserter(names, names.end()),
+                                       &ServiceShare::service);
+        }
+    };
+    for (const FormerTable &it : m_formerTables) {
+        if (now() < it.replacedAt + StreamBindings::maxRetention)
+            add(it.table);
+    }
+    if (m_table)
+        add(m_table);
+    return names;
+}
+
 bool GatewayState::isConfirmed() const
 {
     return !m_watcherElection.isStale(now());
@@ -280,9 +306,11 @@
 {
     StateUpdate update;
     if (m_table && m_table->version() > known.config) {
-        const auto it = std::ranges::find(m_formerTables, known.config, &RouteTable::version);
+        const auto it =
+            std::ranges::find(m_formerTables, known.config,
+                              [](const FormerTable &former) { return former.table->version(); });
         if (it != m_formerTables.end())
-            update.configChange = computeDelta((*it)->config(), m_table->config());
+            update.configChange = computeDelta(it->table->config(), m_table->config());
         if (!update.configChange)
             update.config = m_table->config();
     }
--- a/src/libreachlead/gatewaystate_test.cpp
+++ b/src/libreachlead/gatewaystate_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(updateHasTheWholeStateForOneTooFarBehind);
     CPPUNIT_TEST(readyNeedsConfigurationAndUpstreams);
     CPPUNIT_TEST(confirmedStateHasTheAgeThatThePeerReports);
+    CPPUNIT_TEST(versionsAreObservedAnewAfterTheStateWasStale);
+    CPPUNIT_TEST(versionsAreObservedAnewAfterAStandstill);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(100)};
@@ -176,6 +178,32 @@
         state.confirmed(start - seconds(1));
         CPPUNIT_ASSERT(*state.currentAt() == start);
     }
+
+    /// Upstreams may have come and left while it was stale.
+    void versionsAreObservedAnewAfterTheStateWasStale()
+    {
+        GatewayState state({});
+        state.verified(start);
+        for (const Duration age : {state.staleLimit() / 2, state.staleLimit()}) {
+            RuntimeClock::advance(age);
+            state.verified(RuntimeClock::now());
+            CPPUNIT_ASSERT(state.directory().observedSince() == start);
+        }
+        RuntimeClock::advance(state.staleLimit() + milliseconds(1));
+        state.verified(RuntimeClock::now());
+        CPPUNIT_ASSERT(state.directory().observedSince() == RuntimeClock::now());
+    }
+
+    /// What arrived meanwhile verifies the state for one time after the other.
+    void versionsAreObservedAnewAfterAStandstill()
+    {
+        GatewayState state({});
+        state.verified(start);
+        RuntimeClock::advance(seconds(4));
+        for (int n = 1; n <= 4; ++n)
+            state.verified(start + seconds(n));
+        CPPUNIT_ASSERT(state.directory().observedSince() == RuntimeClock::now());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayStateTest);
--- a/src/peer/streamarchiver.cpp
+++ b/src/peer/streamarchiver.cpp
@@ -170,6 +170,7 @@
         held.pop_front();
         count(Counter::StreamsEvicted);
     }
+    m_state.versionReported(bound.binding.service, bound.binding.version);
     startWriting();
 }
 
@@ -282,7 +283,8 @@
         if (leftMs <= 0)
             continue;
         for (const BoundStream &it : batch.streams) {
-            if (m_state.streams().find(it.stream, now) == nullptr)
+            const StreamBindings::Record *known = m_state.streams().find(it.stream, now);
+            if (known == nullptr || known->binding.send < it.binding.send)
                 m_state.streams().record(it.stream, it.binding, milliseconds(leftMs), now);
         }
     }
--- a/src/peer/streamlink.cpp
+++ b/src/peer/streamlink.cpp
@@ -86,6 +86,7 @@
     const bool hadRoom = m_state.streams().record(stream, binding, retention, RuntimeClock::now());
     if (!hadRoom && m_counters != nullptr)
         m_counters->add(Counter::StreamsEvicted);
+    m_state.versionReported(binding.service, binding.version);
 }
 
 void StreamLink::record(const StreamKey &stream, const StreamBinding &binding, Duration retention)
@@ -128,26 +129,31 @@
 /// All copies at gateways are lost if all of them are, so the stored ones are read then.
 asio::awaitable<StreamLookup> StreamLink::find(StreamKey stream, ServiceName service)
 {
-    if (const std::optional<StreamLookup> known = findLocally(stream))
+    const std::optional<StreamLookup> known = findLocally(stream);
+    if (known && m_state.wasInTouchSince(RuntimeClock::now() - known->age))
         co_return *known;
     StreamLookup found = co_await findAtPeers(stream, service);
+    // A gateway that was out of touch may have missed that the stream moved.
+    if (known && (!found.binding || found.binding->send <= known->binding->send)) {
+        found.binding = known->binding;
+        found.age = known->age;
+        found.source = known->source;
+    }
     if (found.binding || !hadSeveralVersions(found, service))
         co_return found;
     co_await m_archiver.refresh(service);
-    if (const std::optional<StreamLookup> known = findLocally(stream))
-        co_return *known;
-    co_return found;
+    co_return findLocally(stream).value_or(found);
 }
 
 asio::awaitable<std::optional<std::set<SoftwareVersion>>>
-StreamLink::recentVersions(ServiceName service)
+StreamLink::recentVersions(ServiceName service, Time asOf)
 {
+    if (!m_state.wasCurrentAt(asOf))
+        co_return std::nullopt;
     if (!m_state.directory().knowsRecentVersions(RuntimeClock::now())
         && !m_archiver.storedVersions(service))
         co_await m_archiver.refresh(service);
     std::set<SoftwareVersion> versions = m_state.directory().recentVersions(service);
-    if (!m_state.isCurrent())
-        co_return std::nullopt;
     if (m_state.directory().knowsRecentVersions(RuntimeClock::now()))
         co_return versions;
     std::optional<std::set<SoftwareVersion>> stored = m_archiver.storedVersions(service);
@@ -180,6 +186,7 @@
         co_await lookup.timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
     lookups->erase(query.number);
+    lookup.found.unansweredCount = lookup.unanswered.size();
     co_return lookup.found;
 }
 
--- a/src/peer/streamlink.h
+++ b/src/peer/streamlink.h
@@ -38,7 +38,7 @@
     void record(const StreamKey &stream, const StreamBinding &binding, Duration retention) override;
     boost::asio::awaitable<StreamLookup> find(StreamKey stream, ServiceName service) override;
     boost::asio::awaitable<std::optional<std::set<SoftwareVersion>>>
-    recentVersions(ServiceName service) override;
+    recentVersions(ServiceName service, Time asOf) override;
 
     /// Starts to store what must outlive all gateways. \p archive must outlive the event loop.
     void start(StreamArchive *archive) { m_archiver.start(archive); }
--- a/src/peer/streamlink_test.cpp
+++ b/src/peer/streamlink_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(streamsSurviveTheLossOfHalfOfTheGateways);
     CPPUNIT_TEST(lastSendIsFoundAfterAMove);
     CPPUNIT_TEST(newestOfSeveralRepliesIsUsed);
+    CPPUNIT_TEST(copyFromBeforeACutYieldsToALaterSend);
     CPPUNIT_TEST(lookupDoesNotWaitForALostGateway);
     CPPUNIT_TEST(unknownStreamBringsTheVersionsInUse);
     CPPUNIT_TEST(singleGatewayDoesNotWait);
@@ -151,6 +152,23 @@
         }
     }
 
+    /// The stream moved to another version while the gateway was out of touch.
+    void copyFromBeforeACutYieldsToALaterSend()
+    {
+        Fleet fleet(3);
+        Node &cut = *fleet.nodes[0];
+        cut.state.verified(RuntimeClock::now());
+        cut.state.streams().record(stream(1), binding("v1", 1), retention, RuntimeClock::now());
+        for (std::size_t node = 1; node < fleet.nodes.size(); ++node)
+            fleet.nodes[node]->state.streams().record(stream(1), binding("v2", 2), retention,
+                                                      RuntimeClock::now());
+        CPPUNIT_ASSERT_EQUAL(std::string("v1"), version(fleet.find(cut, 1)));
+        fleet.advance(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), version(fleet.find(cut, 1)));
+        cut.state.verified(RuntimeClock::now());
+        CPPUNIT_ASSERT_EQUAL(std::string("v2"), version(fleet.find(cut, 1)));
+    }
+
     void lookupDoesNotWaitForALostGateway()
     {
         Fleet fleet(4);
