--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -83,7 +83,9 @@
     asio::ip::make_address(endpoint.address, ec);
     const char *end = text.data() + text.size();
     const auto result = std::from_chars(text.data() + colon + 1, end, endpoint.port);
-    if (ec || result.ec != std::errc() || result.ptr != end)
+    // make_address() reads up to the first NUL.
+    const bool isWhole = endpoint.address.find('\0') == std::string::npos;
+    if (ec || !isWhole || result.ec != std::errc() || result.ptr != end)
         return std::nullopt;
     return endpoint;
 }
