--- a/src/peer/streamarchiver.cpp
+++ b/src/peer/streamarchiver.cpp
@@ -28,6 +28,10 @@
 /// Interval at which a call looks whether a read that it waits for has ended.
 constexpr Duration readPollInterval = milliseconds(5);
 
+/// The store may hold any time; bindings expire within this.
+constexpr UnixMillis maxLeftMs =
+    std::chrono::duration_cast<milliseconds>(StreamBindings::maxRetention).count();
+
 UnixMillis toUnixMs(Duration d)
 {
     return static_cast<UnixMillis>(toMillis(d));
@@ -279,7 +283,8 @@
     service.era = stored.era;
     const UnixMillis today = timeOfDay();
     for (const StreamBatch &batch : stored.batches) {
-        const UnixMillis leftMs = batch.until + StreamBatches::expiryMarginMs - today;
+        const UnixMillis leftMs =
+            std::min(batch.until + StreamBatches::expiryMarginMs - today, maxLeftMs);
         if (leftMs <= 0)
             continue;
         for (const BoundStream &it : batch.streams) {
