forward: a success without length, chunks or a body is lost

Callers got a complete empty 200 from an upstream that sent a signed head with neither a length nor chunks and closed before the body, as one does that is killed there: the end of the connection is the end of such a body, also of none. The call was not sent again where that is allowed, and counted as a success of the upstream. Streams of that kind were handled before.

CutAnswerTest ends an answer after each of its bytes, by a close and by a reset: plain answers by length and by chunks, after informational heads, to HEAD, streams, streams resumed by the gateway and by the caller, to callers of HTTP/1.0, above 128 KB, and refusals. `reachlead-tests CutAnswerTest` without the change: `unframedAnswerWithoutABodyIsLost`, expected 502, actual 200; the other tests passed. With it the send is lost like any that broke: sent again where that is allowed, else 502. Statuses that need no body, and answers other than successes, are passed on as before.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -25,6 +25,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+constexpr bool isSuccessful(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 bool isEventStream(const Fields &fields)
 {
     return fields[http::field::content_type].starts_with("text/event-stream");
@@ -56,7 +61,7 @@
         return SendResult::Corrupt; // the upstream does not confirm it in its headers
     if (status >= 500)
         return SendResult::ServerError;
-    const bool isSuccess = status >= 200 && status < 300;
+    const bool isSuccess = isSuccessful(status);
     return isSuccess && !metadata.isSigned ? SendResult::Corrupt : SendResult::Complete;
 }
 
@@ -104,6 +109,12 @@
         const auto piece = co_await m_exchange->readSome();
         if (!piece)
             co_return failureResult();
+        // An upstream that is killed closes its connections.
+        if (piece->empty() && m_body.empty() && isSuccessful(m_exchange->status())
+            && m_exchange->endsWithConnection()) {
+            m_lastReason = "the connection ended before the body";
+            co_return SendResult::Lost;
+        }
         recordFirstByte();
         if (piece->empty())
             co_return SendResult::Complete;
@@ -232,7 +243,7 @@
 /// Reports that an upstream has begun to answer on the shared parts of the prompt.
 void ForwardCall::recordBegin()
 {
-    const bool isSuccess = m_exchange->status() >= 200 && m_exchange->status() < 300;
+    const bool isSuccess = isSuccessful(m_exchange->status());
     if (isSuccess && m_context.onPartsBegan && !sharedParts().empty())
         m_context.onPartsBegan(promptContents());
 }
