http: an informational answer is not the answer

A 103 or another informational answer was taken for the whole answer by the clients of the store, of the usage API, of an agent's engine and of its service. An agent returned it as the service's answer, also if nothing followed. The store's client took it for a refusal with nothing done, and left the real answer on the connection, where the next call read it as its own. The gateway's forwarding skipped such answers before. readFinalHead() does so for all of them, up to 16.

--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <reachlead/completion.h>
+#include <reachlead/finalhead.h>
 #include <reachlead/http.h>
 
 #include <algorithm>
@@ -188,18 +189,21 @@
         co_return std::nullopt;
     }
     beast::flat_buffer buf(maxUnparsedBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxBodyBytes);
-    if (call.method == "HEAD")
-        parser.skip(true);
-    const auto [readError, read] = co_await http::async_read(stream, buf, parser, asTuple);
-    if (readError) {
-        *reason = readError.message();
+    std::optional<http::response_parser<http::string_body>> parser;
+    const bool isHead = call.method == "HEAD";
+    ec = co_await readFinalHead(stream, buf, parser, [isHead](auto &it) {
+        it.body_limit(maxBodyBytes);
+        it.skip(isHead);
+    });
+    if (!ec && !parser->is_done())
+        co_await http::async_read(stream, buf, *parser, storeError(&ec));
+    if (ec) {
+        *reason = ec.message();
         co_return std::nullopt;
     }
+    const auto &response = parser->get();
     reached = CallProgress::Answered;
     stream.socket().shutdown(tcp::socket::shutdown_both, ec);
-    const auto &response = parser.get();
     HttpResponse reply{response.result_int(), toHeaders(response), response.body()};
     co_return reply;
 }
--- a/src/upstream/ssecall.cpp
+++ b/src/upstream/ssecall.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <reachlead/completion.h>
+#include <reachlead/finalhead.h>
 
 namespace reachlead {
 
@@ -16,9 +17,7 @@
 
 SseCall::SseCall(const asio::any_io_executor &executor, Endpoint to, Timeouts timeouts)
     : m_stream(executor), m_endpoint(std::move(to)), m_timeouts(timeouts)
-{
-    m_parser.body_limit(boost::none);
-}
+{ }
 
 asio::awaitable<std::string> SseCall::connect()
 {
@@ -46,24 +45,25 @@
     const auto [writeError, n] = co_await http::async_write(m_stream, request, asTuple);
     if (writeError)
         co_return writeError.message();
-    const auto [ec, m] = co_await http::async_read_header(m_stream, m_buffer, m_parser, asTuple);
+    const beast::error_code ec = co_await readFinalHead(
+        m_stream, m_buffer, m_parser, [](auto &it) { it.body_limit(boost::none); });
     m_stalled = ec == beast::error::timeout;
     co_return ec ? ec.message() : std::string();
 }
 
 std::string SseCall::header(std::string_view name) const
 {
-    return std::string(m_parser.get()[beast::string_view(name.data(), name.size())]);
+    return std::string(m_parser->get()[beast::string_view(name.data(), name.size())]);
 }
 
 asio::awaitable<std::string_view> SseCall::readSome(std::string *reason)
 {
-    while (!m_parser.is_done()) {
-        m_parser.get().body().data = m_bytes.data();
-        m_parser.get().body().size = m_bytes.size();
+    while (!m_parser->is_done()) {
+        m_parser->get().body().data = m_bytes.data();
+        m_parser->get().body().size = m_bytes.size();
         m_stream.expires_after(m_timeouts.read);
-        const auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, m_parser, asTuple);
-        const std::size_t received = m_bytes.size() - m_parser.get().body().size;
+        const auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
+        const std::size_t received = m_bytes.size() - m_parser->get().body().size;
         if (received > 0)
             co_return std::string_view(m_bytes.data(), received);
         if (ec && ec != http::error::need_buffer) {
--- a/src/upstream/ssecall.h
+++ b/src/upstream/ssecall.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -41,7 +42,7 @@
     /// an empty text.
     boost::asio::awaitable<std::string> send(HttpRequest request);
 
-    unsigned status() const { return m_parser.get().result_int(); }
+    unsigned status() const { return m_parser->get().result_int(); }
 
     /// The value of a header of the answer; empty when absent.
     std::string header(std::string_view name) const;
@@ -51,7 +52,7 @@
     boost::asio::awaitable<std::string_view> readSome(std::string *reason);
 
     /// True when the body was received to its end, as defined by HTTP.
-    bool isComplete() const { return m_parser.is_done(); }
+    bool isComplete() const { return m_parser.has_value() && m_parser->is_done(); }
 
     /// True when the last read timed out.
     bool timedOut() const { return m_stalled; }
@@ -63,7 +64,7 @@
     Endpoint m_endpoint;
     Timeouts m_timeouts;
     boost::beast::flat_buffer m_buffer{maxUnparsedBytes};
-    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
     std::array<char, readSize> m_bytes{};
     bool m_stalled = false;
 };
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <reachlead/completion.h>
+#include <reachlead/finalhead.h>
 
 namespace reachlead {
 
@@ -87,7 +88,7 @@
                                          storeError(&ec));
         if (ec)
             co_return setError(ec);
-        if (status() >= 200)
+        if (!isInformational(status()))
             co_return true;
         if (++m_informational > maxInformationalAnswers)
             co_return setCorrupt("too many informational answers");
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -88,10 +88,6 @@
     /// Late answers to former calls that are discarded before the call fails.
     static constexpr int maxStaleAnswers = 3;
 
-    /// Informational answers (1xx) that are skipped before the call fails: an upstream sends a few
-    /// while it works on a request.
-    static constexpr int maxInformationalAnswers = 16;
-
     /// Bytes of bodies that are dropped before the call fails. Late answers and refusals are short.
     static constexpr std::size_t maxDiscardedBytes = 256U << 10U;
 
