http: a success without length, chunks or a body is no answer of a service

An agent returned a complete empty 200 for a plain service that sent its head with neither a length nor chunks and closed before the body, as one does that is killed there. The call now counts as lost: it is sent again where that is allowed, else its outcome is reported as unknown.

`reachlead-tests CutCallTest` without the change: `unframedServiceAnswerWithoutABodyIsNoAnswer` failed, as there was an answer.

--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -60,6 +60,15 @@
     return headers;
 }
 
+/// True for a success without a body that only the end of the connection ended: a server that is
+/// killed closes its connections.
+bool isLostBehindHead(const http::response_parser<http::string_body> &parser)
+{
+    const auto &response = parser.get();
+    return parser.need_eof() && response.body().empty()
+        && http::to_status_class(response.result_int()) == http::status_class::successful;
+}
+
 http::response<http::string_body> toBeast(HttpResponse reply, unsigned version, bool keepAlive)
 {
     http::response<http::string_body> response(static_cast<http::status>(reply.status), version);
@@ -202,6 +211,10 @@
         co_return std::nullopt;
     }
     const auto &response = parser->get();
+    if (isLostBehindHead(*parser)) {
+        *reason = "the connection ended before the body";
+        co_return std::nullopt;
+    }
     reached = CallProgress::Answered;
     stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     HttpResponse reply{response.result_int(), toHeaders(response), response.body()};
--- a/src/upstream/cutcall_test.cpp
+++ b/src/upstream/cutcall_test.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST_SUITE(CutCallTest);
     CPPUNIT_TEST(serviceAnswerCutAnywhereIsNoAnswer);
     CPPUNIT_TEST(serviceAnswerToHeadCutAnywhereIsNoAnswer);
+    CPPUNIT_TEST(unframedServiceAnswerWithoutABodyIsNoAnswer);
+    CPPUNIT_TEST(unframedServiceStatusWithoutABodyIsAnAnswer);
     CPPUNIT_TEST(streamCutAnywhereIsNotComplete);
     CPPUNIT_TEST(informationalAnswerIsNotTheAnswer);
     CPPUNIT_TEST_SUITE_END();
@@ -171,6 +173,28 @@
         CPPUNIT_ASSERT_EQUAL(200U, fixture.callService("HEAD").value().status);
     }
 
+    /// A service that is killed after the head closes its connections.
+    void unframedServiceAnswerWithoutABodyIsNoAnswer()
+    {
+        Fixture fixture;
+        CallProgress progress{};
+        fixture.answer = "HTTP/1.1 200 OK\r\n\r\n";
+        CPPUNIT_ASSERT(!fixture.callService("POST", &progress));
+        CPPUNIT_ASSERT(progress == CallProgress::Sent);
+        CPPUNIT_ASSERT(fixture.callService("HEAD").has_value());
+        fixture.answer += "to the end";
+        CPPUNIT_ASSERT_EQUAL(std::string("to the end"), fixture.callService().value().body);
+    }
+
+    void unframedServiceStatusWithoutABodyIsAnAnswer()
+    {
+        Fixture fixture;
+        for (const unsigned status : {204U, 304U, 404U, 500U}) {
+            fixture.answer = fmt::format("HTTP/1.1 {} X\r\n\r\n", status);
+            CPPUNIT_ASSERT_EQUAL(status, fixture.callService().value().status);
+        }
+    }
+
     void streamCutAnywhereIsNotComplete()
     {
         Fixture fixture;
