usage: silence of the other gateways is not read as no calls

Seen: a lease holder that had heard no other gateway for 3 s reported the window with its own calls alone. A window cannot be reported again, so the calls of all other gateways were missing for good.

Cause: a window was complete if all gateways of whom a message was received within 3 s had sent final counts. With none that is true at once, and a gateway that was silent for 3 s was not waited for at all, although counts of others are waited for for 1 s.

Evidence, before the change (scratch build without optimization, `reachlead-tests silenceOf`): silenceOfAllOthersIsNotReadAsNoCalls: Expected: 9, Actual: 5 silenceOfOneGatewayIsNotReadAsNoCalls: Expected: 9, Actual: 7

Change: gateways count as live for 10 s, as everywhere else, so one that is silent for a shorter time is waited for for the second that any missing count is. That second begins anew while no other gateway is heard, until all candidates have had their turn: if the others live, one of them takes over and reports with the counts of all that it hears, and the write of the one that was cut off fails; if they do not, the last gateway reports 6.7 s late, within the three windows in which a report is not too late.

After: `reachlead-tests UsageLinkTest` 12 passed, 0 failed. The fixture of the existing tests runs each gateway by its own event loop, so that one can stand still; their checks are unchanged. lastGatewayReportsWithoutTheOthers passed before, too: it guards against waiting for ever; so does onlyGatewayDoesNotWaitForOthers, which was run with the change only.

--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -164,6 +164,8 @@
 {
     const Time now = RuntimeClock::now();
     const auto [it, isFirst] = m_queries.try_emplace(window, QueryTimes{now, now});
+    if (hearsNoOther(window))
+        it->second.first = now;
     if (!isFirst && now < it->second.last + queryRetryInterval)
         return;
     it->second.last = now;
@@ -174,6 +176,17 @@
     }
 }
 
+/// True if this gateway hears none of the others, as it is cut off or did not run: then nothing is
+/// known of their counts, however long ago they were asked. They may be gone as well, so a window
+/// is reported without them once all other candidates have had time to do so.
+bool UsageLink::hearsNoOther(WindowNumber window) const
+{
+    const UnixMillis limit = m_table.windowEnd(window) + wholeMillis(lastStandbyDelay);
+    const bool hasOthers = m_peers.fleet().size() > 1;
+    return hasOthers && m_peers.timeOfDay() < limit
+        && m_peers.recentIncarnations(queryTimeout).empty();
+}
+
 /// Returns true if all live gateways have reported their final counts of a window, or the time
 /// limit for that has passed.
 bool UsageLink::isComplete(WindowNumber window)
@@ -181,10 +194,11 @@
     const auto it = m_queries.find(window);
     if (it == m_queries.end())
         return false;
+    const auto live = m_peers.recentIncarnations(GatewayPeers::peerTimeout);
     return it->second.first + queryTimeout <= RuntimeClock::now()
-        || std::ranges::all_of(
-               m_peers.recentIncarnations(livenessTimeout),
-               [&](const GatewayIncarnation &gateway) { return m_table.isFinal(gateway, window); });
+        || std::ranges::all_of(live, [&](const GatewayIncarnation &gateway) {
+               return m_table.isFinal(gateway, window);
+           });
 }
 
 // Reports to the platform
--- a/src/peer/usagelink.h
+++ b/src/peer/usagelink.h
@@ -74,9 +74,13 @@
     /// reported, and from each candidate to the next.
     static constexpr Duration standbyDelay = milliseconds(2500);
     static constexpr Duration standbyStep = milliseconds(700);
-    /// Time after the first query of a window when missing counts are no longer waited for.
+    /// The same until all candidates have checked.
+    static constexpr Duration lastStandbyDelay =
+        standbyDelay + standbyStep * static_cast<std::int64_t>(maxCandidates);
+    /// Time after the first query of a window when missing counts are no longer waited for. It does
+    /// not pass while no other gateway is heard, until lastStandbyDelay.
     static constexpr Duration queryTimeout = milliseconds(1000);
-    /// A gateway without a heartbeat for this time, several heartbeat intervals, is not waited for.
+    /// A gateway without a heartbeat for this time, several heartbeat intervals, gets no counts.
     static constexpr Duration livenessTimeout = milliseconds(3000);
     /// Number of consecutive failed reports after which the lease holder pauses, so that another
     /// candidate reports the next window. The platform may be unreachable from this VM only.
@@ -98,6 +102,7 @@
     UsageAction nextAction();
     void refreshLivePeers();
     WindowNumber lastDueWindow() const;
+    bool hearsNoOther(WindowNumber window) const;
     bool isComplete(WindowNumber window);
     void queryCounts(WindowNumber window);
     void sendToCollectors(bool isLast);
--- a/src/peer/usagelink_test.cpp
+++ b/src/peer/usagelink_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <thread>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -102,6 +103,10 @@
     CPPUNIT_TEST(windowsAreReportedAfterAnOutage);
     CPPUNIT_TEST(holderRefusedByThePlatformIsReplaced);
     CPPUNIT_TEST(disabledLinkMakesNoCalls);
+    CPPUNIT_TEST(silenceOfAllOthersIsNotReadAsNoCalls);
+    CPPUNIT_TEST(silenceOfOneGatewayIsNotReadAsNoCalls);
+    CPPUNIT_TEST(lastGatewayReportsWithoutTheOthers);
+    CPPUNIT_TEST(onlyGatewayDoesNotWaitForOthers);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Time start{seconds(1000)};
@@ -109,8 +114,8 @@
 
     struct Node
     {
-        Node(boost::asio::io_context &io, UsageBackend &backend, const std::string &vm,
-             std::vector<Endpoint> seeds, bool isEnabled)
+        Node(UsageBackend &backend, const std::string &vm, std::vector<Endpoint> seeds,
+             bool isEnabled)
             : backend(backend), state(stateOptions(vm)),
               peers(io, peerOptions(vm, std::move(seeds)), state),
               link(io, linkOptions(isEnabled), peers,
@@ -146,22 +151,25 @@
             peers.stop();
         }
 
+        boost::asio::io_context io{1};
         UsageBackend &backend;
         GatewayState state;
         GatewayPeers peers;
         UsageLink link;
         bool isKilled = false;
+        bool isStill = false; ///< the process does not run; datagrams for it wait
     };
 
-    /// Three gateways that know each other.
+    /// Gateways that know each other.
     struct Fleet
     {
-        explicit Fleet(bool isEnabled = true)
+        explicit Fleet(bool isEnabled = true, std::size_t n = 3)
         {
             RuntimeClock::pause(start);
             std::vector<Endpoint> seeds;
-            for (const char *vm : {"g1", "g2", "g3"}) {
-                nodes.push_back(std::make_unique<Node>(io, backend, vm, seeds, isEnabled));
+            while (nodes.size() < n) {
+                const std::string vm = "g" + std::to_string(nodes.size() + 1);
+                nodes.push_back(std::make_unique<Node>(backend, vm, seeds, isEnabled));
                 seeds.push_back({"127.0.0.1", nodes.back()->peers.port()});
             }
             advance(seconds(2));
@@ -171,19 +179,32 @@
             for (const auto &node : nodes) {
                 node->link.stop();
                 node->peers.stop();
+                node->io.stop();
             }
-            io.stop();
             RuntimeClock::resume();
         }
 
         void advance(Duration d)
         {
             constexpr Duration clockStep = milliseconds(20);
+            constexpr std::chrono::milliseconds timerDelay(2); // of real time, until timers are due
+            constexpr int maxPolls = 1000;
             for (Duration elapsed{}; elapsed < d; elapsed += clockStep) {
                 RuntimeClock::advance(clockStep);
-                io.restart();
-                io.run_for(std::chrono::milliseconds(2));
+                std::this_thread::sleep_for(timerDelay);
+                for (int n = 0; n < maxPolls && poll() > 0; ++n) { }
+            }
+        }
+
+        /// Runs what is ready at each gateway; returns the number of handlers.
+        std::size_t poll()
+        {
+            std::size_t n = 0;
+            for (const auto &node : nodes) {
+                node->io.restart();
+                n += node->isStill ? 0 : node->io.poll();
             }
+            return n;
         }
 
         /// Starts \p n calls of account t and one of account u at each live gateway.
@@ -220,7 +241,6 @@
             return sum;
         }
 
-        boost::asio::io_context io{1};
         UsageBackend backend;
         std::vector<std::unique_ptr<Node>> nodes;
     };
@@ -326,6 +346,70 @@
         fleet.advance(window * 2);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.backend.calls);
     }
+
+    /// A window cannot be reported again, so the calls of gateways that were not heard were lost.
+    void silenceOfAllOthersIsNotReadAsNoCalls()
+    {
+        Fleet fleet;
+        fleet.call(1);
+        fleet.advance(window + seconds(1));
+        const Node *holder = fleet.holder();
+        CPPUNIT_ASSERT(holder != nullptr);
+        fleet.call(2);
+        for (const auto &node : fleet.nodes)
+            node->isStill = node.get() != holder;
+        fleet.advance(milliseconds(3800));
+        for (const auto &node : fleet.nodes)
+            node->isStill = false;
+        fleet.advance(window);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.backend.reports.size());
+        CPPUNIT_ASSERT_EQUAL(9U, fleet.reported("t"));
+    }
+
+    void silenceOfOneGatewayIsNotReadAsNoCalls()
+    {
+        Fleet fleet;
+        fleet.call(1);
+        fleet.advance(window + milliseconds(800));
+        const Node *holder = fleet.holder();
+        CPPUNIT_ASSERT(holder != nullptr);
+        fleet.call(2);
+        const bool isFirst = fleet.nodes.front().get() == holder;
+        Node &other = isFirst ? *fleet.nodes.back() : *fleet.nodes.front();
+        other.isStill = true;
+        fleet.advance(milliseconds(3400));
+        other.isStill = false;
+        fleet.advance(window);
+        CPPUNIT_ASSERT_EQUAL(9U, fleet.reported("t"));
+    }
+
+    void lastGatewayReportsWithoutTheOthers()
+    {
+        Fleet fleet;
+        fleet.call(1);
+        fleet.advance(window + seconds(1));
+        const Node *holder = fleet.holder();
+        CPPUNIT_ASSERT(holder != nullptr);
+        fleet.call(2);
+        fleet.advance(UsageLink::reportInterval * 2);
+        for (const auto &node : fleet.nodes) {
+            if (node.get() != holder)
+                node->kill();
+        }
+        fleet.advance(UsageReporter::maxWindowsBehind * window);
+        CPPUNIT_ASSERT_EQUAL(9U, fleet.reported("t"));
+    }
+
+    void onlyGatewayDoesNotWaitForOthers()
+    {
+        Fleet fleet(true, 1);
+        fleet.call(1);
+        fleet.advance(window + seconds(1));
+        fleet.call(1);
+        const Duration untilWindowEnd = seconds(2);
+        fleet.advance(untilWindowEnd + UsageLink::holderDelay + milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.reported("t"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UsageLinkTest);
