forward: evacuated zones that are not known yet are not read as none

Seen: a gateway that has just started and knows the configuration and the upstreams, but not yet which zones are evacuated, placed the calls that came in any zone.

Cause: each kind of the store's objects is listed by itself. isReady() knows of the missing one, but only the answer to /ready asked it, and callers that return to the address of a restarted gateway do not wait for that.

Evidence, before the change (scratch build without optimization, `reachlead-tests UnknownEvacuations`): unknownEvacuationsAreNotReadAsNone: assertion failed, fixture.call("a1", "settings-absent")

Change: such a call is refused as not run with settings-absent (503, Retry-After), like one that comes before the configuration. Gateways that do not follow evacuations, and those without an upstream, answer as before.

After: UnknownEvacuations 1 passed, EvacuationsTest 14 passed, platform::ForwardTest 38 passed.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -75,6 +75,9 @@
 {
     if (!m_table)
         return Error{ErrorKind::SettingsAbsent, "no configuration is known yet"};
+    const bool hasUpstreams = !m_context.state.directory().entries().empty();
+    if (hasUpstreams && !m_context.state.isReady())
+        return Error{ErrorKind::SettingsAbsent, "the evacuated zones are not known yet"};
     const auto target = m_request.target();
     m_route =
         m_table->match(m_request[http::field::host], targetPath({target.data(), target.size()}));
