usage: a window is not complete while no other gateway is heard

That left the fault for a lease holder that is cut off for longer than 10 s before the end of a window.

Now a window is complete early only if another gateway is heard, if there are others.

`reachlead-tests UsageLinkTest` (scratch build without optimization): 12 passed, 0 failed.

--- a/src/peer/usagelink.cpp
+++ b/src/peer/usagelink.cpp
@@ -194,9 +194,11 @@
     const auto it = m_queries.find(window);
     if (it == m_queries.end())
         return false;
+    if (it->second.first + queryTimeout <= RuntimeClock::now())
+        return true;
     const auto live = m_peers.recentIncarnations(GatewayPeers::peerTimeout);
-    return it->second.first + queryTimeout <= RuntimeClock::now()
-        || std::ranges::all_of(live, [&](const GatewayIncarnation &gateway) {
+    return !hearsNoOther(window)
+        && std::ranges::all_of(live, [&](const GatewayIncarnation &gateway) {
                return m_table.isFinal(gateway, window);
            });
 }
