claims: a key is refused only by slots that were read after the claim

Seen (unit test): an agent answers key-answered, which callers do not repeat, for a call that another agent had refused as not run and whose key it had released.

Cause: writes of other agents show at the next read. A claim that finds its key free is checked by the version of its write; one that finds it taken was refused by whatever had been read last.

Evidence, before the change (scratch build without optimization, `reachlead-tests ClaimTableTest`): keyReleasedElsewhereIsNotTaken: assertion failed, second.results.at(3) == ClaimResult::Granted; 11 passed, 1 failed.

Change: if the key of a claim is taken by slots whose read began before the claim came, they are read again first. One read at a time is in flight for a partition, as before.

--- a/src/include/reachlead/claimtable.h
+++ b/src/include/reachlead/claimtable.h
@@ -106,11 +106,13 @@
         Owner owner;
         bool isRelease = false;
         Time deadline{}; ///< of claims
+        Time madeAt{};
     };
     enum class Phase : std::uint8_t { Unread, Reading, Ready, Writing };
     struct Partition
     {
         Phase phase = Phase::Unread;
+        Time readAt{}; ///< when the last read began
         std::map<std::size_t, Slot> slots; ///< by index in the ring
         std::map<std::string, Owner> owners;
         std::deque<Change> pending;
@@ -124,7 +126,8 @@
 
     void add(std::uint32_t partition, Change change, Time now);
     void advance(std::uint32_t number, Partition &p, Time now);
-    void read(std::uint32_t number, Partition &p);
+    bool needsNewerRead(const Partition &p) const;
+    void read(std::uint32_t number, Partition &p, Time now);
     void write(std::uint32_t number, Partition &p, Time now);
     void loadSlots(Partition &p, const PlatformReply &reply);
     void resolveInDoubt(Partition &p);
--- a/src/libreachlead/claimtable.cpp
+++ b/src/libreachlead/claimtable.cpp
@@ -64,7 +64,8 @@
     Change change{hashKey(claim.account, claim.idempotencyKey),
                   {claim.key.id, claim.key.attempt},
                   false,
-                  now + m_tuning.maxWait};
+                  now + m_tuning.maxWait,
+                  now};
     add(claimPartition(claim.account, claim.idempotencyKey), std::move(change), now);
 }
 
@@ -73,7 +74,8 @@
     Change change{hashKey(release.account, release.idempotencyKey),
                   {release.key.id, release.key.attempt},
                   true,
-                  Time::max()};
+                  Time::max(),
+                  now};
     add(claimPartition(release.account, release.idempotencyKey), std::move(change), now);
 }
 
@@ -138,15 +140,25 @@
     const bool hasWork = !p.pending.empty() || p.inDoubt;
     if (!hasWork || now < p.nextCallAt)
         return;
-    if (p.phase == Phase::Unread)
-        read(number, p);
+    if (p.phase == Phase::Unread || (p.phase == Phase::Ready && needsNewerRead(p)))
+        read(number, p, now);
     else if (p.phase == Phase::Ready)
         write(number, p, now);
 }
 
-void ClaimTable::read(std::uint32_t number, Partition &p)
+/// True if a claim would be refused for an owner that may have released the key since the slots
+/// were read: writes of others show only in the next read.
+bool ClaimTable::needsNewerRead(const Partition &p) const
+{
+    return std::ranges::any_of(p.pending, [&](const Change &change) {
+        return !change.isRelease && p.readAt < change.madeAt && isClaimedByOther(p, change);
+    });
+}
+
+void ClaimTable::read(std::uint32_t number, Partition &p, Time now)
 {
     p.phase = Phase::Reading;
+    p.readAt = now;
     p.call = ClaimCallId{++m_lastCall};
     m_calls[p.call] = number;
     m_actions.emplace_back(ReadSlots{p.call, fmt::format("{}{}/", claimsPrefix(m_target), number)});
--- a/src/libreachlead/claimtable_test.cpp
+++ b/src/libreachlead/claimtable_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(oldViewLosesTheConflict);
     CPPUNIT_TEST(releasedKeyCanBeClaimed);
     CPPUNIT_TEST(lateReleaseSparesTheNextAttempt);
+    CPPUNIT_TEST(keyReleasedElsewhereIsNotTaken);
     CPPUNIT_TEST(manyClaimsShareAWrite);
     CPPUNIT_TEST(slotsAreReusedOnlyAfterRetention);
     CPPUNIT_TEST(neverGrantedTwice);
@@ -269,6 +270,23 @@
         CPPUNIT_ASSERT(third.results.at(9) == ClaimResult::Taken);
     }
 
+    /// The caller was told that its call did not run, and repeats it at another agent.
+    void keyReleasedElsewhereIsNotTaken()
+    {
+        Agent first(&m_store, &m_wall);
+        Agent second(&m_store, &m_wall);
+        first.claim(1, "k", start);
+        first.settle(start);
+        second.claim(2, "k", start);
+        second.settle(start);
+        CPPUNIT_ASSERT(second.results.at(2) == ClaimResult::Taken);
+        first.release(1, "k", start + seconds(1));
+        first.settle(start + seconds(1));
+        second.claim(3, "k", start + seconds(2));
+        second.settle(start + seconds(2));
+        CPPUNIT_ASSERT(second.results.at(3) == ClaimResult::Granted);
+    }
+
     void manyClaimsShareAWrite()
     {
         Agent agent(&m_store, &m_wall);
