forward: events that cannot be the next one of the run are not passed on

What callers saw: streams that ended as complete and held pieces that no run of an engine had made, from an upstream that sent other bytes between its events, on routes that may be resumed and on others; also events that came twice or were missing, and resumed runs that went on at another event.

Cause: EventSplitter looked for the empty line and nothing else, and ForwardCall::relayEvents passed on what it returned. An upstream was believed because its bytes were framed.

Each event is now checked (decision 032): named fields, one decimal id, data, and the id that follows the event before or the position that was asked for. Events before a rejected one are passed on; it and what is behind it are dropped and the connection is closed. A stream that may be resumed goes on elsewhere after the last sound event; another one is cut so that its caller sees it. The upstream's circuit counts a failure, unless it was a caller that named the position. `event-rejected` and `events_rejected_total` tell which upstream and what was wrong.

Three tests of GatewayPartsTest fed events without data and a long line that was no event; they now feed events, with the same checks of the bytes returned.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -83,7 +83,9 @@
     boost::asio::awaitable<SendResult> exchange(const UpstreamEntry &entry);
     boost::asio::awaitable<SendResult> receiveAnswer();
     boost::asio::awaitable<SendResult> bufferAnswer();
+    std::optional<std::uint64_t> requestedPosition() const;
     boost::asio::awaitable<SendResult> relayEvents();
+    SendResult rejectEvent(const EventRejection &rejection);
     boost::asio::awaitable<SendResult> relayBody(std::string first);
     boost::asio::awaitable<bool> sendEvents(const std::string &events);
     UpstreamCall makeCall(const UpstreamEntry &entry) const;
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include <reachlead/log.h>
+
 namespace reachlead {
 
 namespace {
@@ -30,6 +32,11 @@
     return status >= 200 && status < 300;
 }
 
+std::string formatId(std::optional<std::uint64_t> id)
+{
+    return id ? fmt::format("{}", *id) : "-";
+}
+
 bool isEventStream(const Fields &fields)
 {
     return fields[http::field::content_type].starts_with("text/event-stream");
@@ -144,10 +151,20 @@
     co_return SendResult::Complete;
 }
 
+/// The id after which the answer to the current send has to go on before any event was passed on;
+/// none if it is not known.
+std::optional<std::uint64_t> ForwardCall::requestedPosition() const
+{
+    if (isResumption())
+        return m_metadata.resumeAfter;
+    return m_metadata.isResumption ? std::nullopt : std::optional<std::uint64_t>(0);
+}
+
 /// Passes on complete events as they arrive.
 asio::awaitable<SendResult> ForwardCall::relayEvents()
 {
-    m_events.dropPartialEvent();
+    const bool isStream = m_route->kind == RouteKind::Stream;
+    m_events.beginAnswer(isStream ? EventCheck::OfOneRun : EventCheck::Whole, requestedPosition());
     const std::uint64_t eventsBefore = m_events.eventCount();
     while (true) {
         const auto piece = co_await m_exchange->readSome();
@@ -155,18 +172,15 @@
             co_return failureResult();
         if (piece->empty())
             break;
-        bool tooLong = false;
-        const std::string events = m_events.feed(*piece, &tooLong);
-        if (tooLong)
-            co_return SendResult::Corrupt;
+        const std::string events = m_events.feed(*piece);
         const bool hasRoom = co_await makeRoom({m_events.partialBytes()}, m_deadline);
         if (!hasRoom)
             co_return SendResult::Lost;
-        if (events.empty())
-            continue;
-        const bool sent = co_await sendEvents(events);
+        const bool sent = events.empty() || co_await sendEvents(events);
         if (!sent)
             co_return callerLost();
+        if (m_events.rejection())
+            co_return rejectEvent(*m_events.rejection());
     }
     if (m_events.hasPartialEvent()) {
         m_lastReason = "the stream ended inside an event";
@@ -183,6 +197,26 @@
     co_return SendResult::Complete;
 }
 
+/// Ends the send because of an event that cannot be the next one of the run.
+SendResult ForwardCall::rejectEvent(const EventRejection &rejection)
+{
+    m_context.counters.rejected(rejection.fault);
+    LogLine(LogLevel::Warn, "event-rejected")
+        .with("attempt", m_metadata.attemptId)
+        .with("upstream", m_lastUpstream.text)
+        .with("version", m_lastVersion.text)
+        .with("fault", toString(rejection.fault))
+        .with("due", formatId(rejection.due))
+        .with("seen", formatId(rejection.seen))
+        .with("events", m_events.eventCount());
+    m_lastReason = fmt::format("an event was rejected: {}", toString(rejection.fault));
+    m_exchange->reject(m_lastReason);
+    const bool isOtherPosition =
+        rejection.fault == EventFault::Repeated || rejection.fault == EventFault::Skipped;
+    const bool isCallersPosition = isResumption() && m_events.eventCount() == 0;
+    return isOtherPosition && isCallersPosition ? SendResult::Unmatched : SendResult::Corrupt;
+}
+
 asio::awaitable<bool> ForwardCall::sendEvents(const std::string &events)
 {
     recordFirstByte();
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -37,6 +37,12 @@
 /// Parts of a prompt in a log line, which bounds its length.
 constexpr std::size_t maxLoggedParts = 16;
 
+/// True if an unsuccessful result counts against the upstream.
+constexpr bool blamesUpstream(SendResult result)
+{
+    return result != SendResult::RefusedNotRun && result != SendResult::Unmatched;
+}
+
 /// Returns the ids of a prompt's parts as hexadecimal numbers, separated by '+'.
 std::string formatParts(std::span<const PromptPart> prompt)
 {
@@ -350,8 +356,7 @@
         table.succeeded(entry.id);
     else if (std::exchange(m_isConnectionRefused, false))
         table.connectionRefused(entry.id, RuntimeClock::now());
-    else if (result == SendResult::Stalled
-             || (result != SendResult::RefusedNotRun && !isStoppedHere))
+    else if (result == SendResult::Stalled || (blamesUpstream(result) && !isStoppedHere))
         table.failed(entry.id, RuntimeClock::now());
     else if (result == SendResult::RefusedNotRun && m_exchange->metadata().isMisdirected)
         table.replaced(entry.id);
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include <reachlead/error.h>
+#include <reachlead/streams/eventsequence.h>
 
 namespace reachlead {
 
@@ -124,12 +125,16 @@
     /// Counts a request that was dispatched again for this reason.
     void retried(ErrorKind kind);
 
+    /// Counts an event of an upstream that was rejected for this reason.
+    void rejected(EventFault fault);
+
     void set(Gauge g, std::int64_t value);
     void adjust(Gauge g, std::int64_t by);
 
     std::uint64_t value(Counter c) const;
     std::uint64_t refusedCount(ErrorKind kind) const;
     std::uint64_t retriedCount(ErrorKind kind) const;
+    std::uint64_t rejectedCount(EventFault fault) const;
     std::int64_t value(Gauge g) const;
 
     /// Renders all values in the Prometheus text format.
@@ -141,6 +146,7 @@
     Cells<std::uint64_t, static_cast<std::size_t>(Counter::Size)> m_counts{};
     Cells<std::uint64_t, errorKindCount> m_refused{};
     Cells<std::uint64_t, errorKindCount> m_retried{};
+    Cells<std::uint64_t, static_cast<std::size_t>(EventFault::Size)> m_rejected{};
     Cells<std::int64_t, static_cast<std::size_t>(Gauge::Size)> m_gauges{};
 };
 
--- a/src/include/reachlead/forwardpolicy.h
+++ b/src/include/reachlead/forwardpolicy.h
@@ -22,6 +22,7 @@
     ServerError, ///< a complete 5xx answer of the upstream itself: it ran
     Lost, ///< the connection broke after something was written
     Corrupt, ///< received bytes that are not this call's answer
+    Unmatched, ///< the answer does not go on at the caller's position: either may be at fault
     Stalled, ///< nothing was received for too long
     Size
 };
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -109,6 +109,11 @@
     m_retried[static_cast<std::size_t>(kind)].fetch_add(1, std::memory_order_relaxed);
 }
 
+void Counters::rejected(EventFault fault)
+{
+    m_rejected[static_cast<std::size_t>(fault)].fetch_add(1, std::memory_order_relaxed);
+}
+
 void Counters::set(Gauge g, std::int64_t value)
 {
     m_gauges[static_cast<std::size_t>(g)].store(value, std::memory_order_relaxed);
@@ -134,6 +139,11 @@
     return m_retried[static_cast<std::size_t>(kind)].load(std::memory_order_relaxed);
 }
 
+std::uint64_t Counters::rejectedCount(EventFault fault) const
+{
+    return m_rejected[static_cast<std::size_t>(fault)].load(std::memory_order_relaxed);
+}
+
 std::int64_t Counters::value(Gauge g) const
 {
     return m_gauges[static_cast<std::size_t>(g)].load(std::memory_order_relaxed);
@@ -161,6 +171,12 @@
     };
     writeReasons("refused", m_refused);
     writeReasons("retried", m_retried);
+    fmt::format_to(out, "# TYPE reachlead_events_rejected_total counter\n");
+    for (std::size_t n = 0; n < m_rejected.size(); ++n) {
+        fmt::format_to(out, "reachlead_events_rejected_total{{fault=\"{}\"}} {}\n",
+                       toString(static_cast<EventFault>(n)),
+                       m_rejected[n].load(std::memory_order_relaxed));
+    }
     return fmt::to_string(buf);
 }
 
--- a/src/libreachlead/eventsplitter.cpp
+++ b/src/libreachlead/eventsplitter.cpp
@@ -3,7 +3,6 @@
 
 #include <reachlead/eventsplitter.h>
 
-#include <charconv>
 #include <cstring>
 
 namespace reachlead {
@@ -26,44 +25,55 @@
 
 } // namespace
 
-std::string EventSplitter::feed(std::string_view bytes, bool *tooLong)
+void EventSplitter::beginAnswer(EventCheck check, std::optional<std::uint64_t> position)
+{
+    m_check = check;
+    m_held.clear();
+    m_rejection.reset();
+    m_sequence.dropPartialEvent();
+    if (!m_sequence.lastId())
+        m_sequence.goOnAfter(position);
+}
+
+std::string EventSplitter::feed(std::string_view bytes)
 {
     const std::size_t searched = m_held.size();
     m_held.append(bytes);
     const std::size_t end = endOfLastEvent(m_held, searched);
     std::string whole = m_held.substr(0, end);
     m_held.erase(0, end);
-    *tooLong = m_held.size() > maxEventBytes;
-    scanEvents(whole);
+    whole.resize(soundBytes(whole));
+    if (!m_rejection && m_held.size() > maxEventBytes)
+        m_rejection = EventRejection{EventFault::TooLong, std::nullopt, std::nullopt};
+    if (m_rejection)
+        m_held.clear();
     return whole;
 }
 
-void EventSplitter::scanEvents(std::string_view whole)
+/// Returns the size of the events before the first one that is rejected.
+std::size_t EventSplitter::soundBytes(std::string_view whole)
 {
-    while (!whole.empty()) {
-        const std::size_t end = whole.find('\n');
-        std::string_view line = whole.substr(0, end);
-        whole.remove_prefix(end == std::string_view::npos ? whole.size() : end + 1);
+    std::size_t sound = 0;
+    std::size_t at = 0;
+    while (at < whole.size() && !m_rejection) {
+        const std::size_t end = whole.find('\n', at);
+        std::string_view line = whole.substr(at, end - at);
         if (line.ends_with('\r'))
             line.remove_suffix(1);
-        scanLine(line);
+        m_rejection = checkLine(line);
+        at = end + 1;
+        if (line.empty() && !m_rejection)
+            sound = at;
     }
+    return sound;
 }
 
-void EventSplitter::scanLine(std::string_view line)
+std::optional<EventRejection> EventSplitter::checkLine(std::string_view line)
 {
-    if (line.empty()) {
-        ++m_events;
-        return;
-    }
-    if (!line.starts_with("id:"))
-        return;
-    line.remove_prefix(3);
-    if (line.starts_with(' '))
-        line.remove_prefix(1);
-    std::uint64_t id = 0;
-    if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc())
-        m_lastId = id;
+    if (m_check == EventCheck::OfOneRun)
+        return m_sequence.addLine(line);
+    m_uncheckedCount += line.empty() ? 1 : 0;
+    return std::nullopt;
 }
 
 } // namespace reachlead
--- a/src/libreachlead/forwardpolicy.cpp
+++ b/src/libreachlead/forwardpolicy.cpp
@@ -24,6 +24,7 @@
     {"own-failure", false, ErrorKind::None},
     {"lost", false, ErrorKind::UpstreamLost},
     {"corrupt", false, ErrorKind::AnswerCorrupt},
+    {"unmatched", false, ErrorKind::AnswerCorrupt},
     {"stalled", false, ErrorKind::UpstreamStalled},
 }};
 
--- a/src/libreachlead/gatewayparts_test.cpp
+++ b/src/libreachlead/gatewayparts_test.cpp
@@ -132,9 +132,8 @@
             std::size_t at = 0;
             while (at < bytes.size()) {
                 const auto n = *rc::gen::inRange<std::size_t>(1, 30);
-                bool tooLong = false;
-                out += splitter.feed(bytes.substr(at, n), &tooLong);
-                RC_ASSERT(!tooLong);
+                out += splitter.feed(bytes.substr(at, n));
+                RC_ASSERT(!splitter.rejection());
                 at += n;
             }
             RC_ASSERT(out == all);
@@ -165,14 +164,12 @@
             };
             EventSplitter splitter;
             std::string out;
-            bool tooLong = false;
             for (const std::size_t cut : cuts) {
-                splitter.dropPartialEvent();
-                out +=
-                    splitter.feed(stream(splitter.lastId().value_or(0)).substr(0, cut), &tooLong);
+                splitter.beginAnswer(EventCheck::OfOneRun, 0);
+                out += splitter.feed(stream(splitter.lastId().value_or(0)).substr(0, cut));
             }
-            splitter.dropPartialEvent();
-            out += splitter.feed(stream(splitter.lastId().value_or(0)), &tooLong);
+            splitter.beginAnswer(EventCheck::OfOneRun, 0);
+            out += splitter.feed(stream(splitter.lastId().value_or(0)));
             RC_ASSERT(out == stream(0));
             RC_ASSERT(!splitter.hasPartialEvent() && splitter.eventCount() == count);
         }));
@@ -181,12 +178,11 @@
     void partOfAnEventIsHeldBack()
     {
         EventSplitter splitter;
-        bool tooLong = false;
-        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\r\n\r\n"),
-                             splitter.feed("id: 1\r\n\r\nid: 2\r\nda", &tooLong));
+        splitter.beginAnswer(EventCheck::OfOneRun, 0);
+        CPPUNIT_ASSERT_EQUAL(eventText(1), splitter.feed(eventText(1) + "id: 2\r\nda"));
         CPPUNIT_ASSERT(splitter.hasPartialEvent());
-        splitter.dropPartialEvent();
-        CPPUNIT_ASSERT_EQUAL(std::string("id: 2\n\n"), splitter.feed("id: 2\n\n", &tooLong));
+        splitter.beginAnswer(EventCheck::OfOneRun, 0);
+        CPPUNIT_ASSERT_EQUAL(eventText(2), splitter.feed(eventText(2)));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *splitter.lastId());
     }
 
@@ -194,24 +190,25 @@
     void longEventIsSearchedOnce()
     {
         constexpr double limit = 2; // seconds; about 5 with a search for each piece
+        const std::string first = "id: 1\ndata: ";
         const std::string piece(256, 'x');
         EventSplitter splitter;
-        bool tooLong = false;
         const std::clock_t begin = std::clock();
-        for (std::size_t n = 0; n < EventSplitter::maxEventBytes / piece.size(); ++n)
-            CPPUNIT_ASSERT(splitter.feed(piece, &tooLong).empty());
-        CPPUNIT_ASSERT(!tooLong);
-        CPPUNIT_ASSERT_EQUAL(EventSplitter::maxEventBytes + 2,
-                             splitter.feed("\n\n", &tooLong).size());
+        CPPUNIT_ASSERT(splitter.feed(first).empty());
+        for (std::size_t n = 1; n < EventSplitter::maxEventBytes / piece.size(); ++n)
+            CPPUNIT_ASSERT(splitter.feed(piece).empty());
+        CPPUNIT_ASSERT(splitter.feed(piece.substr(first.size())).empty());
+        CPPUNIT_ASSERT(!splitter.rejection());
+        CPPUNIT_ASSERT_EQUAL(EventSplitter::maxEventBytes + 2, splitter.feed("\n\n").size());
         CPPUNIT_ASSERT(static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC < limit);
     }
 
     void endlessEventIsRefused()
     {
         EventSplitter splitter;
-        bool tooLong = false;
-        splitter.feed(std::string(EventSplitter::maxEventBytes + 1, 'x'), &tooLong);
-        CPPUNIT_ASSERT(tooLong);
+        splitter.feed(std::string(EventSplitter::maxEventBytes + 1, 'x'));
+        CPPUNIT_ASSERT(splitter.rejection());
+        CPPUNIT_ASSERT(splitter.rejection()->fault == EventFault::TooLong);
     }
 
     static std::vector<KeyedPart> parts(const std::string &model,
--- a/src/upstream/upstreamexchange.h
+++ b/src/upstream/upstreamexchange.h
@@ -63,6 +63,10 @@
     const AnswerMetadata &metadata() const { return m_metadata; }
     const std::string &reason() const { return m_reason; }
 
+    /// Takes the answer for corrupt because of what its body contains, so that the connection is
+    /// not used again.
+    void reject(std::string_view reason) { setCorrupt(reason); }
+
     /// True when the failure is a malformed or foreign answer, not a lost connection.
     bool isCorrupt() const { return m_corrupt; }
 
