peers: an age below zero confirms nothing

A heartbeat tells how old the sender's state is. A negative age other than the one for "unknown" made the state of the receiver current in the future, up to 24 days: it read the store no more to verify it, took itself for being in touch (which decides where streams are resumed), and reported a negative age to its own peers.

Nothing checked the number. A sender converts its age from a double without a limit, which overflows after 24.8 days without contact. Ages are now limited where they are sent, and one below zero is not believed. The newest time that can be confirmed is then the arrival.

Evidence: GatewayPeersTest::ageBelowZeroConfirmsNothing failed before (ages of -2 ms, -5 s and the lowest number).

--- a/src/peer/gatewaypeers.cpp
+++ b/src/peer/gatewaypeers.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <ranges>
 #include <set>
 
@@ -39,6 +40,13 @@
         std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count());
 }
 
+/// The nearest age that a heartbeat can report.
+std::int32_t toAgeMs(Duration age)
+{
+    constexpr double maxAgeMs = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::int32_t>(std::clamp(toMillis(age), 0.0, maxAgeMs));
+}
+
 } // namespace
 
 GatewayPeers::GatewayPeers(asio::io_context &io, Options options, GatewayState &state)
@@ -127,7 +135,7 @@
     m_time.recordClock(m_options.self.vm, heartbeat.clock, RuntimeClock::now());
     m_time.dropOld(RuntimeClock::now());
     if (const auto at = m_state.currentAt())
-        heartbeat.ageMs = static_cast<std::int32_t>(toMillis(RuntimeClock::now() - *at));
+        heartbeat.ageMs = toAgeMs(RuntimeClock::now() - *at);
     heartbeat.load = compactLoad(m_state.upstreams().ownLoad());
     heartbeat.quarantineChecksum = m_state.crashes().checksum(RuntimeClock::now());
     heartbeat.oldestPendingQuery = m_oldestPendingQuery ? m_oldestPendingQuery() : 0;
@@ -514,7 +522,7 @@
     m_state.learnLimits(expandLimits(heartbeat.limits, m_state.directory()), heartbeat.from.vm);
     m_state.learnLeaving(heartbeat.leaving, heartbeat.from.vm);
     HeardHeartbeat heard{heartbeat, {}};
-    if (heartbeat.ageMs != GatewayHeartbeat::unknownAge)
+    if (heartbeat.ageMs >= 0)
         heard.currentAt = sentAt - milliseconds(heartbeat.ageMs) - maxTransitTime;
     confirmState(heard);
     m_lag.heard(heartbeat.versions(), ownVersions(), now);
--- a/src/peer/gatewaypeers_test.cpp
+++ b/src/peer/gatewaypeers_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <memory>
 #include <ranges>
 
@@ -27,6 +28,7 @@
     CPPUNIT_TEST(queryThatIsTooLongIsNotRead);
     CPPUNIT_TEST(replayedHeartbeatIsIgnored);
     CPPUNIT_TEST(peerWithOlderStateConfirms);
+    CPPUNIT_TEST(ageBelowZeroConfirmsNothing);
     CPPUNIT_TEST(gatewaysThatAreBehindFollowTheOneAhead);
     CPPUNIT_TEST(lagIsFetchedWithoutAnotherHeartbeat);
     CPPUNIT_TEST(lagIsLoggedAndCounted);
@@ -228,6 +230,36 @@
         CPPUNIT_ASSERT(receiver.state.currentAt().has_value());
     }
 
+    /// Guards against a state that counts as current in the future: no watcher reads the store any
+    /// more, and the gateway passes the negative age on to its peers.
+    void ageBelowZeroConfirmsNothing()
+    {
+        PausedClock clock;
+        Node receiver(clock.io, "receiver", "the key of this fleet", {});
+        boost::asio::ip::udp::socket socket(clock.io, boost::asio::ip::udp::v4());
+        GatewayHeartbeat heartbeat;
+        heartbeat.from = {VmName("other"), {"127.0.0.1", 1}};
+        heartbeat.incarnation = Incarnation{5};
+        const auto send = [&](std::int32_t ageMs) {
+            ++heartbeat.sequence;
+            heartbeat.ageMs = ageMs;
+            const std::string bytes = static_cast<char>(PeerMessageKind::Heartbeat)
+                + signMessage(keys("the key of this fleet"), PeerMessageKind::Heartbeat, {},
+                              encodeGatewayHeartbeat(heartbeat));
+            socket.send_to(boost::asio::buffer(bytes),
+                           {boost::asio::ip::make_address("127.0.0.1"), receiver.peers.port()});
+            clock.advance(milliseconds(50));
+        };
+        for (const std::int32_t ageMs : {-2, -5000, std::numeric_limits<std::int32_t>::min()}) {
+            send(ageMs);
+            CPPUNIT_ASSERT(!receiver.state.currentAt());
+        }
+        clock.advance(receiver.state.staleLimit());
+        CPPUNIT_ASSERT(!receiver.state.isConfirmed());
+        send(0);
+        CPPUNIT_ASSERT(receiver.state.currentAt() <= RuntimeClock::now());
+    }
+
     /// A heartbeat goes to five of the 29 others every 2 s, so that each gateway receives one of
     /// each other every 12 s, after it would be considered lost. Reports of live gateways must
     /// prevent that, and a gateway that stops must still be considered lost by all.
