store: an answer older than the known state verifies nothing

If the store's revisions went back within an era, all its answers were ignored, as they are older than what is known, but each of them still verified the state: the gateway counted itself and its peers as current for as long as that lasted, and changes had no effect without any sign of it.

An answer has to be at least as new as what was known when it was asked for. Otherwise it is older, or the store has lost some of its state; either way it is no evidence that the state here is current. Kinds whose answers were overtaken are verified by the later ones, as before.

--- a/src/include/reachlead/feedtracker.h
+++ b/src/include/reachlead/feedtracker.h
@@ -25,7 +25,9 @@
 ///
 /// A pending watch verifies nothing: if its answer is lost, it looks like a watch without changes.
 /// Only an answer verifies a kind, for the time at which it was asked for. The store has one
-/// revision counter, so its current revision verifies all kinds that are complete up to it.
+/// revision counter, so its current revision verifies all kinds that are complete up to it. An
+/// answer with a lower revision than was known when it was asked for is older than that state, or
+/// the store has lost some of it, so it verifies nothing.
 class FeedTracker
 {
 public:
@@ -51,8 +53,8 @@
     /// All changes of a kind up to \p revision were received in an answer asked for at \p askedAt.
     void received(FeedKind kind, StoreRevision revision, Time askedAt);
 
-    /// The store had \p revision in an answer asked for at \p askedAt.
-    void storeRevisionRead(StoreRevision revision, Time askedAt);
+    /// The store had \p revision in an answer asked for at \p askedAt, when \p known was newest().
+    void storeRevisionRead(StoreRevision revision, Time askedAt, StoreRevision known = {});
 
     /// The revision up to which a kind is complete.
     StoreRevision revision(FeedKind kind) const { return feed(kind).revision; }
@@ -77,6 +79,7 @@
         bool isRequired = false;
         bool isReported = false; ///< by takeOverdue()
         StoreRevision revision;
+        StoreRevision highest; ///< that it was ever complete up to
         std::optional<Time> verifiedAt;
     };
 
--- a/src/libreachlead/feedtracker.cpp
+++ b/src/libreachlead/feedtracker.cpp
@@ -16,17 +16,21 @@
 void FeedTracker::listed(FeedKind kind, StoreRevision revision)
 {
     feed(kind).revision = revision;
+    feed(kind).highest = std::max(feed(kind).highest, revision);
     m_newest = std::max(m_newest, revision);
 }
 
 void FeedTracker::received(FeedKind kind, StoreRevision revision, Time askedAt)
 {
     listed(kind, std::max(revision, feed(kind).revision));
-    verify(feed(kind), askedAt);
+    if (revision >= feed(kind).highest)
+        verify(feed(kind), askedAt);
 }
 
-void FeedTracker::storeRevisionRead(StoreRevision revision, Time askedAt)
+void FeedTracker::storeRevisionRead(StoreRevision revision, Time askedAt, StoreRevision known)
 {
+    if (revision < known)
+        return;
     m_newest = std::max(m_newest, revision);
     for (Feed &it : m_feeds) {
         if (it.isFollowed && it.revision >= revision)
--- a/src/libreachlead/feedtracker_test.cpp
+++ b/src/libreachlead/feedtracker_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(oneRequiredKindThatIsNotVerifiedCounts);
     CPPUNIT_TEST(storeRevisionVerifiesWhatIsCompleteUpToIt);
     CPPUNIT_TEST(restoredStoreVerifiesNothingReadBefore);
+    CPPUNIT_TEST(answerOlderThanTheKnownStateVerifiesNothing);
     CPPUNIT_TEST(overdueKindIsReportedOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +82,28 @@
         CPPUNIT_ASSERT(feeds.mayMissChanges(FeedKind::Config));
     }
 
+    /// Guards against a state that counts as current while all answers of the store are ignored, as
+    /// its revisions have gone back within its era.
+    void answerOlderThanTheKnownStateVerifiesNothing()
+    {
+        FeedTracker feeds = tracker();
+        const auto receiveBoth = [&](StoreRevision revision, Time askedAt) {
+            feeds.received(FeedKind::Config, revision, askedAt);
+            feeds.received(FeedKind::Upstreams, revision, askedAt);
+        };
+        receiveBoth(9, start);
+        receiveBoth(7, start + seconds(1));
+        CPPUNIT_ASSERT(*feeds.verifiedAt() == start);
+        feeds.storeRevisionRead(7, start + seconds(2), feeds.newest());
+        CPPUNIT_ASSERT(*feeds.verifiedAt() == start);
+        feeds.listed(FeedKind::Config, 7); // again, as the store has no such history
+        feeds.listed(FeedKind::Upstreams, 7);
+        receiveBoth(8, start + seconds(3));
+        CPPUNIT_ASSERT(*feeds.verifiedAt() == start);
+        receiveBoth(9, start + seconds(4));
+        CPPUNIT_ASSERT(*feeds.verifiedAt() == start + seconds(4));
+    }
+
     void overdueKindIsReportedOnce()
     {
         FeedTracker feeds = tracker();
