store: one answer far ahead of all known revisions is not believed

One answer that claimed a revision far above the store's own made all later ones seem old: its changes were ignored from then on, departures of upstreams too. Gateways take the highest revision over from each other, so that none followed the registry any more until the store's counter got there, or the store was restored.

The revision of an answer was compared with nothing but the one before. If the next answer is as far ahead, it is believed: a gateway may have been cut off for long.

--- a/src/include/reachlead/feedtracker.h
+++ b/src/include/reachlead/feedtracker.h
@@ -46,6 +46,13 @@
     /// This gateway begins to follow the store at \p now, at first or again.
     void start(Time now) { m_startedAt = now; }
 
+    /// False for an answer whose revision is further above newest() than the store can have come,
+    /// unless the answer before it was as far ahead. Call once for each answer.
+    ///
+    /// A wrong revision that is too high would make all later answers seem old, here and at the
+    /// gateways that take it over. A gateway may have been cut off for long, though.
+    bool isPlausible(StoreRevision revision);
+
     /// A list that may be old has been received: the kind is complete up to \p revision, but not
     /// verified.
     void listed(FeedKind kind, StoreRevision revision);
@@ -69,6 +76,9 @@
     /// The time for which all required kinds are verified; empty: one of them never was.
     std::optional<Time> verifiedAt() const;
 
+    /// Changes between two answers to a gateway that is in contact, with a wide margin.
+    static constexpr std::uint64_t maxStep = 1'000'000;
+
     /// Kinds not verified for longer than \p limit, each reported once until it is verified again.
     std::vector<Overdue> takeOverdue(Time now, Duration limit);
 
@@ -89,6 +99,7 @@
 
     std::array<Feed, static_cast<std::size_t>(FeedKind::Size)> m_feeds;
     StoreRevision m_newest;
+    std::optional<StoreRevision> m_doubtful; ///< of the last answer, if it was far ahead
     Time m_startedAt{};
 };
 
--- a/src/libreachlead/feedtracker.cpp
+++ b/src/libreachlead/feedtracker.cpp
@@ -4,6 +4,7 @@
 #include <reachlead/feedtracker.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace reachlead {
 
@@ -13,6 +14,17 @@
     feed(kind).isRequired = required;
 }
 
+bool FeedTracker::isPlausible(StoreRevision revision)
+{
+    const bool isComparable = m_newest.isKnown() && revision.era == m_newest.era;
+    const bool isFar =
+        isComparable && revision > m_newest && revision.number - m_newest.number > maxStep;
+    const std::optional<StoreRevision> before = std::exchange(m_doubtful, std::nullopt);
+    if (isFar)
+        m_doubtful = revision;
+    return !isFar || (before && *before <= revision);
+}
+
 void FeedTracker::listed(FeedKind kind, StoreRevision revision)
 {
     feed(kind).revision = revision;
