streams: a collector's deputies store versions that it does not

What callers saw: after the loss of all gateways, a stream that no gateway knows can go on at another version than the one that began it. The record of a service's versions is written by one gateway, its collector, and a lost collector is replaced after 10 s. A version that came and left within these 10 s was in no record, so a gateway that started afterwards took the version that serves for the only one.

The two gateways that would be elected next now compare the versions that they see with the record. If it is outdated for 1 s (the second one: 2 s), they read it, and store it on condition of its revision. The cost is one read each for each change of versions, whatever the size of the fleet, and no write unless the collector has not written.

--- a/src/peer/streamarchiver.cpp
+++ b/src/peer/streamarchiver.cpp
@@ -92,6 +92,25 @@
     return m_gateways.at(*elected);
 }
 
+/// This gateway's place in the order of election: 0 is the collector, others up to deputyCount are
+/// its deputies.
+std::optional<std::size_t> StreamArchiver::collectorRank(const ServiceName &name)
+{
+    refreshFleet();
+    std::set<VmName> before;
+    std::optional<std::size_t> rank;
+    for (std::size_t n = 0; n <= deputyCount && !rank; ++n) {
+        const auto elected = electScheduler({name, 0}, m_candidates);
+        if (!elected)
+            break;
+        if (*elected == m_state.vm())
+            rank = n;
+        before.insert(m_candidates.extract(*elected));
+    }
+    m_candidates.merge(before);
+    return rank;
+}
+
 // Bindings of this gateway
 
 void StreamArchiver::record(const StreamKey &stream, const StreamBinding &binding,
@@ -349,9 +368,11 @@
     while (!m_peers.isStopped()) {
         const std::set<ServiceName> names = resumableServices();
         for (const ServiceName &name : names) {
-            const std::optional<GatewayEntry> elected = collector(name);
-            if (elected && elected->vm == m_state.vm())
+            const std::optional<std::size_t> rank = collectorRank(name);
+            if (rank == 0)
                 co_await writeRecord(name);
+            else if (rank)
+                co_await writeAsDeputy(name, *rank);
         }
         const Time now = RuntimeClock::now();
         for (Service &service : m_services | std::views::values)
@@ -362,6 +383,36 @@
     }
 }
 
+/// The record to be stored, which equals the known one if nothing has changed.
+VersionRecord StreamArchiver::nextRecord(const Service &service, const ServiceName &name) const
+{
+    return VersionRecord::next(service.record, m_state.directory().revision().era,
+                               servingVersions(name), m_state.directory().recentVersions(name),
+                               timeOfDay());
+}
+
+/// Stores the versions of a service if the record is still outdated after the time that is left to
+/// the gateways before this one. One of them may have stored it, so it is read first.
+asio::awaitable<void> StreamArchiver::writeAsDeputy(ServiceName name, std::size_t rank)
+{
+    Service &service = m_services[name]; // never erased
+    const auto isOutdated = [&] {
+        return !isRead(service) || service.record != nextRecord(service, name);
+    };
+    if (!isOutdated()) {
+        service.outdatedSince.reset();
+        co_return;
+    }
+    const Time now = RuntimeClock::now();
+    const Time since = service.outdatedSince.value_or(now);
+    service.outdatedSince = since;
+    if (now < since + static_cast<int>(rank) * deputyDelay)
+        co_return;
+    co_await refresh(name);
+    if (isRead(service) && isOutdated())
+        co_await writeRecord(name);
+}
+
 /// Stores the versions of a service if they differ from the stored ones.
 asio::awaitable<void> StreamArchiver::writeRecord(ServiceName name)
 {
@@ -373,8 +424,7 @@
         co_await refresh(name);
     if (!isRead(service) || service.era != era)
         co_return;
-    VersionRecord next = VersionRecord::next(service.record, era, servingVersions(name),
-                                             m_state.directory().recentVersions(name), timeOfDay());
+    VersionRecord next = nextRecord(service, name);
     if (service.record == next)
         co_return;
     const StoreRevision replaces = service.recordRevision;
--- a/src/peer/streamarchiver.h
+++ b/src/peer/streamarchiver.h
@@ -28,7 +28,9 @@
 /// each service, its collector, is sent all bindings. While upstreams of several versions may have
 /// begun streams that callers still resume, it writes them to the platform's store, many at a time,
 /// so that the calls to the store depend neither on the number of gateways nor on that of streams.
-/// It also stores which versions the service had lately.
+/// It also stores which versions the service had lately. A collector that is lost is replaced only
+/// after GatewayPeers::peerTimeout, so its deputies, the next gateways in the order of election,
+/// store versions that it has not stored in time.
 ///
 /// A gateway that does not know whether there were several versions acts as if there were.
 /// Not thread-safe.
@@ -65,6 +67,10 @@
     /// Time from the start in which other gateways become known. Until then, each gateway would
     /// take itself for the collector and write the same versions.
     static constexpr Duration startDelay = seconds(5);
+    /// Gateways that store versions if the collector does not.
+    static constexpr std::size_t deputyCount = 2;
+    /// Time that a deputy leaves to the collector, and to each deputy before it.
+    static constexpr Duration deputyDelay = seconds(1);
     /// Bindings in a datagram of about 1 KB.
     static constexpr std::size_t maxForwarded = 16;
     /// Bindings held for a service, of this gateway or as its collector.
@@ -106,6 +112,7 @@
         std::optional<VersionRecord> record; ///< as stored
         StoreRevision recordRevision;
         std::uint64_t era = 0; ///< of the store at readAt
+        std::optional<Time> outdatedSince; ///< the record, as seen by a deputy
     };
 
     boost::asio::awaitable<void> recordLoop();
@@ -113,6 +120,7 @@
     boost::asio::awaitable<void> writeSoon();
     boost::asio::awaitable<void> writeBatches(ServiceName name);
     boost::asio::awaitable<void> writeRecord(ServiceName name);
+    boost::asio::awaitable<void> writeAsDeputy(ServiceName name, std::size_t rank);
     void handleDatagram(std::string_view message);
     void forwardOwn(const ServiceName &name, Own &own, Time now);
     void startWriting();
@@ -122,7 +130,9 @@
     bool isRead(const Service &service) const;
     std::set<SoftwareVersion> servingVersions(const ServiceName &name) const;
     std::set<ServiceName> resumableServices() const;
+    VersionRecord nextRecord(const Service &service, const ServiceName &name) const;
     std::optional<GatewayEntry> collector(const ServiceName &name);
+    std::optional<std::size_t> collectorRank(const ServiceName &name);
     void refreshFleet();
     UnixMillis timeOfDay() const;
     void count(Counter c);
--- a/src/peer/streamarchiver_test.cpp
+++ b/src/peer/streamarchiver_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(streamsFromBeforeTheSecondVersionAreStored);
     CPPUNIT_TEST(nothingIsKnownWhileTheStoreDoesNotAnswer);
     CPPUNIT_TEST(restoredStoreMayLackTheLastVersion);
+    CPPUNIT_TEST(versionOfATimeWithoutACollectorIsKnown);
     CPPUNIT_TEST(versionOfAStreamCountsThoughItsUpstreamWasNotSeen);
     CPPUNIT_TEST(oneVersionCostsOneRecord);
     CPPUNIT_TEST(writesDoNotGrowWithTheFleet);
@@ -347,6 +348,24 @@
         CPPUNIT_ASSERT_EQUAL(store.era, store.record->era);
     }
 
+    /// A collector that is lost is replaced after some time, in which a version comes and goes.
+    void versionOfATimeWithoutACollectorIsKnown()
+    {
+        for (std::size_t lost = 0; lost < 4; ++lost) {
+            Store store;
+            Fleet fleet(4, store);
+            fleet.run(seconds(7));
+            fleet.nodes[lost]->peers.stop();
+            fleet.lost.push_back(std::move(fleet.nodes[lost]));
+            fleet.nodes.erase(fleet.nodes.begin() + static_cast<std::ptrdiff_t>(lost));
+            fleet.serve({"v1", "v2"});
+            fleet.run(seconds(4));
+            fleet.serve({"v1"});
+            fleet.startAll(4);
+            CPPUNIT_ASSERT(fleet.recentVersions(0) == versions({"v1", "v2"}));
+        }
+    }
+
     /// A gateway that was out of touch does not see upstreams that came and left meanwhile.
     void versionOfAStreamCountsThoughItsUpstreamWasNotSeen()
     {
