router: requests for several choices are refused

A request with "n": 2, or with two prompts, got one answer in which the texts of all choices were joined: the agent takes the text of each event, whichever choice it belongs to, and the router writes all of it as choice 0. Such a request gets 400 now, before an engine sees it, so that an engine that answers as asked is not taken for a failing one. requestsForSeveralChoicesAreRefused fails without the change.

--- a/src/caller/openai.cpp
+++ b/src/caller/openai.cpp
@@ -36,6 +36,19 @@
     return messages && messages->is_array() && !messages->as_array().empty();
 }
 
+/// False if the engine would answer with several choices: for `n`, or for several prompts.
+bool asksForOneChoice(const json::object &root, CompletionKind kind)
+{
+    const json::value *n = root.if_contains("n");
+    if (n && !n->is_null() && !(n->is_int64() && n->get_int64() == 1))
+        return false;
+    const json::value *prompt = root.if_contains("prompt");
+    if (kind == CompletionKind::Chat || !prompt || !prompt->is_array())
+        return true;
+    const json::array &parts = prompt->get_array(); // one prompt may be a list of tokens
+    return parts.size() < 2 || std::ranges::all_of(parts, &json::value::is_number);
+}
+
 } // namespace
 
 std::string quoteJson(std::string_view text)
@@ -87,6 +100,10 @@
             kind == CompletionKind::Chat ? "'messages' is missing or empty" : "'prompt' is missing";
         return std::nullopt;
     }
+    if (!asksForOneChoice(root, kind)) {
+        *reason = "only one choice is supported";
+        return std::nullopt;
+    }
     CompletionRequest request;
     request.model = std::string(model->get_string());
     const json::value *stream = root.if_contains("stream");
--- a/src/caller/openai_test.cpp
+++ b/src/caller/openai_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(OpenAiTest);
     CPPUNIT_TEST(readsBothKinds);
     CPPUNIT_TEST(reportsInvalidFields);
+    CPPUNIT_TEST(requestsForSeveralChoicesAreRefused);
     CPPUNIT_TEST(parsesArbitraryBytes);
     CPPUNIT_TEST(quotesAnyText);
     CPPUNIT_TEST(answersAreValidJson);
@@ -50,6 +51,24 @@
                              reasonOf(std::string(100000, '[')));
     }
 
+    /// Their texts would be joined into one, or an engine that answers as asked would fail.
+    void requestsForSeveralChoicesAreRefused()
+    {
+        const auto isAccepted = [](std::string_view body) {
+            std::string reason;
+            return parseCompletionRequest(body, CompletionKind::Text, &reason).has_value();
+        };
+        for (const std::string_view n : {"2", "0", "-1", "1.5", "\"2\"", "99999999999999999999"}) {
+            CPPUNIT_ASSERT(!isAccepted(R"({"model":"m","prompt":"x","n":)" + std::string(n) + "}"));
+        }
+        CPPUNIT_ASSERT(!isAccepted(R"({"model":"m","prompt":["x","y"]})"));
+        CPPUNIT_ASSERT(!isAccepted(R"({"model":"m","prompt":[[1,2],[3]]})"));
+        for (const std::string_view body :
+             {R"({"model":"m","prompt":"x","n":1})", R"({"model":"m","prompt":"x","n":null})",
+              R"({"model":"m","prompt":["x"]})", R"({"model":"m","prompt":[1,2,3]})"})
+            CPPUNIT_ASSERT_MESSAGE(std::string(body), isAccepted(body));
+    }
+
     void parsesArbitraryBytes()
     {
         const bool passed = rc::check("any bytes", [](const std::string &bytes) {
