agents: an engine's answer is whole only if all of it is of the run

Callers of routers could get answers as whole although the engine had sent something else in between: lines that are no field of an event were skipped together with their block, text of any choice or run was taken over, text of a wrong type was dropped, an error beside an empty list of choices was ignored, and nothing was read after [DONE].

EngineStream checks each event against those before: fields with well-formed names, data in each block of other than known fields, decimal ids that increase if ids are sent, choice 0 alone, one id of the run, no text after a finish_reason, no [DONE] without an event before unless the answer is resumed, nothing after [DONE] until the end of the body. The wait for that end is bounded (endTimeout), as the last event is the end by the engines' protocol. Comments, empty lines, unknown fields beside data, blocks of id, event or retry alone, and a byte order mark pass. The latter cost an answer its first token before.

The tokens before the fault are passed on. The attempt then fails as upstream-lost: the router resumes the answer elsewhere behind them where that is allowed, and the engine's circuit counts the failure. The agent logs event-rejected with the kind of the fault.

--- a/src/reachlead-load/httpload.cpp
+++ b/src/reachlead-load/httpload.cpp
@@ -173,8 +173,7 @@
             const std::string_view bytes = co_await call.readSome(&reason);
             if (bytes.empty())
                 break;
-            const auto events = decoder.feed(bytes);
-            for (const std::string &data : events.value_or(std::vector<std::string>())) {
+            for (const std::string &data : decoder.feed(bytes)) {
                 EngineEvent event = parseEngineEvent(data);
                 if (event.kind == EngineEvent::Kind::Malformed)
                     ++m_report.refused[kindIn(data)];
@@ -190,7 +189,7 @@
                 ++m_report.tokens;
             }
         }
-        note(text, expected, done && call.isComplete());
+        note(text, expected, done && call.isComplete() && decoder.fault().empty());
     }
     --m_open;
 }
--- a/src/upstream/enginejson.h
+++ b/src/upstream/enginejson.h
@@ -24,9 +24,12 @@
     enum class Kind : std::uint8_t { Text, Empty, Done, Malformed };
     Kind kind = Kind::Empty;
     std::string text;
+    std::string run; ///< the id of the run; empty: none
+    bool isFinal = false; ///< has a reason why the text ends
 };
 
-/// Parses the data of one server-sent event.
+/// Parses the data of one server-sent event. An error in place of the event, a choice that was not
+/// asked for and a text of another type are Malformed.
 EngineEvent parseEngineEvent(std::string_view data);
 
 } // namespace reachlead
--- a/src/upstream/sse_test.cpp
+++ b/src/upstream/sse_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(splitInputGivesSameEvents);
     CPPUNIT_TEST(decodesArbitraryBytes);
     CPPUNIT_TEST(tooLargeEventIsAnError);
+    CPPUNIT_TEST(decodingStopsAtTheFirstFault);
     CPPUNIT_TEST(parsesEngineEvents);
     CPPUNIT_TEST(requestBodyHasResumePosition);
     CPPUNIT_TEST_SUITE_END();
@@ -29,8 +30,8 @@
             while (!left.empty()) {
                 const auto n = *rc::gen::inRange<std::size_t>(1, left.size() + 1);
                 const auto decoded = decoder.feed(left.substr(0, n));
-                RC_ASSERT(decoded.has_value());
-                events.insert(events.end(), decoded->begin(), decoded->end());
+                RC_ASSERT(decoder.fault().empty());
+                events.insert(events.end(), decoded.begin(), decoded.end());
                 left.remove_prefix(n);
             }
             RC_ASSERT(events == (std::vector<std::string>{"one", "two\nmore"}));
@@ -52,10 +53,30 @@
     {
         SseDecoder decoder;
         const std::string line = "data: " + std::string(1U << 16U, 'x') + "\n";
-        bool accepted = true;
-        for (unsigned n = 0; n < 20 && accepted; ++n)
-            accepted = decoder.feed(line).has_value();
-        CPPUNIT_ASSERT(!accepted);
+        for (unsigned n = 0; n < 20 && decoder.fault().empty(); ++n)
+            CPPUNIT_ASSERT(decoder.feed(line).empty());
+        CPPUNIT_ASSERT(!decoder.fault().empty());
+        CPPUNIT_ASSERT(decoder.feed("\n\ndata: x\n\n").empty());
+    }
+
+    /// An event in front of bytes that are none is sound, and what is behind them isn't.
+    void decodingStopsAtTheFirstFault()
+    {
+        const std::string stream = "id: 1\ndata: one\n\ngarbage\n\nid: 2\ndata: two\n\n";
+        const bool passed = rc::check("split anywhere", [&] {
+            SseDecoder decoder;
+            std::vector<std::string> events;
+            std::string_view left = stream;
+            while (!left.empty()) {
+                const auto n = *rc::gen::inRange<std::size_t>(1, left.size() + 1);
+                const auto decoded = decoder.feed(left.substr(0, n));
+                events.insert(events.end(), decoded.begin(), decoded.end());
+                left.remove_prefix(n);
+            }
+            RC_ASSERT(events == std::vector<std::string>{"one"});
+            RC_ASSERT(decoder.fault() == "line that is no field of an event");
+        });
+        CPPUNIT_ASSERT(passed);
     }
 
     void parsesEngineEvents()
--- a/src/upstream/ssecall.h
+++ b/src/upstream/ssecall.h
@@ -47,6 +47,8 @@
     /// The value of a header of the answer; empty when absent.
     std::string header(std::string_view name) const;
 
+    void setReadTimeout(Duration timeout) { m_timeouts.read = timeout; }
+
     /// Reads some bytes of the body, which are valid until the next call. Empty, with \p reason
     /// set, at the end of the body and on a failure.
     boost::asio::awaitable<std::string_view> readSome(std::string *reason);
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -19,7 +19,7 @@
 #include <reachlead/log.h>
 
 #include "upstream/enginejson.h"
-#include "upstream/sse.h"
+#include "upstream/enginestream.h"
 #include "upstream/ssecall.h"
 
 namespace reachlead {
@@ -180,34 +180,48 @@
         co_await emit(std::move(failure));
         co_return;
     }
-    SseDecoder decoder;
-    for (;;) {
-        const std::string_view bytes = co_await stream.readSome(&reason);
-        const auto events = decoder.feed(bytes);
-        if (bytes.empty() || !events) {
-            const ErrorKind kind =
-                stream.timedOut() ? ErrorKind::UpstreamStalled : ErrorKind::UpstreamLost;
-            UpstreamFailure failure{key, kind, Outcome::Ran, reason};
-            co_await emitConnectionLoss(std::move(failure));
-            co_return;
+    co_await relayEvents(call, &stream);
+}
+
+/// Passes on the tokens of a streamed answer. The tokens before a fault are passed on, as another
+/// engine may resume the answer behind them.
+UpstreamClient::Awaitable UpstreamClient::relayEvents(StartUpstreamCall call, SseCall *stream)
+{
+    const AttemptKey key = call.key;
+    EngineStream events(call.dispatch->resumeFrom);
+    std::string reason;
+    std::optional<Time> endLimit; ///< for the end of the body after the last event
+    while (events.fault().empty() && (!endLimit || RuntimeClock::now() < *endLimit)) {
+        const std::string_view bytes = co_await stream->readSome(&reason);
+        if (bytes.empty())
+            break;
+        for (std::string &text : events.feed(bytes)) {
+            UpstreamToken token{key, std::move(text)};
+            co_await emit(std::move(token));
         }
-        for (const std::string &data : *events) {
-            EngineEvent event = parseEngineEvent(data);
-            if (event.kind == EngineEvent::Kind::Text) {
-                UpstreamToken token{key, std::move(event.text)};
-                co_await emit(std::move(token));
-            } else if (event.kind == EngineEvent::Kind::Done) {
-                UpstreamDone done{key};
-                co_await emit(done);
-                co_return;
-            } else if (event.kind == EngineEvent::Kind::Malformed) {
-                UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
-                                        "malformed event from the engine"};
-                co_await emit(std::move(failure));
-                co_return;
-            }
+        if (events.isDone() && !endLimit) {
+            endLimit = RuntimeClock::now() + m_options.endTimeout;
+            stream->setReadTimeout(m_options.endTimeout);
         }
     }
+    events.endBody();
+    if (!events.fault().empty()) {
+        LogLine(LogLevel::Warn, "event-rejected")
+            .with("request", toString(key.id))
+            .with("attempt", static_cast<std::uint64_t>(key.attempt))
+            .with("reason", events.fault());
+        UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
+                                fmt::format("invalid answer: {}", events.fault())};
+        co_await emit(std::move(failure));
+    } else if (events.isDone()) {
+        UpstreamDone done{key};
+        co_await emit(done);
+    } else {
+        const ErrorKind kind =
+            stream->timedOut() ? ErrorKind::UpstreamStalled : ErrorKind::UpstreamLost;
+        UpstreamFailure failure{key, kind, Outcome::Ran, reason};
+        co_await emitConnectionLoss(std::move(failure));
+    }
 }
 
 UpstreamClient::Awaitable UpstreamClient::callService(StartUpstreamCall call)
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -55,6 +55,8 @@
 };
 using UpstreamEvent = std::variant<UpstreamToken, UpstreamDone, UpstreamAnswer, UpstreamFailure>;
 
+class SseCall;
+
 /// The public functions may be called from any thread.
 class UpstreamClient
 {
@@ -64,6 +66,8 @@
         Endpoint upstream;
         Duration connectTimeout = seconds(2);
         Duration stallTimeout = seconds(20); ///< for each read of a stream
+        /// For the end of a stream's body after its last event. A stream without one is whole.
+        Duration endTimeout = seconds(1);
         Duration serviceTimeout = seconds(60); ///< for the full answer of a plain service
         std::size_t ringSize = 8192;
     };
@@ -85,6 +89,7 @@
     void handleCommands();
     void launch(const StartUpstreamCall &call);
     Awaitable callEngine(StartUpstreamCall call);
+    Awaitable relayEvents(StartUpstreamCall call, SseCall *stream);
     Awaitable callService(StartUpstreamCall call);
     Awaitable emit(UpstreamEvent event);
     Awaitable emitConnectionLoss(UpstreamFailure failure);
