agents: a body that is no event stream is no answer of an engine

The type of an engine's answer was not looked at: an answer of type text/html or application/json whose body has the form of events was delivered as a whole one. An answer that names another type than text/event-stream fails as upstream-lost now. One that names none passes. bodyOfAnotherTypeIsNoStream fails without the change.

--- a/src/upstream/engineanswer_test.cpp
+++ b/src/upstream/engineanswer_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(answerThatGoesOnLaterIsNotWhole);
     CPPUNIT_TEST(answerWithoutAnEventIsNotWhole);
     CPPUNIT_TEST(answerWithoutALastEventIsNotWhole);
+    CPPUNIT_TEST(bodyOfAnotherTypeIsNoStream);
     CPPUNIT_TEST(bodyWithoutAnEndIsWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -265,6 +266,21 @@
         CPPUNIT_ASSERT(!receive(join({first, second, "data: [DONE] \n\n"})).isWhole());
     }
 
+    void bodyOfAnotherTypeIsNoStream()
+    {
+        Framing framing;
+        for (const std::string type : {"text/html", "application/json", "text/event-streams"}) {
+            framing.contentType = type;
+            const Answer answer = receive(join({first, last}), framing);
+            CPPUNIT_ASSERT_MESSAGE(type, !answer.isWhole());
+            CPPUNIT_ASSERT_EQUAL(std::string(), answer.text);
+        }
+        for (const std::string type : {"", "Text/Event-Stream; charset=utf-8"}) {
+            framing.contentType = type;
+            CPPUNIT_ASSERT_MESSAGE(type, receive(join({first, last}), framing).isWhole());
+        }
+    }
+
     /// The last event is the end by the engines' protocol.
     void bodyWithoutAnEndIsWhole()
     {
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -46,6 +46,15 @@
     return {key, ErrorKind::UpstreamLost, Outcome::Unknown, reason};
 }
 
+/// False if an answer names another type than an event stream.
+bool mayBeEvents(std::string_view contentType)
+{
+    std::string_view type = contentType.substr(0, contentType.find(';'));
+    while (type.ends_with(' ') || type.ends_with('\t'))
+        type.remove_suffix(1);
+    return type.empty() || beast::iequals({type.data(), type.size()}, "text/event-stream");
+}
+
 } // namespace
 
 UpstreamClient::UpstreamClient(Options options, std::function<void()> wake)
@@ -180,6 +189,12 @@
         co_await emit(std::move(failure));
         co_return;
     }
+    if (!mayBeEvents(stream.header("Content-Type"))) {
+        UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
+                                "engine answered with a body that is no event stream"};
+        co_await emit(std::move(failure));
+        co_return;
+    }
     co_await relayEvents(call, &stream);
 }
 
