router: an unknown error kind of an agent indexes no table

Kinds are added at the end of the list, without a new protocol version, so that an agent of a later version may send one that a router does not know. The router counted it at an index behind the end of its tables. Unknown kinds are read as internal now, and unknown outcomes as unknown. unknownKindsIndexNoTable fails without the change.

--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -43,6 +43,20 @@
     }
 }
 
+/// Replaces values that this version does not know: tables are indexed by them. An agent of a later
+/// version may send them, so that they do not end its session.
+template <class Message> void replaceUnknownValues(Message &message)
+{
+    if constexpr (requires { message.kind; }) {
+        if (message.kind >= ErrorKind::Size)
+            message.kind = ErrorKind::Internal;
+    }
+    if constexpr (requires { message.outcome; }) {
+        if (message.outcome > Outcome::Unknown)
+            message.outcome = Outcome::Unknown;
+    }
+}
+
 } // namespace
 
 void appendFrame(std::string *out, const ToAgent &message)
@@ -71,7 +85,10 @@
 
 std::optional<ToRouter> decodeToRouter(std::string_view payload, std::string *reason)
 {
-    return decode<ToRouter>(payload, reason);
+    std::optional<ToRouter> message = decode<ToRouter>(payload, reason);
+    if (message)
+        std::visit([](auto &m) { replaceUnknownValues(m); }, *message);
+    return message;
 }
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
--- a/src/peer/codec_test.cpp
+++ b/src/peer/codec_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(arbitraryBytesAreHandled);
     CPPUNIT_TEST(corruptFramesAreHandled);
     CPPUNIT_TEST(hostileSizesAllocateNothing);
+    CPPUNIT_TEST(unknownKindsIndexNoTable);
     CPPUNIT_TEST(linkRejectsInvalidTransitions);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,22 @@
         CPPUNIT_ASSERT(!frameLength(std::string_view("\xff\xff\xff\xff", 4)));
     }
 
+    void unknownKindsIndexNoTable()
+    {
+        std::string reason;
+        for (const unsigned value : {static_cast<unsigned>(ErrorKind::Size), 255U}) {
+            const auto kind = static_cast<ErrorKind>(value);
+            const auto outcome = static_cast<Outcome>(value);
+            const AttemptResult result{{}, 1, kind, outcome, "", 0, 0, 0, {}, {}};
+            const auto end = decodeToRouter(payload(ToRouter(result)), &reason);
+            CPPUNIT_ASSERT(std::get<AttemptResult>(*end).kind == ErrorKind::Internal);
+            CPPUNIT_ASSERT(std::get<AttemptResult>(*end).outcome == Outcome::Unknown);
+            const auto refusal =
+                decodeToRouter(payload(ToRouter(Refused{{}, 1, kind, ""})), &reason);
+            CPPUNIT_ASSERT(std::get<Refused>(*refusal).kind == ErrorKind::Internal);
+        }
+    }
+
     void linkRejectsInvalidTransitions()
     {
         LinkStateMachine link;
