router: a refusal after tokens does not prove that nothing ran

An agent's refusal, and a failure that claims that the request did not run, were believed after tokens of the same attempt had been received. A call that must not be repeated was sent to a second upstream then, and its caller was told that it had not run. Tokens of an attempt prove that it ran, whatever its end claims. Both new tests fail without the change.

--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -66,7 +66,8 @@
         agent.full = true;
     if (message.kind == ErrorKind::AgentLeaving)
         agent.load.leaving = true;
-    attemptFailed(*request, message.kind, Outcome::NotRun, message.reason, now);
+    const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : Outcome::NotRun;
+    attemptFailed(*request, message.kind, outcome, message.reason, now);
     dispatchQueued(findOrAddTarget(agent.target), now);
 }
 
@@ -117,7 +118,8 @@
         agent.circuit.succeeded();
         completeRequest(*request, message, now);
     } else {
-        attemptFailed(*request, message.kind, message.outcome, message.reason, now);
+        const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : message.outcome;
+        attemptFailed(*request, message.kind, outcome, message.reason, now);
     }
     dispatchQueued(findOrAddTarget(agent.target), now);
 }
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(completeAnswerIsDelivered);
     CPPUNIT_TEST(corruptAnswerIsNotComplete);
     CPPUNIT_TEST(gapNeverReachesTheCaller);
+    CPPUNIT_TEST(refusalAfterTokensProvesNothing);
+    CPPUNIT_TEST(failureAfterTokensProvesNothing);
     CPPUNIT_TEST(staleAttemptIsDropped);
     CPPUNIT_TEST(refusedAttemptIsRetried);
     CPPUNIT_TEST(lostUpstreamIsResumedAtTheToken);
@@ -168,9 +170,10 @@
     }
 
     static AttemptResult makeFailure(const RequestId &id, Attempt attempt, ErrorKind kind,
-                                     Outcome outcome)
+                                     Outcome outcome, const std::string &text = "",
+                                     std::uint64_t tokens = 0)
     {
-        AttemptResult end = makeResult(id, attempt, "", 0);
+        AttemptResult end = makeResult(id, attempt, text, tokens);
         end.kind = kind;
         end.outcome = outcome;
         return end;
@@ -212,6 +215,33 @@
         CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
     }
 
+    /// A call that must not be repeated would run twice.
+    void refusalAfterTokensProvesNothing()
+    {
+        connect("a");
+        connect("b");
+        const RequestId id = submit("live", false);
+        const std::string agent = sent<Dispatch>().at(0).first;
+        receive(agent, Chunk{id, 1, 0, 1, "x"});
+        receive(agent, Refused{id, 1, ErrorKind::AgentBusy, ""});
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
+    void failureAfterTokensProvesNothing()
+    {
+        connect("a");
+        connect("b");
+        const RequestId id = submit("live", false);
+        const std::string agent = sent<Dispatch>().at(0).first;
+        receive(agent, Chunk{id, 1, 0, 1, "x"});
+        receive(agent, makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::NotRun, "x", 1));
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
     void staleAttemptIsDropped()
     {
         connect("a");
@@ -249,7 +279,7 @@
         const RequestId id = submit();
         const std::string first = sent<Dispatch>().at(0).first;
         receive(first, Chunk{id, 1, 0, 2, "x y"});
-        receive(first, makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::Ran));
+        receive(first, makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::Ran, "x y", 2));
         advance(seconds(1));
         const Dispatch again = sent<Dispatch>().at(0).second;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, again.resumeFrom);
@@ -277,7 +307,9 @@
         if (tokens > 0)
             receive("a", Chunk{id, 1, 0, tokens, "x"});
         m_core->setAgentLeaving(VmName("a"), true, m_now);
-        receive("a", makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::Ran));
+        receive("a",
+                makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::Ran, tokens > 0 ? "x" : "",
+                            tokens));
         return id;
     }
 
