router: a refusal without a kind does not repeat for ever

The kind "none" means, within the router, that another attempt may be made: a refusal that names it was dispatched again without end, beyond the limit of attempts and without a charge to the retry budget. It counts as internal now. refusalWithoutAKindIsNoLoop fails without the change.

--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -67,7 +67,8 @@
     if (message.kind == ErrorKind::AgentLeaving)
         agent.load.leaving = true;
     const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : Outcome::NotRun;
-    attemptFailed(*request, message.kind, outcome, message.reason, now);
+    const ErrorKind kind = message.kind == ErrorKind::None ? ErrorKind::Internal : message.kind;
+    attemptFailed(*request, kind, outcome, message.reason, now);
     dispatchQueued(findOrAddTarget(agent.target), now);
 }
 
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(gapNeverReachesTheCaller);
     CPPUNIT_TEST(refusalAfterTokensProvesNothing);
     CPPUNIT_TEST(failureAfterTokensProvesNothing);
+    CPPUNIT_TEST(refusalWithoutAKindIsNoLoop);
     CPPUNIT_TEST(staleAttemptIsDropped);
     CPPUNIT_TEST(refusedAttemptIsRetried);
     CPPUNIT_TEST(lostUpstreamIsResumedAtTheToken);
@@ -242,6 +243,25 @@
         CPPUNIT_ASSERT(sent<Dispatch>().empty());
     }
 
+    /// Without a kind it would count as a reason for a retry that costs nothing, without an end.
+    void refusalWithoutAKindIsNoLoop()
+    {
+        connect("a");
+        const RequestId id = submit();
+        Attempt attempt = 1;
+        while (attempt < 100) {
+            receive("a", Refused{id, attempt, ErrorKind::None, ""});
+            if (callerEvents<AnswerResult>().empty())
+                advance(seconds(2));
+            if (!callerEvents<AnswerResult>().empty())
+                break;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<Dispatch>().size());
+            attempt = sent<Dispatch>().at(0).second.attempt;
+        }
+        CPPUNIT_ASSERT(singleResult().kind != ErrorKind::None);
+        CPPUNIT_ASSERT(attempt <= RouterTuning().maxDispatchAttempts);
+    }
+
     void staleAttemptIsDropped()
     {
         connect("a");
