router: a chunk is checked against its call and its credit

A chunk without a count was delivered and not counted; one with any count was charged to the account, up to 2^64 tokens for one byte, and counted as received although the agent was not given that credit; one for a plain call was accepted. The attempt fails as answer-corrupt now, and the agent is told to cancel it. The credit compared is the most that an agent can have: the initial one and what the caller has consumed of the whole answer. The three new tests fail without the change.

--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -272,6 +272,7 @@
     void handle(Agent &agent, const Welcome &message, Time now);
     void handle(Agent &agent, const Challenge &message, Time now);
     Request *findCurrentRequest(const Agent &agent, const RequestId &id, Attempt attempt);
+    bool isPlausible(const Request &request, const Chunk &message) const;
     void completeRequest(Request &request, const AttemptResult &message, Time now);
     void attemptFailed(Request &request, ErrorKind kind, Outcome outcome, const std::string &reason,
                        Time now);
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -78,6 +78,14 @@
         apply(*request, RequestEvent::ExecutionStarted);
 }
 
+/// Checks a chunk against the call, and against the most credit that its agent can have.
+bool RouterCore::isPlausible(const Request &request, const Chunk &message) const
+{
+    const std::uint64_t credit = m_tuning.creditTokens + request.consumedTokens;
+    return request.callerRequest.isModel && message.count > 0 && message.count <= credit
+        && request.attemptTokens <= credit - message.count;
+}
+
 void RouterCore::handle(Agent &agent, const Chunk &message, Time now)
 {
     Request *request = findCurrentRequest(agent, message.id, message.attempt);
@@ -94,6 +102,13 @@
         }
         return;
     }
+    if (!isPlausible(*request, message)) {
+        m_counters->add(Counter::HostileFrames);
+        cancelAtAgent(*request);
+        attemptFailed(*request, ErrorKind::AnswerCorrupt, Outcome::Ran,
+                      "chunk without tokens, beyond its credit or of a plain call", now);
+        return;
+    }
     if (request->lifecycle.state() == RequestState::Sent
         && !apply(*request, RequestEvent::ExecutionStarted))
         return;
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 #include <reachlead/routercore.h>
 #include <xxhash.h>
 
@@ -15,6 +17,9 @@
     CPPUNIT_TEST(completeAnswerIsDelivered);
     CPPUNIT_TEST(corruptAnswerIsNotComplete);
     CPPUNIT_TEST(gapNeverReachesTheCaller);
+    CPPUNIT_TEST(chunkWithoutTokensIsNotDelivered);
+    CPPUNIT_TEST(chunkBeyondItsCreditIsNotCharged);
+    CPPUNIT_TEST(chunkOfAPlainCallIsNotDelivered);
     CPPUNIT_TEST(refusalAfterTokensProvesNothing);
     CPPUNIT_TEST(failureAfterTokensProvesNothing);
     CPPUNIT_TEST(refusalWithoutAKindIsNoLoop);
@@ -216,6 +221,55 @@
         CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
     }
 
+    void checkCorrupt(const Chunk &chunk)
+    {
+        receive("a", chunk);
+        CPPUNIT_ASSERT(callerEvents<AnswerText>().empty());
+        CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent<Cancel>().size());
+    }
+
+    void chunkWithoutTokensIsNotDelivered()
+    {
+        connect("a");
+        const RequestId id = submit();
+        checkCorrupt(Chunk{id, 1, 0, 0, "uncounted"});
+    }
+
+    void chunkBeyondItsCreditIsNotCharged()
+    {
+        const std::uint64_t credit = RouterTuning().creditTokens;
+        for (const std::uint64_t count : {credit + 1, std::numeric_limits<std::uint64_t>::max()}) {
+            setUp();
+            connect("a");
+            const RequestId id = submit();
+            checkCorrupt(Chunk{id, 1, 0, count, "x"});
+        }
+        setUp();
+        connect("a");
+        const RequestId id = submit();
+        receive("a", Chunk{id, 1, 0, credit, "x"});
+        m_core->callerConsumed(id, 2);
+        receive("a", Chunk{id, 1, credit, 2, "y"});
+        CPPUNIT_ASSERT_EQUAL(std::string("y"), callerEvents<AnswerText>().at(0).text);
+        checkCorrupt(Chunk{id, 1, credit + 2, 1, "z"});
+    }
+
+    void chunkOfAPlainCallIsNotDelivered()
+    {
+        connect("a");
+        CallerRequest request;
+        request.id = {routerIncarnation, ++m_sequence};
+        request.account = AccountName("acc");
+        request.cls = ClassName("live");
+        request.target = modelTarget("m");
+        request.isModel = false;
+        const RequestId id = request.id;
+        m_core->submitRequest(std::move(request), m_now);
+        collect();
+        checkCorrupt(Chunk{id, 1, 0, 1, "x"});
+    }
+
     /// A call that must not be repeated would run twice.
     void refusalAfterTokensProvesNothing()
     {
