router: a failed answer that differs is not resumed

The count and hash of an attempt's tokens were compared at a successful end only. If a failed or preempted attempt ended with others than the router had received, the answer was resumed behind text that is not the run's, and the new attempt's end, which covers its own tokens only, could not show it. Such an answer ends as answer-corrupt.

Agents name the tokens of failed and preempted attempts already. A cancelled one, which a router can still ask for after it was away, named none: it does now. Both new tests fail without the changes.

--- a/src/include/reachlead/agentcore.h
+++ b/src/include/reachlead/agentcore.h
@@ -216,6 +216,7 @@
     Run *findRun(const AttemptKey &key);
     void send(const Run &run, ToRouter message);
     void flush(Run &run);
+    static AttemptResult makeFailure(const Run &run, ErrorKind kind, const std::string &reason);
     void failRun(Run &run, ErrorKind kind, Outcome outcome, const std::string &reason, Time now);
     void finish(Run &run, AttemptResult result, Time now);
     void refuseRun(Run &run, ErrorKind kind, const std::string &reason);
--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -273,6 +273,7 @@
     void handle(Agent &agent, const Challenge &message, Time now);
     Request *findCurrentRequest(const Agent &agent, const RequestId &id, Attempt attempt);
     bool isPlausible(const Request &request, const Chunk &message) const;
+    static bool matchesReceived(const Request &request, const AttemptResult &message);
     void completeRequest(Request &request, const AttemptResult &message, Time now);
     void attemptFailed(Request &request, ErrorKind kind, Outcome outcome, const std::string &reason,
                        Time now);
--- a/src/libreachlead/agentcore.cpp
+++ b/src/libreachlead/agentcore.cpp
@@ -317,10 +317,7 @@
     for (Run *run : victims) {
         m_counters->add(Counter::Preempted);
         m_actions.emplace_back(CancelUpstreamCall{run->key()});
-        AttemptResult result;
-        result.kind = ErrorKind::Preempted;
-        result.tokens = run->tokens();
-        result.hash = XXH64(run->text.data(), run->text.size(), 0);
+        AttemptResult result = makeFailure(*run, ErrorKind::Preempted, "");
         finish(*run, std::move(result), now); // starts a queued request
     }
 }
--- a/src/libreachlead/agentcore_runs.cpp
+++ b/src/libreachlead/agentcore_runs.cpp
@@ -133,18 +133,26 @@
     failRun(*run, kind, outcome, reason, now);
 }
 
+/// The end of a run that was cut, with the tokens that it made: the router checks them before the
+/// answer is resumed.
+AttemptResult AgentCore::makeFailure(const Run &run, ErrorKind kind, const std::string &reason)
+{
+    AttemptResult result;
+    result.kind = kind;
+    result.reason = reason;
+    result.tokens = run.tokens();
+    result.hash = XXH64(run.text.data(), run.text.size(), 0);
+    return result;
+}
+
 void AgentCore::failRun(Run &run, ErrorKind kind, Outcome outcome, const std::string &reason,
                         Time now)
 {
     if (outcome == Outcome::NotRun && run.tokens() == 0) {
         refuseRun(run, kind, reason);
     } else {
-        AttemptResult result;
-        result.kind = kind;
+        AttemptResult result = makeFailure(run, kind, reason);
         result.outcome = run.tokens() > 0 ? Outcome::Ran : outcome;
-        result.reason = reason;
-        result.tokens = run.tokens();
-        result.hash = XXH64(run.text.data(), run.text.size(), 0);
         finish(run, std::move(result), now);
     }
     startQueued(now);
@@ -210,11 +218,7 @@
         m_counters->add(Counter::TokensWasted, run.tokens());
         m_actions.emplace_back(CancelUpstreamCall{run.key()});
         run.session.reset();
-        finish(
-            run,
-            AttemptResult{
-                {}, 0, ErrorKind::CallerDisconnected, Outcome::Ran, "cancelled", 0, 0, 0, {}, {}},
-            now);
+        finish(run, makeFailure(run, ErrorKind::CallerDisconnected, "cancelled"), now);
         break;
     case Run::State::Finished:
         run.session.reset();
--- a/src/libreachlead/agentcore_test.cpp
+++ b/src/libreachlead/agentcore_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <reachlead/agentcore.h>
+#include <xxhash.h>
 
 namespace reachlead {
 
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(olderSessionIsDestroyed);
     CPPUNIT_TEST(cancelStopsStreamButNotPlainCall);
     CPPUNIT_TEST(detachedStreamIsCancelledAfterGrace);
+    CPPUNIT_TEST(cancelledStreamReportsItsTokens);
     CPPUNIT_TEST(repeatedKeyGetsTheFirstAnswer);
     CPPUNIT_TEST(unreachableUpstreamReleasesClaim);
     CPPUNIT_TEST(tooLongAnswerIsCancelled);
@@ -393,6 +395,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<CancelUpstreamCall>());
     }
 
+    /// The router compares them with what it received before it resumes the answer elsewhere.
+    void cancelledStreamReportsItsTokens()
+    {
+        open();
+        dispatch(1);
+        token(1, "a");
+        m_core->sessionClosed(session, m_now);
+        token(1, " b");
+        m_now += AgentTuning().reattachGrace + seconds(1);
+        m_core->tick(m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<CancelUpstreamCall>());
+        greet(SessionId{2}, 2);
+        m_core->message(SessionId{2}, AttemptQuery{id(1), 1, 1, 100}, m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(std::string(" b"), sent<Chunk>().at(0).text);
+        const AttemptResult end = sent<AttemptResult>().at(0);
+        CPPUNIT_ASSERT(end.kind == ErrorKind::CallerDisconnected);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, end.tokens);
+        CPPUNIT_ASSERT_EQUAL(XXH64("a b", 3, 0), end.hash);
+    }
+
     void repeatedKeyGetsTheFirstAnswer()
     {
         open();
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -133,6 +133,10 @@
     if (message.kind == ErrorKind::None) {
         agent.circuit.succeeded();
         completeRequest(*request, message, now);
+    } else if (request->attemptTokens > 0 && !matchesReceived(*request, message)) {
+        // The answer must not be resumed behind text that may not be the run's.
+        attemptFailed(*request, ErrorKind::AnswerCorrupt, Outcome::Ran,
+                      "hash or token count of the answer differs", now);
     } else {
         const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : message.outcome;
         attemptFailed(*request, message.kind, outcome, message.reason, now);
@@ -140,6 +144,13 @@
     dispatchQueued(findOrAddTarget(agent.target), now);
 }
 
+/// True if the attempt's tokens as counted and hashed by the agent are those received.
+bool RouterCore::matchesReceived(const Request &request, const AttemptResult &message)
+{
+    return message.tokens == request.attemptTokens
+        && message.hash == XXH64_digest(&request.hashState);
+}
+
 void RouterCore::handle(Agent &agent, const AttemptQueryReply &message, Time now)
 {
     Request *request = findCurrentRequest(agent, message.id, message.attempt);
@@ -172,8 +183,7 @@
 void RouterCore::completeRequest(Request &request, const AttemptResult &message, Time now)
 {
     if (request.callerRequest.isModel) {
-        const std::uint64_t hash = XXH64_digest(&request.hashState);
-        if (message.tokens != request.attemptTokens || message.hash != hash) {
+        if (!matchesReceived(request, message)) {
             attemptFailed(request, ErrorKind::AnswerCorrupt, Outcome::Ran,
                           "hash or token count of the answer differs", now);
             return;
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(completeAnswerIsDelivered);
     CPPUNIT_TEST(corruptAnswerIsNotComplete);
     CPPUNIT_TEST(gapNeverReachesTheCaller);
+    CPPUNIT_TEST(failedAnswerThatDiffersIsNotResumed);
     CPPUNIT_TEST(chunkWithoutTokensIsNotDelivered);
     CPPUNIT_TEST(chunkBeyondItsCreditIsNotCharged);
     CPPUNIT_TEST(chunkOfAPlainCallIsNotDelivered);
@@ -221,6 +222,23 @@
         CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
     }
 
+    /// Text that was lost or changed on the way would be in the middle of the resumed answer.
+    void failedAnswerThatDiffersIsNotResumed()
+    {
+        for (const ErrorKind kind : {ErrorKind::UpstreamLost, ErrorKind::Preempted}) {
+            setUp();
+            connect("a");
+            const RequestId id = submit();
+            receive("a", Chunk{id, 1, 0, 2, "x y"});
+            const std::uint64_t tokens = kind == ErrorKind::Preempted ? 2 : 3;
+            receive("a", makeFailure(id, 1, kind, Outcome::Ran, "x z", tokens));
+            CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
+            CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+            advance(seconds(1));
+            CPPUNIT_ASSERT(sent<Dispatch>().empty());
+        }
+    }
+
     void checkCorrupt(const Chunk &chunk)
     {
         receive("a", chunk);
