gateway, agents: a status outside 100 to 599 is no answer

The parser takes any three digits. A status below 100 was skipped as an informational one, so that a caller of the gateway waited until its deadline for a second head. Agents passed on 600 and more as the answer of a plain service. Both are corrupt answers now, so that a call that may be repeated is sent elsewhere at once. statusThatIsNoneIsNoAnswer fails without the change at both places.

--- a/src/include/reachlead/finalhead.h
+++ b/src/include/reachlead/finalhead.h
@@ -24,7 +24,13 @@
 
 constexpr bool isInformational(unsigned status)
 {
-    return status < 200;
+    return status >= 100 && status < 200;
+}
+
+/// True for the statuses of RFC 9110, 15. The parser takes any three digits.
+constexpr bool isValidStatus(unsigned status)
+{
+    return status >= 100 && status < 600;
 }
 
 /// Reads the head of the final answer. Each head has its own parser, which \p prepare sets up.
@@ -38,6 +44,8 @@
         prepare(*parser);
         boost::system::error_code ec;
         co_await boost::beast::http::async_read_header(stream, buf, *parser, storeError(&ec));
+        if (!ec && !isValidStatus(parser->get().result_int()))
+            break;
         if (ec || !isInformational(parser->get().result_int()))
             co_return ec;
     }
--- a/src/upstream/cutcall_test.cpp
+++ b/src/upstream/cutcall_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(unframedServiceStatusWithoutABodyIsAnAnswer);
     CPPUNIT_TEST(streamCutAnywhereIsNotComplete);
     CPPUNIT_TEST(informationalAnswerIsNotTheAnswer);
+    CPPUNIT_TEST(statusThatIsNoneIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -223,6 +224,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), fixture.callService().value().body);
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), fixture.callEngine().body);
     }
+
+    void statusThatIsNoneIsNoAnswer()
+    {
+        Fixture fixture;
+        for (const std::string status : {"000", "099", "600", "999"}) {
+            fixture.answer = fmt::format("HTTP/1.1 {} X\r\nContent-Length: 5\r\n\r\nwhole", status);
+            CallProgress progress{};
+            CPPUNIT_ASSERT_MESSAGE(status, !fixture.callService("POST", &progress));
+            CPPUNIT_ASSERT_MESSAGE(status, progress == CallProgress::Sent);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CutCallTest);
--- a/src/upstream/upstreamexchange.cpp
+++ b/src/upstream/upstreamexchange.cpp
@@ -88,6 +88,8 @@
                                          storeError(&ec));
         if (ec)
             co_return setError(ec);
+        if (!isValidStatus(status()))
+            co_return setCorrupt("the answer has a status out of range");
         if (!isInformational(status()))
             co_return true;
         if (++m_informational > maxInformationalAnswers)
