--- a/src/upstream/enginejson.cpp
+++ b/src/upstream/enginejson.cpp
@@ -46,7 +46,7 @@
 
 EngineEvent parseEngineEvent(std::string_view data)
 {
-    const EngineEvent malformed{EngineEvent::Kind::Malformed, "", "", false};
+    EngineEvent malformed{EngineEvent::Kind::Malformed, "", "", false};
     if (data == "[DONE]")
         return {EngineEvent::Kind::Done, "", "", false};
     json::error_code ec;
--- a/src/upstream/sse.cpp
+++ b/src/upstream/sse.cpp
@@ -34,9 +34,9 @@
 std::optional<std::uint64_t> parseDecimalId(std::string_view value)
 {
     std::uint64_t id = 0;
-    const char *end = value.data() + value.size();
-    const auto parsed = std::from_chars(value.data(), end, id);
-    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(id) : std::nullopt;
+    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
+    const bool isWhole = parsed.ptr == value.data() + value.size();
+    return parsed.ec == std::errc() && isWhole ? std::optional(id) : std::nullopt;
 }
 
 } // namespace
