streams: a lone carriage return hides no event

Callers that follow the event stream format end a line at a lone CR as well, so a comment or the data of a sound event could hold further events that were not checked. A line with a CR inside is rejected as an invalid field.

carriageReturnHidesNoEvent fails without the change.

--- a/src/libreachlead/streams/eventsequence.cpp
+++ b/src/libreachlead/streams/eventsequence.cpp
@@ -37,6 +37,9 @@
 
 std::optional<EventRejection> EventSequence::addLine(std::string_view line)
 {
+    // The format also ends a line at a lone CR: the rest would be other fields to some callers.
+    if (line.find('\r') != std::string_view::npos)
+        return reject(EventFault::InvalidField);
     const bool isComment = line.starts_with(':');
     if (isComment)
         return std::nullopt;
--- a/src/libreachlead/streams/eventsequence_test.cpp
+++ b/src/libreachlead/streams/eventsequence_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(eventsBeforeARejectedOneArePassedOn);
     CPPUNIT_TEST(rejectionNamesTheIdDueAndTheIdSeen);
     CPPUNIT_TEST(unusualEventsOfARunArePassedOn);
+    CPPUNIT_TEST(carriageReturnHidesNoEvent);
+    CPPUNIT_TEST(bytesSplitAnywhereGiveTheSame);
     CPPUNIT_TEST(firstEventFollowsThePositionAskedFor);
     CPPUNIT_TEST(firstEventOfAnUnknownPositionMayHaveAnyId);
     CPPUNIT_TEST(nothingFollowsTheLargestId);
@@ -118,6 +120,29 @@
         }
     }
 
+    /// A lone CR ends a line for callers that follow the format.
+    void carriageReturnHidesNoEvent()
+    {
+        for (const std::string bytes :
+             {": note\rid: 77\rdata: x\r\r\n\n", "id: 3\ndata: x\r\rid: 77\rdata: y\r\r\n\n",
+              "id: 3\ndata: x\rid: 77\n\n"})
+            CPPUNIT_ASSERT_MESSAGE(bytes, faultOf(bytes) == EventFault::InvalidField);
+    }
+
+    void bytesSplitAnywhereGiveTheSame()
+    {
+        const std::string bytes =
+            event(1) + "id: 2\r\ndata: y\r\n\r\n: note\n\n" + event(3) + "x\n\n" + event(4);
+        for (std::size_t step = 1; step < bytes.size(); ++step) {
+            EventSplitter splitter = newRun();
+            std::string out;
+            for (std::size_t at = 0; at < bytes.size() && !splitter.rejection(); at += step)
+                out += splitter.feed(std::string_view(bytes).substr(at, step));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, splitter.eventCount());
+            CPPUNIT_ASSERT_EQUAL(bytes.substr(0, bytes.find("x\n\n")), out);
+        }
+    }
+
     void firstEventFollowsThePositionAskedFor()
     {
         for (const std::uint64_t first : {1, 11, 13}) {
