streams: an empty line in a chunk of its own is no partial event

A sound stream whose last empty line arrived in a read of its own was taken for one that ended inside an event, and was cut on routes that may not be resumed.

--- a/src/libreachlead/eventsplitter.cpp
+++ b/src/libreachlead/eventsplitter.cpp
@@ -9,15 +9,17 @@
 
 namespace {
 
-/// The offset behind the last complete event in \p text; 0 when there is none. None ends before
-/// \p searched, so that a long event is not searched again with each of its parts.
+/// The offset behind the last empty line in \p text, which begins with a line; 0 when there is
+/// none. None ends before \p searched, so that a long event is not searched again with each of its
+/// parts.
 std::size_t endOfLastEvent(std::string_view text, std::size_t searched)
 {
     std::string_view unsearched = text.substr(searched);
     while (const void *newline = ::memrchr(unsearched.data(), '\n', unsearched.size())) {
         unsearched = unsearched.substr(0, static_cast<const char *>(newline) - unsearched.data());
         const std::string_view before = text.substr(0, searched + unsearched.size());
-        if (before.ends_with("\n") || before.ends_with("\n\r"))
+        const bool isFirstLine = before.empty() || before == "\r";
+        if (isFirstLine || before.ends_with("\n") || before.ends_with("\n\r"))
             return before.size() + 1;
     }
     return 0;
