forward: no run is joined with other bytes, and a caller's position blames no upstream

- A caller that names a resumed attempt without a position has no event; the answer may begin at the first event only.
- Answers that are no success, with the type of an event stream, went on with a stream or ended it as complete.
They are corrupt once events were passed on.
- A long body that is no event stream and breaks off on a resumable route was followed by the events of another run.
The call is cut.
- An id out of range behind the position of a caller, and one of two positions, counted as failures of the upstream.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -210,6 +210,7 @@
     std::string m_body;
     bool m_headDelivered = false;
     bool m_isBodyComplete = false; ///< a chunked answer was passed on up to its end
+    bool m_isBodyRelayed = false; ///< bytes of a body that is no event stream were passed on
     bool m_isExecutionStarted = false; ///< an upstream is known to have started execution
     std::optional<Time> m_firstByteAt;
     Time m_lastEventAt{}; ///< when events were last passed on
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -6,6 +6,9 @@
 
 #include "forwardcall.h"
 
+#include <algorithm>
+#include <array>
+
 #include <fmt/format.h>
 
 #include <reachlead/log.h>
@@ -85,7 +88,8 @@
         const bool isWhole = m_headDelivered || co_await m_exchange->discardBody();
         co_return isWhole ? headResult : failureResult();
     }
-    if (headResult == SendResult::Complete && isEventStream(m_exchange->head()))
+    const bool mayGoOn = !m_headDelivered || isSuccessful(m_exchange->status());
+    if (headResult == SendResult::Complete && isEventStream(m_exchange->head()) && mayGoOn)
         co_return co_await relayEvents();
     if (m_headDelivered)
         co_return headResult == SendResult::Complete ? SendResult::Corrupt : headResult;
@@ -136,6 +140,7 @@
 asio::awaitable<SendResult> ForwardCall::relayBody(std::string first)
 {
     std::optional<std::string> piece = std::move(first);
+    m_isBodyRelayed = true;
     bool sent = co_await sendHead();
     while (sent && piece && !piece->empty()) {
         sent = co_await m_caller.sendChunk(*piece);
@@ -155,9 +160,11 @@
 /// none if it is not known.
 std::optional<std::uint64_t> ForwardCall::requestedPosition() const
 {
+    if (!m_metadata.isResumption)
+        return 0;
     if (isResumption())
         return m_metadata.resumeAfter;
-    return m_metadata.isResumption ? std::nullopt : std::optional<std::uint64_t>(0);
+    return std::nullopt;
 }
 
 /// Passes on complete events as they arrive.
@@ -211,9 +218,12 @@
         .with("events", m_events.eventCount());
     m_lastReason = fmt::format("an event was rejected: {}", toString(rejection.fault));
     m_exchange->reject(m_lastReason);
+    // An id behind a position that is no number, or a very large one, may be out of range.
+    constexpr std::array positionFaults{EventFault::Repeated, EventFault::Skipped,
+                                        EventFault::InvalidId};
     const bool isOtherPosition =
-        rejection.fault == EventFault::Repeated || rejection.fault == EventFault::Skipped;
-    const bool isCallersPosition = isResumption() && m_events.eventCount() == 0;
+        std::ranges::find(positionFaults, rejection.fault) != positionFaults.end();
+    const bool isCallersPosition = m_metadata.isResumption && m_events.eventCount() == 0;
     return isOtherPosition && isCallersPosition ? SendResult::Unmatched : SendResult::Corrupt;
 }
 
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -240,10 +240,10 @@
     GatewayState &state = m_context.state;
     ForwardState now;
     now.kind = m_route->kind;
-    now.resumable = m_route->resumable;
+    now.resumable = m_route->resumable && !m_isBodyRelayed;
     now.headDelivered = m_headDelivered;
     now.sends = m_sends;
-    now.hasCopy = !m_awaitsFirstEvent && copyHolder() != nullptr;
+    now.hasCopy = !m_awaitsFirstEvent && !m_isBodyRelayed && copyHolder() != nullptr;
     now.continuations = m_continuations;
     now.maxAttempts = m_route->maxAttempts;
     now.connectFailures = m_connectFailures;
