--- a/src/libreachlead/streams/eventsequence.cpp
+++ b/src/libreachlead/streams/eventsequence.cpp
@@ -72,9 +72,9 @@
     if (m_event.id)
         return EventFault::SecondId;
     std::uint64_t id = 0;
-    const char *end = value.data() + value.size();
-    const auto parsed = std::from_chars(value.data(), end, id);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
+    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
+    const bool isWhole = parsed.ptr == value.data() + value.size();
+    if (parsed.ec != std::errc() || !isWhole)
         return EventFault::InvalidId;
     m_event.id = id;
     return std::nullopt;
