Revert "streams: the first record of versions does not vouch for the time before"

testsuite/garbled-streams failed with it: a resumption that names no attempt is refused by all gateways for the first 2 min 10 s of a store, as only the record of versions can tell which version began its stream. What it fixes stays open (docs/incidents/versions-of-times-without-a-record.md).

--- a/src/include/reachlead/streams/versionrecord.h
+++ b/src/include/reachlead/streams/versionrecord.h
@@ -24,7 +24,7 @@
     /// When a version lost its last upstream; 0: it has upstreams.
     std::map<SoftwareVersion, UnixMillis> goneAt;
     std::uint64_t era = 0; ///< of the store when the record was written
-    /// When the first record of this era was written. Versions that left before may be missing.
+    /// Versions that left before may be missing; 0: none is missing.
     UnixMillis completeSince = 0;
 
     /// Time after which a version that has left, or that may be missing, no longer matters: the
--- a/src/libreachlead/streams/versionrecord.cpp
+++ b/src/libreachlead/streams/versionrecord.cpp
@@ -35,13 +35,13 @@
 {
     VersionRecord record;
     record.era = storeEra;
-    // Gateways may have served here without a record, or with one that was lost.
-    const bool isFirst = !stored || stored->era != storeEra;
+    // Without a record in a store that was never restored, no gateway has served here before.
+    const bool isLost = stored ? stored->era != storeEra : storeEra != 0;
     if (stored) {
         record.completeSince = stored->completeSince;
         record.goneAt = stored->goneAt;
     }
-    if (isFirst)
+    if (isLost)
         record.completeSince = now;
     for (const SoftwareVersion &version : observed)
         record.goneAt.try_emplace(version, 0);
