forward: a new stream that ends without an event is not whole

What callers saw: an upstream that sends the head of a stream and ends it got its empty answer passed on as complete, counted as a success for its circuit, and drew ever more calls as the fastest one.

Cause: the end of the chunks was believed, whatever came before it.

Change: by the protocol a run begins with its first token, so a stream from the first event on that has none is corrupt: sent elsewhere where that is allowed, else 502. A resumed stream may have nothing left to send.

Measured: streamWithoutAnEventIsNotWhole failed before. Now GarbledStream 23, UnframedStream 10, Forward 52, CutAnswer 11, EndlessAnswer 9, BackedUp 18, StreamVersion 19 passed, 0 failed.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -84,6 +84,7 @@
     boost::asio::awaitable<SendResult> receiveAnswer();
     boost::asio::awaitable<SendResult> bufferAnswer();
     std::optional<std::uint64_t> requestedPosition() const;
+    bool lacksFirstEvent() const;
     boost::asio::awaitable<SendResult> relayEvents();
     SendResult rejectEvent(const EventRejection &rejection);
     boost::asio::awaitable<SendResult> relayBody(std::string first);
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -167,6 +167,13 @@
     return std::nullopt;
 }
 
+/// True if no event of a new stream was passed on: a run begins with its first token.
+bool ForwardCall::lacksFirstEvent() const
+{
+    return m_route->kind == RouteKind::Stream && requestedPosition() == 0
+        && m_events.eventCount() == 0 && m_request.method() != http::verb::head;
+}
+
 /// Passes on complete events as they arrive.
 asio::awaitable<SendResult> ForwardCall::relayEvents()
 {
@@ -198,6 +205,11 @@
         m_lastReason = "the connection ended before the first event";
         co_return SendResult::Lost;
     }
+    if (lacksFirstEvent()) {
+        m_lastReason = "the stream ended before its first event";
+        m_exchange->reject(m_lastReason);
+        co_return SendResult::Corrupt;
+    }
     if (!m_headDelivered)
         co_return SendResult::Complete; // no events: delivered as an empty answer
     m_isBodyComplete = true;
