streams: gateways and agents share the lines of event streams

Cause: EventSequence and SseDecoder each had the names of fields, the value behind the colon and the number of an id, with one character of difference; rejectEvent had four jobs. Change: eventfield.h for both (names may have dots at agents as well); rejectEvent is three functions. What is passed on is unchanged otherwise.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -86,6 +86,8 @@
     std::optional<std::uint64_t> requestedPosition() const;
     bool lacksFirstEvent() const;
     boost::asio::awaitable<SendResult> relayEvents();
+    bool isCallersPositionInDoubt(EventFault fault) const;
+    void logRejection(const EventRejection &rejection) const;
     SendResult rejectEvent(const EventRejection &rejection);
     boost::asio::awaitable<SendResult> relayBody(std::string first);
     boost::asio::awaitable<bool> sendEvents(const std::string &events);
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -216,10 +216,18 @@
     co_return SendResult::Complete;
 }
 
-/// Ends the send because of an event that cannot be the next one of the run.
-SendResult ForwardCall::rejectEvent(const EventRejection &rejection)
+/// True if the caller may have named a position that its run never had, so that the event says
+/// nothing about the upstream.
+bool ForwardCall::isCallersPositionInDoubt(EventFault fault) const
+{
+    // An id behind a position that is no number, or a very large one, may be out of range.
+    constexpr std::array faults{EventFault::Repeated, EventFault::Skipped, EventFault::InvalidId};
+    const bool isFirst = m_events.eventCount() == 0;
+    return m_metadata.isResumption && isFirst && std::ranges::find(faults, fault) != faults.end();
+}
+
+void ForwardCall::logRejection(const EventRejection &rejection) const
 {
-    m_context.counters.rejected(rejection.fault);
     LogLine(LogLevel::Warn, "event-rejected")
         .with("attempt", m_metadata.attemptId)
         .with("upstream", m_lastUpstream.text)
@@ -228,15 +236,17 @@
         .with("due", formatId(rejection.due))
         .with("seen", formatId(rejection.seen))
         .with("events", m_events.eventCount());
+}
+
+/// Ends the send because of an event that cannot be the next one of the run.
+SendResult ForwardCall::rejectEvent(const EventRejection &rejection)
+{
+    m_context.counters.rejected(rejection.fault);
+    logRejection(rejection);
     m_lastReason = fmt::format("an event was rejected: {}", toString(rejection.fault));
     m_exchange->reject(m_lastReason);
-    // An id behind a position that is no number, or a very large one, may be out of range.
-    constexpr std::array positionFaults{EventFault::Repeated, EventFault::Skipped,
-                                        EventFault::InvalidId};
-    const bool isOtherPosition =
-        std::ranges::find(positionFaults, rejection.fault) != positionFaults.end();
-    const bool isCallersPosition = m_metadata.isResumption && m_events.eventCount() == 0;
-    return isOtherPosition && isCallersPosition ? SendResult::Unmatched : SendResult::Corrupt;
+    const bool isInDoubt = isCallersPositionInDoubt(rejection.fault);
+    return isInDoubt ? SendResult::Unmatched : SendResult::Corrupt;
 }
 
 asio::awaitable<bool> ForwardCall::sendEvents(const std::string &events)
--- a/src/libreachlead/streams/eventsequence.cpp
+++ b/src/libreachlead/streams/eventsequence.cpp
@@ -3,11 +3,11 @@
 
 #include <reachlead/streams/eventsequence.h>
 
-#include <algorithm>
 #include <array>
-#include <charconv>
 #include <limits>
 
+#include <reachlead/streams/eventfield.h>
+
 namespace reachlead {
 
 namespace {
@@ -16,18 +16,6 @@
     "too-long",  "invalid-field", "no-id",    "invalid-id",
     "second-id", "no-data",       "repeated", "skipped"};
 
-/// The characters of names such as `weight-versions`.
-constexpr bool isNameCharacter(char c)
-{
-    const bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-    return isLetter || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
-}
-
-bool isFieldName(std::string_view name)
-{
-    return !name.empty() && std::ranges::all_of(name, isNameCharacter);
-}
-
 } // namespace
 
 std::string_view toString(EventFault fault)
@@ -51,32 +39,23 @@
 
 std::optional<EventFault> EventSequence::addField(std::string_view line)
 {
-    constexpr std::string_view emptyData = "data"; // the format's short form
+    constexpr std::string_view dataName = "data"; // may stand alone
     m_event.hasFields = true;
-    const std::size_t colon = line.find(':');
-    const std::string_view name = line.substr(0, colon);
-    if (!isFieldName(name) || (colon == std::string_view::npos && name != emptyData))
+    const EventField field = parseEventField(line);
+    const bool isNamed = field.hasColon && isEventFieldName(field.name);
+    if (!isNamed && line != dataName)
         return EventFault::InvalidField;
-    if (name == "data")
-        m_event.hasData = true;
-    if (name != "id")
-        return std::nullopt;
-    std::string_view value = line.substr(colon + 1);
-    if (value.starts_with(' '))
-        value.remove_prefix(1);
-    return addId(value);
+    m_event.hasData = m_event.hasData || field.name == dataName;
+    return field.name == "id" ? addId(field.value) : std::nullopt;
 }
 
 std::optional<EventFault> EventSequence::addId(std::string_view value)
 {
     if (m_event.id)
         return EventFault::SecondId;
-    std::uint64_t id = 0;
-    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
-    const bool isWhole = parsed.ptr == value.data() + value.size();
-    if (parsed.ec != std::errc() || !isWhole)
+    m_event.id = parseEventId(value);
+    if (!m_event.id)
         return EventFault::InvalidId;
-    m_event.id = id;
     return std::nullopt;
 }
 
--- a/src/upstream/sse.cpp
+++ b/src/upstream/sse.cpp
@@ -5,9 +5,10 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
+#include <reachlead/streams/eventfield.h>
+
 namespace reachlead {
 
 namespace {
@@ -17,26 +18,9 @@
 
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
 
-constexpr bool isNameChar(char c)
-{
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-'
-        || c == '_';
-}
-
-/// True for `name: value` and for the name of a known field alone.
-bool isField(std::string_view name, bool hasColon)
+bool isKnown(std::string_view name)
 {
-    if (std::ranges::find(knownFields, name) != knownFields.end())
-        return true;
-    return hasColon && !name.empty() && std::ranges::all_of(name, isNameChar);
-}
-
-std::optional<std::uint64_t> parseDecimalId(std::string_view value)
-{
-    std::uint64_t id = 0;
-    const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
-    const bool isWhole = parsed.ptr == value.data() + value.size();
-    return parsed.ec == std::errc() && isWhole ? std::optional(id) : std::nullopt;
+    return std::ranges::find(knownFields, name) != knownFields.end();
 }
 
 } // namespace
@@ -70,28 +54,24 @@
         endBlock(events);
         return;
     }
-    const auto colon = line.find(':');
-    if (colon == 0)
-        return; // a comment
-    const std::string_view name = line.substr(0, colon);
-    const bool hasColon = colon != std::string_view::npos;
-    if (!isField(name, hasColon)) {
+    const bool isComment = line.starts_with(':');
+    if (isComment)
+        return;
+    const EventField field = parseEventField(line);
+    const bool isNamed = field.hasColon && isEventFieldName(field.name);
+    if (!isNamed && !isKnown(field.name)) {
         m_fault = "line that is no field of an event";
         return;
     }
-    std::string_view value = hasColon ? line.substr(colon + 1) : std::string_view();
-    if (value.starts_with(' '))
-        value.remove_prefix(1);
-    if (name == "data") {
+    if (field.name == "data") {
         if (m_hasData)
             m_data += '\n';
-        m_data += value;
+        m_data += field.value;
         m_hasData = true;
-    } else if (name == "id") {
-        m_id = parseDecimalId(value);
-    } else if (std::ranges::find(knownFields, name) == knownFields.end()) {
-        m_hasUnknownField = true;
+    } else if (field.name == "id") {
+        m_id = parseEventId(field.value);
     }
+    m_hasUnknownField = m_hasUnknownField || !isKnown(field.name);
 }
 
 void SseDecoder::endBlock(std::vector<std::string> *events)
