counters: rejected revisions and answers of engines have their own

Cause: objects with a revision that cannot be theirs counted as unreadable entries, and an agent had no counter for answers of its engine that it rejects, so on-call could not tell the reasons apart. Change: revisions_rejected and answers_rejected.

--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -89,6 +89,8 @@
     PeerDatagramsUnsent,
     PeerDatagramsReceived,
     PeerDatagramsSuperseded,
+    RevisionsRejected, ///< of the store's objects
+    AnswersRejected, ///< of engines, at their agents
     Size
 };
 
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -79,7 +79,9 @@
     "peer_datagrams_sent",
     "peer_datagrams_unsent",
     "peer_datagrams_received",
-    "peer_datagrams_superseded"};
+    "peer_datagrams_superseded",
+    "revisions_rejected",
+    "answers_rejected"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",
--- a/src/reachlead-agent/agentdaemon.cpp
+++ b/src/reachlead-agent/agentdaemon.cpp
@@ -58,6 +58,7 @@
     m_settings.sessions.incarnation = makeIncarnation();
     m_settings.sessions.counters = &m_counters;
     m_settings.operators.counters = &m_counters;
+    m_settings.upstream.counters = &m_counters;
     m_upstream = std::make_unique<UpstreamClient>(m_settings.upstream, [this] {
         m_sessions->post([this](AgentCore &core) { takeUpstreamEvents(core); });
     });
--- a/src/upstream/engineanswer_test.cpp
+++ b/src/upstream/engineanswer_test.cpp
@@ -57,6 +57,7 @@
     {
         std::string text;
         std::optional<UpstreamEvent> end;
+        std::uint64_t rejectedCount = 0;
 
         bool isWhole() const { return std::holds_alternative<UpstreamDone>(end.value()); }
         const UpstreamFailure &failure() const { return std::get<UpstreamFailure>(end.value()); }
@@ -88,7 +89,9 @@
         boost::asio::io_context io;
         tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
         std::thread engine([&] { sendAnswer(acceptor, body, framing); });
+        Counters counters;
         UpstreamClient::Options options;
+        options.counters = &counters;
         options.upstream = {"127.0.0.1", acceptor.local_endpoint().port()};
         options.stallTimeout = milliseconds(3000);
         UpstreamClient client(options, [] { });
@@ -111,6 +114,7 @@
         client.join();
         engine.join();
         CPPUNIT_ASSERT_MESSAGE(body, answer.end.has_value());
+        answer.rejectedCount = counters.value(Counter::AnswersRejected);
         return answer;
     }
 
@@ -135,6 +139,7 @@
         CPPUNIT_ASSERT_MESSAGE(message, answer.failure().kind == ErrorKind::UpstreamLost);
         CPPUNIT_ASSERT_MESSAGE(message, answer.failure().outcome == Outcome::Ran);
         CPPUNIT_ASSERT_MESSAGE(message, !answer.failure().upstreamExited);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{1}, answer.rejectedCount);
     }
 
     void soundAnswersAreWhole()
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -221,6 +221,8 @@
     }
     events.endBody();
     if (!events.fault().empty()) {
+        if (m_options.counters != nullptr)
+            m_options.counters->add(Counter::AnswersRejected);
         LogLine(LogLevel::Warn, "event-rejected")
             .with("request", toString(key.id))
             .with("attempt", static_cast<std::uint64_t>(key.attempt))
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -70,6 +70,7 @@
         Duration endTimeout = seconds(1);
         Duration serviceTimeout = seconds(60); ///< for the full answer of a plain service
         std::size_t ringSize = 8192;
+        Counters *counters = nullptr; ///< null: nothing is counted
     };
 
     /// \p wake is called when there are events for takeEvents().
