names in unnamed namespaces differ within a target

Cause: which files share a unit of the unity build changes with their number, so that a new file broke the builds with sanitizers. Change: the names that two files of a target had are different ones. Measured: each target merged into one unit compiles (syntax only); before, three targets did not.

--- a/src/libreachlead/accountlimiter.cpp
+++ b/src/libreachlead/accountlimiter.cpp
@@ -15,7 +15,7 @@
 
 /// Upper bound on the ancestors visited. The validation of settings rejects deeper trees; the bound
 /// also ends the loop if one gets through.
-constexpr int maxTreeDepth = 16;
+constexpr int maxPolicyDepth = 16;
 
 } // namespace
 
@@ -24,7 +24,7 @@
 void AccountLimiter::forAccountAndAncestors(const AccountName &account, Visit visit) const
 {
     const AccountPolicy *policy = m_policies->findAccount(account);
-    for (int depth = 0; policy && depth < maxTreeDepth; ++depth) {
+    for (int depth = 0; policy && depth < maxPolicyDepth; ++depth) {
         if (!visit(*policy))
             return;
         policy = policy->parent.empty() ? nullptr : m_policies->findAccount(policy->parent);
--- a/src/libreachlead/circuit.cpp
+++ b/src/libreachlead/circuit.cpp
@@ -36,7 +36,7 @@
 struct HalfOpen : front::state<>
 { };
 
-struct MachineDef : front::state_machine_def<MachineDef>
+struct CircuitDef : front::state_machine_def<CircuitDef>
 {
     using no_exception_thrown = int;
     using no_message_queue = int;
@@ -125,7 +125,7 @@
 
 } // namespace
 
-class Circuit::Impl : public msm::back::state_machine<MachineDef>
+class Circuit::Impl : public msm::back::state_machine<CircuitDef>
 {
 public:
     StateIndex index() const { return static_cast<StateIndex>(current_state()[0]); }
--- a/src/libreachlead/crashhandler.cpp
+++ b/src/libreachlead/crashhandler.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::size_t maxFrames = 48; ///< deeper frames belong to the event loop
 
-void writeToStdout(std::string_view text)
+void writeUnbuffered(std::string_view text)
 {
     // A failed write cannot be reported.
     [[maybe_unused]] const ssize_t n = ::write(STDOUT_FILENO, text.data(), text.size());
@@ -25,10 +25,10 @@
 /// Must not allocate, as the heap may be corrupt.
 void handleFatalSignal(int signal)
 {
-    writeToStdout("level=error event=crashed signal=");
+    writeUnbuffered("level=error event=crashed signal=");
     const std::array<char, 3> digits{static_cast<char>('0' + signal / 10),
                                      static_cast<char>('0' + signal % 10), '\n'};
-    writeToStdout({digits.data(), digits.size()});
+    writeUnbuffered({digits.data(), digits.size()});
     std::array<void *, maxFrames> frames{};
     const int depth = ::backtrace(frames.data(), static_cast<int>(frames.size()));
     ::backtrace_symbols_fd(frames.data(), depth, STDOUT_FILENO);
--- a/src/libreachlead/crashtracker.cpp
+++ b/src/libreachlead/crashtracker.cpp
@@ -12,7 +12,7 @@
 
 /// Crashed incarnations kept per suspect, so that none is counted twice. More than the limit are
 /// not needed.
-constexpr std::size_t maxCrashesKept = 2 * CrashTracker::crashLimit;
+constexpr std::size_t maxCrashesPerRequest = 2 * CrashTracker::crashLimit;
 
 } // namespace
 
@@ -33,7 +33,7 @@
         evictOldestSuspect();
     Suspect &suspect = m_suspects[request];
     suspect.lastCrashAt = now;
-    if (suspect.crashed.size() < maxCrashesKept)
+    if (suspect.crashed.size() < maxCrashesPerRequest)
         suspect.crashed.insert(upstream);
     if (suspect.crashed.size() < crashLimit)
         return false;
--- a/src/libreachlead/partsuspects.cpp
+++ b/src/libreachlead/partsuspects.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Crashes kept per part. More than the limit are only needed to recognize those counted before.
-constexpr std::size_t maxCrashesKept = 2 * PartSuspects::crashLimit;
+constexpr std::size_t maxCrashesPerPart = 2 * PartSuspects::crashLimit;
 
 } // namespace
 
@@ -46,7 +46,7 @@
     const Duration distance = times.lostAt - evidence.lastCrashAt;
     const bool isSentLater = times.sentAt + timeTolerance > evidence.lastCrashAt;
     const bool isSeparate = isFirst || isSentLater || std::max(distance, -distance) >= crashSpacing;
-    if (!isSeparate || evidence.crashes.size() >= maxCrashesKept)
+    if (!isSeparate || evidence.crashes.size() >= maxCrashesPerPart)
         return;
     evidence.crashes.insert(upstream);
     evidence.lastCrashAt = std::max(evidence.lastCrashAt, times.lostAt);
--- a/src/libreachlead/placement/limitshares_test.cpp
+++ b/src/libreachlead/placement/limitshares_test.cpp
@@ -15,8 +15,6 @@
 using Fleet = LimitSharesFleet;
 using Gateway = LimitSharesFleet::Gateway;
 
-constexpr Time start = Fleet::start;
-
 } // namespace
 
 /// LimitShares of several gateways, without a network.
@@ -35,6 +33,8 @@
     CPPUNIT_TEST(repeatedRequestIsNotGranted);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr Time start = Fleet::start;
+
     static constexpr LimitShare all{LimitShare::whole};
 
     void gatewayWithAllCallsBorrowsTheRest()
--- a/src/libreachlead/requestlifecycle.cpp
+++ b/src/libreachlead/requestlifecycle.cpp
@@ -38,7 +38,7 @@
 struct Ended : front::state<>
 { };
 
-struct MachineDef : front::state_machine_def<MachineDef>
+struct LifecycleDef : front::state_machine_def<LifecycleDef>
 {
     using no_exception_thrown = int;
     using no_message_queue = int;
@@ -77,7 +77,7 @@
 
 } // namespace
 
-class RequestLifecycle::Impl : public msm::back::state_machine<MachineDef>
+class RequestLifecycle::Impl : public msm::back::state_machine<LifecycleDef>
 {
 public:
     template <class Event> bool process()
--- a/src/libreachlead/subset.cpp
+++ b/src/libreachlead/subset.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-std::uint64_t hashName(const VmName &name)
+std::uint64_t subsetHash(const VmName &name)
 {
     return XXH64(name.text.data(), name.text.size(), 0);
 }
@@ -60,11 +60,11 @@
     std::map<TargetName, std::vector<HashedMember>> byTarget;
     for (const Member &member : members) {
         if (member.role == MemberRole::Router)
-            routers.push_back({&member, hashName(member.vm)});
+            routers.push_back({&member, subsetHash(member.vm)});
         else
-            byTarget[member.target].push_back({&member, hashName(member.vm)});
+            byTarget[member.target].push_back({&member, subsetHash(member.vm)});
     }
-    const HashedMember hashedSelf{&self, hashName(router)};
+    const HashedMember hashedSelf{&self, subsetHash(router)};
     std::set<VmName> picked;
     for (auto &[target, agents] : byTarget) {
         std::ranges::sort(agents, std::greater(), [&](const HashedMember &agent) {
--- a/src/libreachlead/watcherelection.cpp
+++ b/src/libreachlead/watcherelection.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-std::uint64_t hashName(const VmName &vm)
+std::uint64_t watcherHash(const VmName &vm)
 {
     return XXH64(vm.text.data(), vm.text.size(), 0);
 }
@@ -22,15 +22,15 @@
 
 std::size_t rendezvousPosition(const VmName &self, const std::set<VmName> &others)
 {
-    const std::uint64_t ownHash = hashName(self);
+    const std::uint64_t ownHash = watcherHash(self);
     return static_cast<std::size_t>(
-        std::ranges::count_if(others, [&](const VmName &vm) { return hashName(vm) < ownHash; }));
+        std::ranges::count_if(others, [&](const VmName &vm) { return watcherHash(vm) < ownHash; }));
 }
 
 std::vector<VmName> rendezvousPeers(const VmName &self, const std::set<VmName> &others,
                                     std::size_t n)
 {
-    const std::uint64_t seed = hashName(self);
+    const std::uint64_t seed = watcherHash(self);
     std::vector<std::pair<std::uint64_t, VmName>> scored;
     scored.reserve(others.size());
     for (const VmName &vm : others)
--- a/src/peer/linkstatemachine.cpp
+++ b/src/peer/linkstatemachine.cpp
@@ -36,7 +36,7 @@
 struct Removed : front::state<>
 { };
 
-struct MachineDef : front::state_machine_def<MachineDef>
+struct LinkDef : front::state_machine_def<LinkDef>
 {
     using no_exception_thrown = int;
     using no_message_queue = int;
@@ -70,7 +70,7 @@
 
 } // namespace
 
-class LinkStateMachine::Impl : public msm::back::state_machine<MachineDef>
+class LinkStateMachine::Impl : public msm::back::state_machine<LinkDef>
 {
 public:
     template <class Event> bool process()
--- a/src/peer/placementlink.cpp
+++ b/src/peer/placementlink.cpp
@@ -23,7 +23,7 @@
 using boost::system::error_code;
 
 /// Minimum interval between updates of the known gateways.
-constexpr Duration minFleetReadInterval = milliseconds(250);
+constexpr Duration minSchedulerReadInterval = milliseconds(250);
 
 } // namespace
 
@@ -52,11 +52,11 @@
         m_options.counters->add(c);
 }
 
-/// Updates the known gateways, unless that was done less than minFleetReadInterval ago.
+/// Updates the known gateways, unless that was done less than minSchedulerReadInterval ago.
 void PlacementLink::refreshFleet()
 {
     const Time now = RuntimeClock::now();
-    if (m_fleetReadAt && now < *m_fleetReadAt + minFleetReadInterval)
+    if (m_fleetReadAt && now < *m_fleetReadAt + minSchedulerReadInterval)
         return;
     m_fleetReadAt = now;
     m_fleet = m_peers.fleet();
