routercore: tokens prove that an attempt ran, whatever its agent says later

Cause: an agent that said "never received" after tokens, or a failure as not run that counted tokens, was believed, so that a call that may run once was sent again; a refusal after tokens was resumed behind text that nothing had compared. Change: tokens that were received or counted prove that the attempt ran; a refusal after tokens ends the answer as corrupt and counts in hostile_frames. Measured: RouterCoreTest::neverReceivedAfterTokensProvesNothing, failureWithUnseenTokensProvesNothing and refusalAfterTokensIsNotResumed failed, now the suite's 35 pass. corruptAnswerIsNotComplete has answers with another count, too.

--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -66,9 +66,14 @@
         agent.full = true;
     if (message.kind == ErrorKind::AgentLeaving)
         agent.load.leaving = true;
-    const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : Outcome::NotRun;
-    const ErrorKind kind = message.kind == ErrorKind::None ? ErrorKind::Internal : message.kind;
-    attemptFailed(*request, kind, outcome, message.reason, now);
+    if (request->attemptTokens > 0) {
+        m_counters->add(Counter::HostileFrames);
+        attemptFailed(*request, ErrorKind::AnswerCorrupt, Outcome::Ran, "refusal after tokens",
+                      now);
+    } else {
+        const ErrorKind kind = message.kind == ErrorKind::None ? ErrorKind::Internal : message.kind;
+        attemptFailed(*request, kind, Outcome::NotRun, message.reason, now);
+    }
     dispatchQueued(findOrAddTarget(agent.target), now);
 }
 
@@ -138,7 +143,8 @@
         attemptFailed(*request, ErrorKind::AnswerCorrupt, Outcome::Ran,
                       "hash or token count of the answer differs", now);
     } else {
-        const Outcome outcome = request->attemptTokens > 0 ? Outcome::Ran : message.outcome;
+        const bool hasTokens = request->attemptTokens > 0 || message.tokens > 0;
+        const Outcome outcome = hasTokens ? Outcome::Ran : message.outcome;
         attemptFailed(*request, message.kind, outcome, message.reason, now);
     }
     dispatchQueued(findOrAddTarget(agent.target), now);
@@ -156,13 +162,14 @@
     Request *request = findCurrentRequest(agent, message.id, message.attempt);
     if (!request || request->lifecycle.state() != RequestState::Recovering)
         return;
+    const bool hasTokens = request->attemptTokens > 0;
     switch (message.state) {
     case AttemptState::Held:
         m_counters->add(Counter::Reattached);
         apply(*request, RequestEvent::Recovered);
         break;
     case AttemptState::NeverReceived:
-        attemptFailed(*request, ErrorKind::AgentLost, Outcome::NotRun,
+        attemptFailed(*request, ErrorKind::AgentLost, hasTokens ? Outcome::Ran : Outcome::NotRun,
                       "the attempt never reached the agent", now);
         break;
     case AttemptState::Evicted:
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -22,7 +22,10 @@
     CPPUNIT_TEST(chunkBeyondItsCreditIsNotCharged);
     CPPUNIT_TEST(chunkOfAPlainCallIsNotDelivered);
     CPPUNIT_TEST(refusalAfterTokensProvesNothing);
+    CPPUNIT_TEST(refusalAfterTokensIsNotResumed);
     CPPUNIT_TEST(failureAfterTokensProvesNothing);
+    CPPUNIT_TEST(neverReceivedAfterTokensProvesNothing);
+    CPPUNIT_TEST(failureWithUnseenTokensProvesNothing);
     CPPUNIT_TEST(refusalWithoutAKindIsNoLoop);
     CPPUNIT_TEST(staleAttemptIsDropped);
     CPPUNIT_TEST(refusedAttemptIsRetried);
@@ -202,12 +205,16 @@
 
     void corruptAnswerIsNotComplete()
     {
-        connect("a");
-        const RequestId id = submit();
-        receive("a", Chunk{id, 1, 0, 2, "x y"});
-        receive("a", makeResult(id, 1, "x z", 2));
-        CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
-        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        using Claim = std::pair<std::string, std::uint64_t>;
+        for (const auto &[text, tokens] : {Claim("x z", 2), Claim("x y", 3), Claim("x y", 1)}) {
+            setUp();
+            connect("a");
+            const RequestId id = submit();
+            receive("a", Chunk{id, 1, 0, 2, "x y"});
+            receive("a", makeResult(id, 1, text, tokens));
+            CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
+            CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        }
     }
 
     void gapNeverReachesTheCaller()
@@ -302,6 +309,49 @@
         CPPUNIT_ASSERT(sent<Dispatch>().empty());
     }
 
+    /// The agent does not say whether the tokens received are all that the run made.
+    void refusalAfterTokensIsNotResumed()
+    {
+        connect("a");
+        connect("b");
+        const RequestId id = submit();
+        const std::string agent = sent<Dispatch>().at(0).first;
+        receive(agent, Chunk{id, 1, 0, 2, "x y"});
+        receive(agent, Refused{id, 1, ErrorKind::AgentBusy, ""});
+        CPPUNIT_ASSERT(singleResult().kind == ErrorKind::AnswerCorrupt);
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, m_counters.value(Counter::HostileFrames));
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
+    void neverReceivedAfterTokensProvesNothing()
+    {
+        connect("a");
+        const RequestId id = submit("live", false);
+        receive("a", Chunk{id, 1, 0, 1, "x"});
+        m_core->agentDisconnected(VmName("a"), m_now);
+        m_core->agentConnected(welcome("a"), m_now);
+        collect();
+        receive("a", AttemptQueryReply{id, 1, AttemptState::NeverReceived});
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
+    /// The agent may have counted tokens that were lost on the way.
+    void failureWithUnseenTokensProvesNothing()
+    {
+        connect("a");
+        connect("b");
+        const RequestId id = submit("live", false);
+        const std::string agent = sent<Dispatch>().at(0).first;
+        receive(agent, makeFailure(id, 1, ErrorKind::UpstreamLost, Outcome::NotRun, "x", 1));
+        CPPUNIT_ASSERT(singleResult().outcome == Outcome::Ran);
+        advance(seconds(1));
+        CPPUNIT_ASSERT(sent<Dispatch>().empty());
+    }
+
     void failureAfterTokensProvesNothing()
     {
         connect("a");
