forward: an error answer is not a run, whatever its type

Cause: an answer of 4xx with the type of an event stream was checked as a run on the routes of streams. Its events have no ids, so it became 502, was sent again, and faulty requests of one caller cost upstreams their trust. The events of such an answer could also be followed by those of a run. Change: only successful answers are relayed as events; others are buffered as all other answers. Measured: GarbledStreamTest::errorAnswerOfAStreamIsPassedOn and errorAnswerIsNotJoinedWithARun failed, now pass.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -88,8 +88,9 @@
         const bool isWhole = m_headDelivered || co_await m_exchange->discardBody();
         co_return isWhole ? headResult : failureResult();
     }
-    const bool mayGoOn = !m_headDelivered || isSuccessful(m_exchange->status());
-    if (headResult == SendResult::Complete && isEventStream(m_exchange->head()) && mayGoOn)
+    // An error answer is not a run, whatever its type.
+    const bool isRun = headResult == SendResult::Complete && isSuccessful(m_exchange->status());
+    if (isRun && isEventStream(m_exchange->head()))
         co_return co_await relayEvents();
     if (m_headDelivered)
         co_return headResult == SendResult::Complete ? SendResult::Corrupt : headResult;
