forward: the type of an event stream is read in any case, with any parameters

Cause: a type in other letters made the answer a plain body, which is not checked and not passed on as it arrives; a longer type that begins alike was checked as a run. Agents read it right. Change: gateways and agents share isEventStreamType. Measured: GarbledStreamTest::streamOfATypeInOtherLettersIsChecked failed, now the suite's 26 pass.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <reachlead/log.h>
+#include <reachlead/streams/eventfield.h>
 
 namespace reachlead {
 
@@ -42,7 +43,8 @@
 
 bool isEventStream(const Fields &fields)
 {
-    return fields[http::field::content_type].starts_with("text/event-stream");
+    const auto type = fields[http::field::content_type];
+    return isEventStreamType({type.data(), type.size()});
 }
 
 } // namespace
--- a/src/include/reachlead/streams/eventfield.h
+++ b/src/include/reachlead/streams/eventfield.h
@@ -12,6 +12,12 @@
 
 namespace reachlead {
 
+/// May stand at the beginning of a stream.
+inline constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
+/// True if a `Content-Type` names an event stream, in any case and with any parameters.
+bool isEventStreamType(std::string_view contentType);
+
 /// A line that is neither empty nor a comment.
 struct EventField
 {
--- a/src/libreachlead/streams/eventfield.cpp
+++ b/src/libreachlead/streams/eventfield.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/beast/core/string.hpp>
+
 namespace reachlead {
 
 namespace {
@@ -18,6 +20,14 @@
 
 } // namespace
 
+bool isEventStreamType(std::string_view contentType)
+{
+    std::string_view type = contentType.substr(0, contentType.find(';'));
+    while (type.ends_with(' ') || type.ends_with('\t'))
+        type.remove_suffix(1);
+    return boost::beast::iequals({type.data(), type.size()}, "text/event-stream");
+}
+
 EventField parseEventField(std::string_view line)
 {
     const std::size_t colon = line.find(':');
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -17,6 +17,7 @@
 
 #include <reachlead/completion.h>
 #include <reachlead/log.h>
+#include <reachlead/streams/eventfield.h>
 
 #include "upstream/enginejson.h"
 #include "upstream/enginestream.h"
@@ -49,10 +50,7 @@
 /// False if an answer names another type than an event stream.
 bool mayBeEvents(std::string_view contentType)
 {
-    std::string_view type = contentType.substr(0, contentType.find(';'));
-    while (type.ends_with(' ') || type.ends_with('\t'))
-        type.remove_suffix(1);
-    return type.empty() || beast::iequals({type.data(), type.size()}, "text/event-stream");
+    return contentType.empty() || isEventStreamType(contentType);
 }
 
 } // namespace
