streams: a byte order mark and a comment at the end are sound

Cause: the format allows both. A mark before the first event was a field without a name, and the comment behind the last event counted as a part of one, so sound streams were cut, the first at its upstream's cost. Change: the mark is left out, as agents do; comments are no part of an event. A rejection for length names the id that was due, and the log of a resumption without a position says so.

--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -181,7 +181,7 @@
 asio::awaitable<SendResult> ForwardCall::relayEvents()
 {
     const bool isStream = m_route->kind == RouteKind::Stream;
-    m_events.beginAnswer(isStream ? EventCheck::OfOneRun : EventCheck::Whole, requestedPosition());
+    m_events.beginAnswer(isStream ? EventCheck::OfOneRun : EventCheck::None, requestedPosition());
     const std::uint64_t eventsBefore = m_events.eventCount();
     while (true) {
         const auto piece = co_await m_exchange->readSome();
--- a/src/forward/forwardcall_streams.cpp
+++ b/src/forward/forwardcall_streams.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include <reachlead/log.h>
 
 namespace reachlead {
@@ -89,7 +91,8 @@
     LogLine(LogLevel::Info, "stream-resumed")
         .with("attempt", m_metadata.attemptId)
         .with("resumes", m_metadata.resumedAttempt)
-        .with("resume_after", m_metadata.resumeAfter.value_or(0))
+        .with("resume_after",
+              m_metadata.resumeAfter ? fmt::format("{}", *m_metadata.resumeAfter) : "-")
         .with("service", found.binding ? found.binding->service.text : "-")
         .with("version", found.binding ? found.binding->version.text : "-")
         .with("known_by", knownBy)
--- a/src/include/reachlead/eventsplitter.h
+++ b/src/include/reachlead/eventsplitter.h
@@ -17,12 +17,13 @@
 
 /// Which events of an answer are passed on.
 enum class EventCheck : std::uint8_t {
-    Whole, ///< all that are complete
+    None, ///< all that are complete
     OfOneRun ///< those up to the first one that cannot be the next one of the run
 };
 
 /// Buffers an incomplete event, so that a caller never gets a part of one. Follows the event stream
-/// format of the HTML standard: fields in lines, an empty line after each event. Not thread-safe.
+/// format of the HTML standard: fields in lines, an empty line after each event. A byte order mark
+/// at the beginning of an answer is left out. Not thread-safe.
 class EventSplitter
 {
 public:
@@ -38,10 +39,10 @@
     /// Why an event was rejected; nothing if none was.
     const std::optional<EventRejection> &rejection() const { return m_rejection; }
 
-    /// True when an incomplete event is buffered.
-    bool hasPartialEvent() const { return !m_held.empty(); }
+    /// True when an incomplete event is buffered; comments are no part of one.
+    bool hasPartialEvent() const;
 
-    /// The size of the incomplete event.
+    /// The number of bytes that are buffered.
     std::size_t partialBytes() const { return m_held.size(); }
 
     /// The id of the last event that feed() returned; nothing if no event had one.
@@ -53,13 +54,15 @@
     static constexpr std::size_t maxEventBytes = 1U << 20U;
 
 private:
+    bool skipByteOrderMark();
     std::size_t soundBytes(std::string_view whole);
     std::optional<EventRejection> checkLine(std::string_view line);
 
     std::string m_held;
+    bool m_isAtStart = true; ///< of an answer
     EventCheck m_check = EventCheck::OfOneRun;
     EventSequence m_sequence;
-    std::uint64_t m_uncheckedCount = 0; ///< events returned of answers with EventCheck::Whole
+    std::uint64_t m_uncheckedCount = 0; ///< events returned of answers with EventCheck::None
     std::optional<EventRejection> m_rejection;
 };
 
--- a/src/include/reachlead/streams/eventsequence.h
+++ b/src/include/reachlead/streams/eventsequence.h
@@ -48,6 +48,9 @@
     /// be the next one; the sequence must not be used any more then.
     std::optional<EventRejection> addLine(std::string_view line);
 
+    /// The rejection of the next event for \p fault.
+    EventRejection rejection(EventFault fault) const;
+
     /// Forgets the lines of an incomplete event.
     void dropPartialEvent() { m_event = {}; }
 
@@ -69,7 +72,6 @@
     std::optional<EventFault> addField(std::string_view line);
     std::optional<EventFault> addId(std::string_view value);
     std::optional<EventFault> endEvent();
-    EventRejection reject(EventFault fault) const;
 
     PartialEvent m_event;
     std::optional<std::uint64_t> m_position;
--- a/src/libreachlead/eventsplitter.cpp
+++ b/src/libreachlead/eventsplitter.cpp
@@ -3,7 +3,11 @@
 
 #include <reachlead/eventsplitter.h>
 
+#include <algorithm>
 #include <cstring>
+#include <ranges>
+
+#include <reachlead/streams/eventfield.h>
 
 namespace reachlead {
 
@@ -31,6 +35,7 @@
 {
     m_check = check;
     m_held.clear();
+    m_isAtStart = true;
     m_rejection.reset();
     m_sequence.dropPartialEvent();
     if (!m_sequence.lastId())
@@ -39,19 +44,44 @@
 
 std::string EventSplitter::feed(std::string_view bytes)
 {
-    const std::size_t searched = m_held.size();
+    const std::size_t searched = m_isAtStart ? 0 : m_held.size();
     m_held.append(bytes);
+    if (!skipByteOrderMark())
+        return {};
     const std::size_t end = endOfLastEvent(m_held, searched);
     std::string whole = m_held.substr(0, end);
     m_held.erase(0, end);
     whole.resize(soundBytes(whole));
     if (!m_rejection && m_held.size() > maxEventBytes)
-        m_rejection = EventRejection{EventFault::TooLong, std::nullopt, std::nullopt};
+        m_rejection = m_check == EventCheck::OfOneRun ? m_sequence.rejection(EventFault::TooLong)
+                                                      : EventRejection{};
     if (m_rejection)
         m_held.clear();
     return whole;
 }
 
+/// Returns false as long as the bytes may be a part of the mark.
+bool EventSplitter::skipByteOrderMark()
+{
+    if (!m_isAtStart)
+        return true;
+    const bool mayBePart = m_held.size() < byteOrderMark.size();
+    if (mayBePart && byteOrderMark.starts_with(m_held))
+        return false;
+    m_isAtStart = false;
+    if (m_held.starts_with(byteOrderMark))
+        m_held.erase(0, byteOrderMark.size());
+    return true;
+}
+
+bool EventSplitter::hasPartialEvent() const
+{
+    return std::ranges::any_of(m_held | std::views::split('\n'), [](const auto &it) {
+        const std::string_view line(it.begin(), it.end());
+        return !line.empty() && !line.starts_with(':');
+    });
+}
+
 /// Returns the size of the events before the first one that is rejected.
 std::size_t EventSplitter::soundBytes(std::string_view whole)
 {
--- a/src/libreachlead/streams/eventsequence.cpp
+++ b/src/libreachlead/streams/eventsequence.cpp
@@ -27,13 +27,13 @@
 {
     // The format also ends a line at a lone CR: the rest would be other fields to some callers.
     if (line.find('\r') != std::string_view::npos)
-        return reject(EventFault::InvalidField);
+        return rejection(EventFault::InvalidField);
     const bool isComment = line.starts_with(':');
     if (isComment)
         return std::nullopt;
     const std::optional<EventFault> fault = line.empty() ? endEvent() : addField(line);
     if (fault)
-        return reject(*fault);
+        return rejection(*fault);
     return std::nullopt;
 }
 
@@ -79,12 +79,12 @@
     return std::nullopt;
 }
 
-EventRejection EventSequence::reject(EventFault fault) const
+EventRejection EventSequence::rejection(EventFault fault) const
 {
-    EventRejection rejection{fault, std::nullopt, m_event.id};
+    EventRejection rejected{fault, std::nullopt, m_event.id};
     if (m_position && *m_position < std::numeric_limits<std::uint64_t>::max())
-        rejection.due = *m_position + 1;
-    return rejection;
+        rejected.due = *m_position + 1;
+    return rejected;
 }
 
 } // namespace reachlead
--- a/src/libreachlead/streams/eventsequence_test.cpp
+++ b/src/libreachlead/streams/eventsequence_test.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(eventsBeforeARejectedOneArePassedOn);
     CPPUNIT_TEST(rejectionNamesTheIdDueAndTheIdSeen);
     CPPUNIT_TEST(unusualEventsOfARunArePassedOn);
+    CPPUNIT_TEST(byteOrderMarkIsLeftOut);
+    CPPUNIT_TEST(commentAtTheEndIsNoPartOfAnEvent);
+    CPPUNIT_TEST(tooLongEventNamesTheIdDue);
     CPPUNIT_TEST(carriageReturnHidesNoEvent);
     CPPUNIT_TEST(bytesSplitAnywhereGiveTheSame);
     CPPUNIT_TEST(firstEventFollowsThePositionAskedFor);
@@ -46,11 +49,12 @@
         return splitter;
     }
 
-    /// The fault of the third event, after two sound ones.
+    /// The fault of the third event, after two sound ones, which alone are passed on.
     static std::optional<EventFault> faultOf(std::string_view bytes)
     {
         EventSplitter splitter = newRun();
-        splitter.feed(event(1) + event(2) + std::string(bytes));
+        const std::string sound = event(1) + event(2);
+        CPPUNIT_ASSERT_EQUAL(sound, splitter.feed(sound + std::string(bytes)));
         return splitter.rejection() ? std::optional(splitter.rejection()->fault) : std::nullopt;
     }
 
@@ -120,6 +124,48 @@
         }
     }
 
+    /// The format allows one at the beginning of a stream. In the middle of an answer that goes on
+    /// at another upstream it would be part of a field's name.
+    void byteOrderMarkIsLeftOut()
+    {
+        const std::string mark = "\xEF\xBB\xBF";
+        for (std::size_t step = 1; step <= 4; ++step) {
+            EventSplitter splitter = newRun();
+            std::string out;
+            for (std::uint64_t id = 1; id <= 2; ++id) {
+                splitter.beginAnswer(EventCheck::OfOneRun, 0);
+                const std::string answer = mark + event(id);
+                for (std::size_t at = 0; at < answer.size(); at += step)
+                    out += splitter.feed(std::string_view(answer).substr(at, step));
+            }
+            CPPUNIT_ASSERT_EQUAL(event(1) + event(2), out);
+        }
+        CPPUNIT_ASSERT(faultOf(mark + event(3)) == EventFault::InvalidField);
+        CPPUNIT_ASSERT(faultOf(mark + "\n\n") == EventFault::InvalidField);
+    }
+
+    void commentAtTheEndIsNoPartOfAnEvent()
+    {
+        for (const std::string comment : {":", ": bye", ": bye\n", ": bye\r\n: again"}) {
+            EventSplitter splitter = newRun();
+            splitter.feed(event(1) + comment);
+            CPPUNIT_ASSERT_MESSAGE(comment, !splitter.hasPartialEvent());
+        }
+        for (const std::string part : {"i", "id: 2\n", ": note\nid: 2", "id: 2\n: note\n"}) {
+            EventSplitter splitter = newRun();
+            splitter.feed(event(1) + part);
+            CPPUNIT_ASSERT_MESSAGE(part, splitter.hasPartialEvent());
+        }
+    }
+
+    void tooLongEventNamesTheIdDue()
+    {
+        EventSplitter splitter = newRun();
+        splitter.feed(event(1) + std::string(EventSplitter::maxEventBytes + 1, 'x'));
+        CPPUNIT_ASSERT(splitter.rejection()->fault == EventFault::TooLong);
+        CPPUNIT_ASSERT(splitter.rejection()->due == std::optional<std::uint64_t>(2));
+    }
+
     /// A lone CR ends a line for callers that follow the format.
     void carriageReturnHidesNoEvent()
     {
@@ -180,7 +226,7 @@
     void answersThatAreNoRunAreNotChecked()
     {
         EventSplitter splitter;
-        splitter.beginAnswer(EventCheck::Whole, 0);
+        splitter.beginAnswer(EventCheck::None, 0);
         const std::string events = "data: a\n\ndata: b\n\n";
         CPPUNIT_ASSERT_EQUAL(events, splitter.feed(events + "data: c"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, splitter.eventCount());
