upstream: fields behind the last event are a fault, comments are none; answers of another type are counted

Cause: behind the end of an engine's answer an id or a field without data passed, while a comment without a line end did not. Change: the decoder tells fields behind the last event from comments; all rejections share one function.

--- a/src/upstream/engineanswer_test.cpp
+++ b/src/upstream/engineanswer_test.cpp
@@ -239,11 +239,16 @@
         checkForeign(last);
         for (const std::string_view rest :
              {std::string_view("garbage\n\n"), std::string_view("garbage"), second, last,
-              std::string_view("data: {\"choices\":[]}\n\n")}) {
+              std::string_view("data: {\"choices\":[]}\n\n"), std::string_view("id: 9\n\n"),
+              std::string_view("event: x\n"), std::string_view("foo: bar\n")}) {
             const Answer answer = receive(join({first, last, rest}));
             CPPUNIT_ASSERT_MESSAGE(std::string(rest), !answer.isWhole());
             CPPUNIT_ASSERT_EQUAL(std::string("a"), answer.text);
         }
+        for (const std::string_view rest : {"\n", "\r\n", ": bye", ": bye\n", ": bye\n\n"}) {
+            const Answer answer = receive(join({first, last, rest}));
+            CPPUNIT_ASSERT_MESSAGE(std::string(rest), answer.isWhole());
+        }
     }
 
     void answerThatGoesOnLaterIsNotWhole()
@@ -279,6 +284,7 @@
             const Answer answer = receive(join({first, last}), framing);
             CPPUNIT_ASSERT_MESSAGE(type, !answer.isWhole());
             CPPUNIT_ASSERT_EQUAL(std::string(), answer.text);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answer.rejectedCount);
         }
         for (const std::string type : {"", "Text/Event-Stream; charset=utf-8"}) {
             framing.contentType = type;
--- a/src/upstream/enginestream.cpp
+++ b/src/upstream/enginestream.cpp
@@ -48,7 +48,7 @@
 
 void EngineStream::endBody()
 {
-    if (m_isDone && m_fault.empty() && m_decoder.hasPartialEvent())
+    if (m_isDone && m_fault.empty() && m_decoder.hasTrailingFields())
         m_fault = "bytes after the last event";
 }
 
--- a/src/upstream/sse.cpp
+++ b/src/upstream/sse.cpp
@@ -16,8 +16,6 @@
 /// The fields of the standard. Others are ignored in an event, but don't make one.
 constexpr std::array<std::string_view, 4> knownFields{"data", "id", "event", "retry"};
 
-constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
-
 bool isKnown(std::string_view name)
 {
     return std::ranges::find(knownFields, name) != knownFields.end();
@@ -57,6 +55,7 @@
     const bool isComment = line.starts_with(':');
     if (isComment)
         return;
+    m_hasTrailingFields = true;
     const EventField field = parseEventField(line);
     const bool isNamed = field.hasColon && isEventFieldName(field.name);
     if (!isNamed && !isKnown(field.name)) {
@@ -85,6 +84,7 @@
         if (id)
             m_lastId = id;
         events->push_back(std::move(m_data));
+        m_hasTrailingFields = false;
     } else if (m_hasUnknownField) {
         m_fault = "block without data";
         return;
--- a/src/upstream/sse.h
+++ b/src/upstream/sse.h
@@ -28,8 +28,11 @@
     /// What was wrong with the stream; empty if nothing was.
     std::string_view fault() const { return m_fault; }
 
-    /// True if the bytes so far end within an event.
-    bool hasPartialEvent() const { return m_hasData || !m_line.empty(); }
+    /// True if the bytes behind the last event are more than comments and empty lines.
+    bool hasTrailingFields() const
+    {
+        return m_hasTrailingFields || !(m_line.empty() || m_line.starts_with(':'));
+    }
 
 private:
     void processLine(std::string_view line, std::vector<std::string> *events);
@@ -42,6 +45,7 @@
     std::optional<std::uint64_t> m_lastId; ///< of the last event that has one
     bool m_hasData = false;
     bool m_hasUnknownField = false;
+    bool m_hasTrailingFields = false; ///< complete lines behind the last event
     bool m_isFirstLine = true;
 };
 
--- a/src/upstream/upstreamclient.cpp
+++ b/src/upstream/upstreamclient.cpp
@@ -188,9 +188,7 @@
         co_return;
     }
     if (!mayBeEvents(stream.header("Content-Type"))) {
-        UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
-                                "engine answered with a body that is no event stream"};
-        co_await emit(std::move(failure));
+        co_await rejectAnswer(key, "body that is no event stream");
         co_return;
     }
     co_await relayEvents(call, &stream);
@@ -219,15 +217,7 @@
     }
     events.endBody();
     if (!events.fault().empty()) {
-        if (m_options.counters != nullptr)
-            m_options.counters->add(Counter::AnswersRejected);
-        LogLine(LogLevel::Warn, "event-rejected")
-            .with("request", toString(key.id))
-            .with("attempt", static_cast<std::uint64_t>(key.attempt))
-            .with("reason", events.fault());
-        UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
-                                fmt::format("invalid answer: {}", events.fault())};
-        co_await emit(std::move(failure));
+        co_await rejectAnswer(key, events.fault());
     } else if (events.isDone()) {
         UpstreamDone done{key};
         co_await emit(done);
@@ -239,6 +229,20 @@
     }
 }
 
+/// Ends a call because of an answer that cannot be the one to its request.
+UpstreamClient::Awaitable UpstreamClient::rejectAnswer(AttemptKey key, std::string_view fault)
+{
+    if (m_options.counters != nullptr)
+        m_options.counters->add(Counter::AnswersRejected);
+    LogLine(LogLevel::Warn, "event-rejected")
+        .with("request", toString(key.id))
+        .with("attempt", static_cast<std::uint64_t>(key.attempt))
+        .with("reason", fault);
+    UpstreamFailure failure{key, ErrorKind::UpstreamLost, Outcome::Ran,
+                            fmt::format("invalid answer: {}", fault)};
+    co_await emit(std::move(failure));
+}
+
 UpstreamClient::Awaitable UpstreamClient::callService(StartUpstreamCall call)
 {
     const AttemptKey key = call.key;
--- a/src/upstream/upstreamclient.h
+++ b/src/upstream/upstreamclient.h
@@ -91,6 +91,7 @@
     void launch(const StartUpstreamCall &call);
     Awaitable callEngine(StartUpstreamCall call);
     Awaitable relayEvents(StartUpstreamCall call, SseCall *stream);
+    Awaitable rejectAnswer(AttemptKey key, std::string_view fault);
     Awaitable callService(StartUpstreamCall call);
     Awaitable emit(UpstreamEvent event);
     Awaitable emitConnectionLoss(UpstreamFailure failure);
