--- a/src/libreachlead/streams/eventsequence_test.cpp
+++ b/src/libreachlead/streams/eventsequence_test.cpp
@@ -97,6 +97,8 @@
         CPPUNIT_ASSERT_EQUAL(sound, splitter.feed(sound + event(2) + event(3) + "id: 4"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, splitter.eventCount());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, splitter.partialBytes());
+        // The next event would be sound without the bytes before it.
+        CPPUNIT_ASSERT(faultOf("garbage\n\n" + event(3)) == EventFault::InvalidField);
     }
 
     void rejectionNamesTheIdDueAndTheIdSeen()
