tests: clients that send long bodies, many fields, or a byte now and then

What callers see: a gateway or a router is killed for its memory, and all of its callers lose their connections; or every new connection is closed unread.

--- a/src/build-scripts/fleet.bash
+++ b/src/build-scripts/fleet.bash
@@ -117,6 +117,7 @@
 vm = $1
 zone = $2
 stop_notice = 200ms
+${ROUTER_EXTRA:-}
 ${KEY_FILE:+fleet_key_file = $KEY_FILE}
 [callers]
 listen = 127.0.0.1:${PORT[$1]:-0}
--- a/src/reachlead-load/main.cpp
+++ b/src/reachlead-load/main.cpp
@@ -2,15 +2,19 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Load and experiments: `reachlead-load http|policy`.
+/// Load and experiments: `reachlead-load http|policy|cost|crowd`.
 
 #include <iostream>
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <reachlead/inifile.h>
 
+#include "crowd.h"
 #include "httpload.h"
 #include "policybench.h"
 
@@ -22,11 +26,13 @@
 po::options_description describe()
 {
     po::options_description options(
-        "reachlead-load http|policy|cost: load and experiments\n\nOptions");
+        "reachlead-load http|policy|cost|crowd: load and experiments\n\nOptions");
     options.add_options()("help,h", "show this text")("version", "show the version")(
-        "kind", po::value<std::string>(), "http, policy or cost")(
-        "target", po::value<std::vector<std::string>>(), "http: IP-NUMBER:PORT, may be repeated")(
-        "key", po::value<std::string>()->default_value(""), "http: ACCOUNT:SECRET")(
+        "kind", po::value<std::string>(),
+        "http, policy, cost or crowd")("target", po::value<std::vector<std::string>>(),
+                                       "http, crowd: IP-NUMBER:PORT, may be repeated")(
+        "key", po::value<std::string>()->default_value(""),
+        "http: ACCOUNT:SECRET; crowd: keys, separated by commas")(
         "model", po::value<std::string>()->default_value("m"),
         "http: the model")("class", po::value<std::string>()->default_value(""), "http: the class")(
         "rate", po::value<double>()->default_value(0), "http: requests a second; 0: closed loop")(
@@ -41,7 +47,14 @@
                                                  "policy: none, straggler, crash or outage")(
         "seeds", po::value<unsigned>()->default_value(5), "policy: seeds to take the median of")(
         "flood", "policy: one account sends 20 times its part")(
-        "csv", po::value<std::string>()->default_value(""), "policy: also write a CSV file");
+        "csv", po::value<std::string>()->default_value(""), "policy: also write a CSV file")(
+        "shape", po::value<std::string>()->default_value(""),
+        fmt::format("crowd: {}", fmt::join(crowdShapeNames(), ", ")).c_str())(
+        "clients", po::value<std::size_t>()->default_value(60), "crowd: connections")(
+        "path", po::value<std::string>()->default_value("/"), "crowd: of the requests")(
+        "header", po::value<std::vector<std::string>>()->default_value({}, ""),
+        "crowd: a line of each head, may be repeated")(
+        "body", po::value<std::size_t>()->default_value(1U << 20U), "crowd: bytes of a long body");
     return options;
 }
 
@@ -86,6 +99,30 @@
     return 0;
 }
 
+int runCrowd(const po::variables_map &given)
+{
+    CrowdPlan plan;
+    const auto endpoint = given.contains("target")
+        ? Endpoint::parse(given["target"].as<std::vector<std::string>>().front())
+        : std::nullopt;
+    if (!endpoint)
+        throw std::runtime_error("--target: expected IP-NUMBER:PORT");
+    plan.target = *endpoint;
+    const auto keys = given["key"].as<std::string>();
+    if (!keys.empty())
+        boost::algorithm::split(plan.keys, keys, boost::algorithm::is_any_of(","));
+    plan.shape = given["shape"].as<std::string>();
+    plan.clients = given["clients"].as<std::size_t>();
+    plan.path = given["path"].as<std::string>();
+    for (const std::string &line : given["header"].as<std::vector<std::string>>())
+        plan.commonFields += line + "\r\n";
+    plan.bodyBytes = given["body"].as<std::size_t>();
+    boost::asio::io_context io{1};
+    Crowd crowd(io, plan);
+    io.run();
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -114,7 +151,9 @@
             std::cout << bench::runCostBench();
             return 0;
         }
-        throw std::runtime_error("expected http, policy or cost, found " + kind);
+        if (kind == "crowd")
+            return runCrowd(given);
+        throw std::runtime_error("expected http, policy, cost or crowd, found " + kind);
     } catch (const std::exception &e) {
         std::cerr << "reachlead-load: " << e.what() << "\n";
         return 2;
