pressure: the byte budget is in force on every deployment

What callers saw: 60 clients with bodies of 1 MB but for their last byte made a gateway of 32 MB hold 71 MB, with or without a key; it would be killed.

Cause: platform/gateway.ini turned the budget on only where the contracts list pressure, and it was off by default. Nothing else bounds the bodies together.

Why it works: a body finds room for its announced length, or for what has arrived, before it is read.

--- a/src/caller/pressure.h
+++ b/src/caller/pressure.h
@@ -24,7 +24,7 @@
 public:
     struct Options
     {
-        bool isEnabled = false;
+        bool isEnabled = true;
         ByteBudget::Bounds bounds;
         /// As in StallTracker.
         Duration stallTime = StallTracker::defaultStallTime;
