daemons: freed memory is returned to the kernel

What callers saw: clients that send one long body after another end a gateway, although the byte budget is in force.

Cause: the C library raises its threshold for blocks with pages of their own when the first large block is freed. Bodies then lie in the heap between small blocks, and a body reserves its length before there is room for it, in pages that earlier bodies have touched.

Why it works: a threshold that is set is not adjusted; freed blocks are unmapped, and what is reserved and not written is not resident.

--- a/src/operators/daemon.cpp
+++ b/src/operators/daemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
+#include <reachlead/allocator.h>
 #include <reachlead/log.h>
 
 namespace reachlead {
@@ -88,6 +89,7 @@
     }
     if (arguments.contains("check-settings"))
         return code(ExitCode::Success);
+    returnFreedMemory();
     setLogProgram(program);
     const BackgroundLog background;
     try {
