callerstream: heads find room for what they take in memory

What callers saw: 150 clients with heads of 16 KB of fields `a:` made a gateway of 32 MB hold 60 MB, with the byte budget in force as well.

Cause: a parsed field takes some 96 bytes besides its text, and heads were not in the budget.

Change: the lines of a head are counted before the parser takes them. Above 16 KiB its cost, twice for the copy that is forwarded, finds room with callers that have no account, and with the account once the key is known; the call holds it to its end.

Why it works: what is parsed has found room before; one such head alone is served (headOfManyFieldsTakesRoom).

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -60,14 +60,9 @@
         asio::detached);
 }
 
-std::size_t CallerStream::readAheadLimit() const
-{
-    return m_isPaused ? m_readBuffer.size() : maxReadAheadBytes;
-}
-
 bool CallerStream::shouldRead() const
 {
-    return (m_reading && !m_isPaused) || m_input.size() < readAheadLimit();
+    return (m_reading && !m_isPaused) || m_input.size() < (m_isPaused ? m_readBuffer.size() : maxReadAheadBytes);
 }
 
 asio::awaitable<void> CallerStream::readLoop()
@@ -104,6 +99,8 @@
         error_code ec;
         const std::size_t n = parser->put(m_input.data(), ec);
         m_input.consume(n);
+        m_parsedBytes += n;
+        m_countedInput -= std::min(n, m_countedInput);
         m_isHead = parser->get().method() == http::verb::head;
         if (ec && ec != http::error::need_more) {
             m_error = {toErrorKind(ec), ec.message()};
@@ -112,45 +109,61 @@
         if (n == 0)
             break;
     }
-    if (parser->is_done() || m_input.size() <= std::max(m_maxHeaderBytes, maxUnparsedBytes))
+    const std::size_t maxInput = std::max<std::size_t>(m_limits.maxHeaderBytes, maxUnparsedBytes);
+    if (parser->is_done() || m_input.size() <= maxInput)
         return true;
     m_error = {ErrorKind::HeaderTooLarge, "a chunk's size line or the trailer is too long"};
     return false;
 }
 
-Time CallerStream::readDeadline(const CallerLimits &limits, Time startedAt, bool headerDone) const
+Time CallerStream::readDeadline(bool headerDone) const
 {
     if (!m_busy)
-        return startedAt + milliseconds(limits.idleTimeoutMs);
+        return m_readSince + milliseconds(m_limits.idleTimeoutMs);
     if (!headerDone)
-        return startedAt + milliseconds(limits.headerTimeoutMs);
-    return RuntimeClock::now() + milliseconds(limits.idleTimeoutMs);
+        return m_readSince + milliseconds(m_limits.headerTimeoutMs);
+    return RuntimeClock::now() + milliseconds(m_limits.idleTimeoutMs);
 }
 
-/// Returns the size of the body: all of it if its length is known, so that requests in part do not
-/// wait for one another.
-ByteCount CallerStream::bodySize(const RequestParser &parser) const
+/// Brings the cost of the head up to date with the input, before the parser takes it line by line.
+void CallerStream::updateHeadCost()
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    std::string_view input(static_cast<const char *>(m_input.data().data()), m_input.size());
+    if (m_parsedBytes > 0 && input.starts_with(lineEnd))
+        input = lineEnd; // the last line of the head; a body follows
+    else if (const auto end = input.find(headEnd); end != std::string_view::npos)
+        input = input.substr(0, end + headEnd.size());
+    m_headLines += static_cast<std::size_t>(
+        std::ranges::count(input.substr(std::min(m_countedInput, input.size())), '\n'));
+    m_countedInput = input.size();
+    m_headCost = Pressure::headCost(m_parsedBytes + input.size(), m_headLines);
+}
+
+/// Returns the size of the request: with all of its body if the length is known, so that requests
+/// in part do not wait for one another.
+ByteCount CallerStream::requestSize(const RequestParser &parser) const
 {
     if (!parser.is_header_done())
-        return {};
+        return m_headCost;
     const std::uint64_t arrived = parser.get().body().size() + m_input.size();
-    return {std::max<std::uint64_t>(parser.content_length().value_or(0), arrived)};
+    return m_headCost
+        + ByteCount{std::max<std::uint64_t>(parser.content_length().value_or(0), arrived)};
 }
 
 bool CallerStream::needsRoom(const RequestParser &parser) const
 {
-    const ByteCount body = bodySize(parser);
-    return body > maxUnboundedBody && body + Pressure::callBuffers > m_lease.held();
+    const ByteCount size = requestSize(parser);
+    return size > maxUnboundedRequest && size + Pressure::callBuffers > m_lease.held();
 }
 
-/// Waits until there is room for the body. Returns false if there is none in time.
-asio::awaitable<bool> CallerStream::makeRoom(const RequestParser &parser, const RequestRoom &room,
-                                             Time until)
+/// Waits for room until the time limit of a header has passed. Nothing is read meanwhile.
+asio::awaitable<bool> CallerStream::makeRoom(ByteLease &lease, ByteCount needed,
+                                             const RequestRoom &room)
 {
-    if (!m_lease.isBounded())
-        m_lease = room.pressure->lease(room.accountOf(parser.get().base()));
-    const ByteCount needed = bodySize(parser) + Pressure::callBuffers;
-    const RoomRequest request(room.pressure, m_lease, needed, m_inputArrived);
+    const Time until = RuntimeClock::now() + milliseconds(m_limits.headerTimeoutMs);
+    const RoomRequest request(room.pressure, lease, needed, m_inputArrived);
     m_isPaused = true;
     while (!request.isGranted() && !m_disconnected && RuntimeClock::now() < until)
         co_await m_inputArrived.waitUntil(until);
@@ -159,50 +172,86 @@
     co_return request.isGranted();
 }
 
+/// Takes room for what the request needs so far. Returns false, with the reason in error(), if
+/// there is none in time. The account is not known before the end of the head; until then the room
+/// is that of callers without an account.
+asio::awaitable<bool> CallerStream::acquireRoom(const RequestParser &parser,
+                                                const RequestRoom &room)
+{
+    const ByteCount needed = requestSize(parser) + Pressure::callBuffers;
+    ByteLease headLease; // held until there is room with the account
+    if (parser.is_header_done() && !std::exchange(m_isAccountKnown, true)) {
+        headLease = std::move(m_lease);
+        m_lease = room.pressure->lease(room.accountOf(parser.get().base()));
+    } else if (!m_lease.isBounded()) {
+        m_lease = room.pressure->lease({});
+    }
+    const bool isGranted = co_await makeRoom(m_lease, needed, room);
+    if (!isGranted && !m_disconnected)
+        m_error = {ErrorKind::BufferSpaceFull, "no room for the request in time"};
+    co_return isGranted;
+}
+
+void CallerStream::beginRead(const CallerLimits &limits)
+{
+    m_limits = limits;
+    m_error = {};
+    m_isHead = false;
+    m_lease = {};
+    m_isAccountKnown = false;
+    m_busy = false;
+    m_reading = true;
+    m_readSince = RuntimeClock::now();
+    m_parsedBytes = 0;
+    m_countedInput = 0;
+    m_headLines = 0;
+    m_headCost = {};
+    m_readResumed.notify();
+}
+
+/// Waits for more of a request. Returns false if there is to be no more, with the reason in error()
+/// if a request has begun.
+asio::awaitable<bool> CallerStream::receiveInput(const RequestParser &parser)
+{
+    const Time deadline = readDeadline(parser.is_header_done());
+    if (m_disconnected || (m_stopWhenIdle && !m_busy))
+        co_return false;
+    if (RuntimeClock::now() >= deadline) {
+        if (m_busy)
+            m_error = {ErrorKind::SlowSender, "the request was not whole in time"};
+        co_return false;
+    }
+    co_await m_inputArrived.waitUntil(deadline);
+    co_return true;
+}
+
 asio::awaitable<std::optional<CallerHttpRequest>> CallerStream::read(const CallerLimits &limits,
                                                                      const RequestRoom &room)
 {
     RequestParser parser;
     parser.eager(true);
     parser.header_limit(limits.maxHeaderBytes);
-    m_maxHeaderBytes = limits.maxHeaderBytes;
     parser.body_limit(limits.maxBodyBytes);
-    m_error = {};
-    m_isHead = false;
-    m_lease = {};
     m_writes = StallTracker(room.pressure ? room.pressure->options().stallTime
                                           : StallTracker::defaultStallTime);
-    m_busy = false;
-    m_reading = true;
-    m_readResumed.notify();
-    Time startedAt = RuntimeClock::now();
+    beginRead(limits);
     while (true) {
         if (m_input.size() > 0 && !std::exchange(m_busy, true))
-            startedAt = RuntimeClock::now();
+            m_readSince = RuntimeClock::now();
+        if (!parser.is_header_done())
+            updateHeadCost();
+        if (room.pressure && needsRoom(parser) && !co_await acquireRoom(parser, room))
+            break;
         if (!parseInput(&parser))
             break;
-        if (room.pressure && needsRoom(parser)) {
-            const Time until = RuntimeClock::now() + milliseconds(limits.headerTimeoutMs);
-            const bool isGranted = co_await makeRoom(parser, room, until);
-            if (!isGranted && !m_disconnected)
-                m_error = {ErrorKind::BufferSpaceFull, "no room for the body in time"};
-            if (!isGranted)
-                break;
-        }
+        if (room.pressure && needsRoom(parser) && !co_await acquireRoom(parser, room))
+            break;
         if (parser.is_done()) {
             m_reading = false;
             co_return parser.release();
         }
-        const bool stop = m_stopWhenIdle && !m_busy;
-        const Time deadline = readDeadline(limits, startedAt, parser.is_header_done());
-        if (m_disconnected || stop)
+        if (!co_await receiveInput(parser))
             break;
-        if (RuntimeClock::now() >= deadline) {
-            if (m_busy)
-                m_error = {ErrorKind::SlowSender, "the request was not whole in time"};
-            break;
-        }
-        co_await m_inputArrived.waitUntil(deadline);
     }
     m_reading = false;
     co_return std::nullopt;
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -98,8 +98,11 @@
     /// How long the caller took to read the parts of the answer in progress.
     const StallTracker &writes() const { return m_writes; }
 
-    /// Bodies up to this size need no room of their own.
-    static constexpr ByteCount maxUnboundedBody = kibibytes(16);
+    /// Bytes that the head of the last request takes in memory.
+    ByteCount headCost() const { return m_headCost; }
+
+    /// Requests up to this size need no room of their own.
+    static constexpr ByteCount maxUnboundedRequest = kibibytes(16);
 
     /// Bytes that are read ahead while a request is being processed; more stay in the kernel.
     static constexpr std::size_t maxReadAheadBytes = 64U << 10U;
@@ -112,13 +115,16 @@
     boost::asio::awaitable<void> readLoop();
     bool shouldRead() const;
     void setDisconnected();
-    std::size_t readAheadLimit() const;
-    ByteCount bodySize(const RequestParser &parser) const;
+    void beginRead(const CallerLimits &limits);
+    void updateHeadCost();
+    ByteCount requestSize(const RequestParser &parser) const;
     bool needsRoom(const RequestParser &parser) const;
-    boost::asio::awaitable<bool> makeRoom(const RequestParser &parser, const RequestRoom &room,
-                                          Time until);
+    boost::asio::awaitable<bool> acquireRoom(const RequestParser &parser, const RequestRoom &room);
+    boost::asio::awaitable<bool> makeRoom(ByteLease &lease, ByteCount needed,
+                                          const RequestRoom &room);
+    boost::asio::awaitable<bool> receiveInput(const RequestParser &parser);
     bool parseInput(RequestParser *parser);
-    Time readDeadline(const CallerLimits &limits, Time startedAt, bool headerDone) const;
+    Time readDeadline(bool headerDone) const;
 
     boost::asio::ip::tcp::socket m_socket;
     /// Buffer of the pending read. Separate from m_input, which may move its bytes while they are
@@ -131,14 +137,20 @@
     Error m_error;
     ByteLease m_lease; ///< of the request being read
     StallTracker m_writes;
-    std::size_t m_maxHeaderBytes = 0; ///< of the request being read
+    CallerLimits m_limits; ///< of the request being read
+    Time m_readSince{}; ///< when read() began or, once bytes have arrived, when the first one did
+    std::uint64_t m_parsedBytes = 0; ///< of the request being read
+    std::size_t m_countedInput = 0; ///< bytes of m_input whose lines are counted in m_headLines
+    std::size_t m_headLines = 0;
+    ByteCount m_headCost; ///< see headCost()
     bool m_chunked = false; ///< the answer in progress has chunked encoding
     bool m_endsWithConnection = false; ///< the answer in progress has neither a length nor chunks
     bool m_disconnected = false;
     bool m_busy = false;
     bool m_isHead = false; ///< see isHead()
     bool m_reading = false; ///< read() is in progress
-    bool m_isPaused = false; ///< there is no room for more of the body
+    bool m_isPaused = false; ///< there is no room for more of the request
+    bool m_isAccountKnown = false; ///< m_lease is that of the account
     bool m_stopWhenIdle = false;
 };
 
--- a/src/caller/pressure.h
+++ b/src/caller/pressure.h
@@ -47,6 +47,15 @@
     /// upstream, its copy that is written to the caller, and the buffers of both connections.
     static constexpr ByteCount callBuffers = kibibytes(32);
 
+    /// Returns what a head of so many bytes and lines takes: a node for each field besides its
+    /// text, as it was received and as it is forwarded.
+    static constexpr ByteCount headCost(std::uint64_t bytes, std::uint64_t lines)
+    {
+        constexpr std::uint64_t nodeBytes = 96; // with what the allocator adds
+        constexpr std::uint64_t copies = 2;
+        return {copies * (bytes + lines * nodeBytes)};
+    }
+
 private:
     friend class RoomRequest;
     void grantWaiting();
--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -35,7 +35,7 @@
       m_request(std::move(request)), m_metadata(context.headerCodec.readCall(m_request)),
       m_table(context.state.table()), m_arrivedAt(RuntimeClock::now()),
       m_deadline(m_arrivedAt + defaultTimeout), m_timer(context.io), m_lease(caller.takeLease()),
-      m_wakeUp(context.io.get_executor())
+      m_headCost(caller.headCost()), m_wakeUp(context.io.get_executor())
 {
     m_context.counters.add(Counter::RequestsAccepted);
     m_context.counters.adjust(Gauge::OpenRequests, 1);
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -168,6 +168,7 @@
     Timer m_timer; ///< stops the call at m_deadline
     Stop m_stop = Stop::None;
     ByteLease m_lease; ///< of the request, the call's buffers, and the buffered answer
+    ByteCount m_headCost; ///< bytes that the head of the request takes
     Signal m_wakeUp; ///< notified when there is room, and when the call is stopped
     bool m_isFinishing = false; ///< the last answer is being sent
     ErrorKind m_quarantine = ErrorKind::None; ///< of Stop::Quarantined
--- a/src/forward/forwardcall_room.cpp
+++ b/src/forward/forwardcall_room.cpp
@@ -26,7 +26,7 @@
 /// Bytes that the call holds from its start to its end.
 ByteCount ForwardCall::baseRoom() const
 {
-    return Pressure::callBuffers + ByteCount{m_request.body().size()};
+    return Pressure::callBuffers + m_headCost + ByteCount{m_request.body().size()};
 }
 
 /// Takes room for the request and the call's buffers before anything is sent. Returns an error if
