forwarder: what a connection reads ahead and the kernel receives is bounded

What callers saw: 200 clients that send twelve requests of 16,000 bytes in a row made a gateway of 32 MB hold 41 MB, 37 MB with the byte budget in force.

Cause: 64 KB were read ahead of the request in progress, buffers that had grown stayed, and the kernel received as much as it liked: only its send buffer was bounded.

Change: 8 KB are read ahead, buffers are given back between requests, and the receive buffer is bounded (receive_kib, 16), on the listening socket, as a connection tells its peer how much it may send when it is opened.

Why it works: a connection is now within the 64 KB that half of the memory has for it. Ordinary callers wait for an answer before they send more.

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -62,7 +62,7 @@
 
 bool CallerStream::shouldRead() const
 {
-    return (m_reading && !m_isPaused) || m_input.size() < (m_isPaused ? m_readBuffer.size() : maxReadAheadBytes);
+    return (m_reading && !m_isPaused) || m_input.size() < maxReadAheadBytes;
 }
 
 asio::awaitable<void> CallerStream::readLoop()
@@ -206,6 +206,8 @@
     m_countedInput = 0;
     m_headLines = 0;
     m_headCost = {};
+    if (m_input.size() == 0)
+        m_input.shrink_to_fit(); // of a long head or chunk
     m_readResumed.notify();
 }
 
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -105,7 +105,7 @@
     static constexpr ByteCount maxUnboundedRequest = kibibytes(16);
 
     /// Bytes that are read ahead while a request is being processed; more stay in the kernel.
-    static constexpr std::size_t maxReadAheadBytes = 64U << 10U;
+    static constexpr std::size_t maxReadAheadBytes = 8U << 10U;
     /// Time for a caller to close after the last answer; allows a few round trips.
     static constexpr Duration lingerTime = milliseconds(500);
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -30,11 +30,24 @@
 } // namespace
 
 Forwarder::Forwarder(const Options &options, ForwardContext &context)
-    : m_options(options), m_context(context), m_acceptor(context.io, toTcpEndpoint(options.listen))
+    : m_options(options), m_context(context), m_acceptor(context.io)
 {
+    listen();
     asio::co_spawn(m_context.io, acceptLoop(), asio::detached);
 }
 
+void Forwarder::listen()
+{
+    const tcp::endpoint at = toTcpEndpoint(m_options.listen);
+    m_acceptor.open(at.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    // Connections inherit it before the peer learns how much it may send.
+    if (m_options.receiveBufferBytes > 0)
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(m_options.receiveBufferBytes));
+    m_acceptor.bind(at);
+    m_acceptor.listen();
+}
+
 const CallerLimits &Forwarder::limits() const
 {
     static const CallerLimits defaultLimits;
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -76,6 +76,8 @@
     {
         Endpoint listen;
         std::size_t maxConnections = 3000; ///< from callers; further ones are closed
+        /// What the kernel receives on a connection before it is read; 0: as the kernel decides.
+        int receiveBufferBytes = 0;
     };
 
     Forwarder(const Options &options, ForwardContext &context);
@@ -100,6 +102,7 @@
     std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
 private:
+    void listen();
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerStream> caller);
     boost::asio::awaitable<bool> serveOne(CallerStream &caller);
--- a/src/reachlead-gateway/gatewaysettings.cpp
+++ b/src/reachlead-gateway/gatewaysettings.cpp
@@ -20,8 +20,8 @@
 constexpr std::int64_t reservedDescriptors = 800;
 constexpr std::int64_t minConnections = 64;
 
-/// Connections per MB of memory: a caller's connection needs its read buffer and a request of usual
-/// size.
+/// Connections per MB of half the memory: a caller's connection takes its read buffer, what is read
+/// ahead, a request that needs no room of its own, and what the kernel has received.
 constexpr std::int64_t connectionsPerMb = 16;
 
 /// Reads several endpoints from one section. Returns the first error, if any.
@@ -267,6 +267,7 @@
     double heldShare = 0.25;
     std::int64_t callKib = 5 << 10;
     std::int64_t socketKib = pressure.socketBufferBytes >> 10;
+    std::int64_t receiveKib = 16;
     double stallMs = toMillis(pressure.stallTime);
     double limitMs = toMillis(pressure.stallLimit);
     std::vector<std::string> inForce;
@@ -276,6 +277,7 @@
         .takeNumber("account_share", 0.01, 0.99, &pressure.bounds.accountShare)
         .takeInteger("call_kib", 64, 1'000'000, &callKib)
         .takeInteger("socket_kib", 0, 1'000'000, &socketKib)
+        .takeInteger("receive_kib", 0, 1'000'000, &receiveKib)
         .takeNumber("stall_ms", 100.0, 600'000.0, &stallMs)
         .takeNumber("stall_limit_ms", 1000.0, 600'000.0, &limitMs);
     if (reader.has("for")) {
@@ -287,6 +289,7 @@
     pressure.bounds.process = {static_cast<std::uint64_t>(memory * heldShare)};
     pressure.bounds.call = kibibytes(static_cast<std::uint64_t>(callKib));
     pressure.socketBufferBytes = static_cast<int>(socketKib << 10);
+    forwarder.receiveBufferBytes = static_cast<int>(receiveKib << 10);
     pressure.stallTime = fromSeconds(stallMs / 1000.0);
     pressure.stallLimit = fromSeconds(limitMs / 1000.0);
     return reader.finish();
