forwarder: connections open to no use yield to new ones

What callers saw: clients that hold all connections with a byte of a body now and then, or with nothing, kept every new caller out for as long as they liked.

Cause: the time limit of a body began anew with each byte, and nothing gave way when connections were used up.

Change: a request must arrive within headerTimeoutMs + idleTimeoutMs and the time that its bytes take at maxHeaderBytes in headerTimeoutMs. For a new connection, those yield that have been open longest to no use. One that waits for a request is closed; a request in part is refused as not run (connection-needed, 503). Requests that were read whole never yield; if there are only such, the new connection is closed as before.

Why it works: a newcomer has been open for no time, so others yield before it, whatever the crowd does.

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -116,13 +116,30 @@
     return false;
 }
 
+/// Returns when the request must be whole, or nothing has arrived for too long. A caller that sends
+/// a byte now and then has no more time than the bytes that have arrived give it.
 Time CallerStream::readDeadline(bool headerDone) const
 {
     if (!m_busy)
         return m_readSince + milliseconds(m_limits.idleTimeoutMs);
     if (!headerDone)
         return m_readSince + milliseconds(m_limits.headerTimeoutMs);
-    return RuntimeClock::now() + milliseconds(m_limits.idleTimeoutMs);
+    const Time idleEnd = RuntimeClock::now() + milliseconds(m_limits.idleTimeoutMs);
+    return std::min(
+        idleEnd, m_readSince + m_limits.arrivalSlack() + m_limits.maxArrivalTime(arrivedBytes()));
+}
+
+std::optional<Duration> CallerStream::unproductiveTime(Time now) const
+{
+    if (!m_reading || m_isYielding)
+        return std::nullopt;
+    return now - m_readSince - m_limits.maxArrivalTime(arrivedBytes());
+}
+
+void CallerStream::yield()
+{
+    m_isYielding = true;
+    m_inputArrived.notify();
 }
 
 /// Brings the cost of the head up to date with the input, before the parser takes it line by line.
@@ -165,7 +182,7 @@
     const Time until = RuntimeClock::now() + milliseconds(m_limits.headerTimeoutMs);
     const RoomRequest request(room.pressure, lease, needed, m_inputArrived);
     m_isPaused = true;
-    while (!request.isGranted() && !m_disconnected && RuntimeClock::now() < until)
+    while (!request.isGranted() && !m_disconnected && !m_isYielding && RuntimeClock::now() < until)
         co_await m_inputArrived.waitUntil(until);
     m_isPaused = false;
     m_readResumed.notify();
@@ -187,7 +204,7 @@
         m_lease = room.pressure->lease({});
     }
     const bool isGranted = co_await makeRoom(m_lease, needed, room);
-    if (!isGranted && !m_disconnected)
+    if (!isGranted && !m_disconnected && !m_isYielding)
         m_error = {ErrorKind::BufferSpaceFull, "no room for the request in time"};
     co_return isGranted;
 }
@@ -216,7 +233,7 @@
 asio::awaitable<bool> CallerStream::receiveInput(const RequestParser &parser)
 {
     const Time deadline = readDeadline(parser.is_header_done());
-    if (m_disconnected || (m_stopWhenIdle && !m_busy))
+    if (m_disconnected || m_isYielding || (m_stopWhenIdle && !m_busy))
         co_return false;
     if (RuntimeClock::now() >= deadline) {
         if (m_busy)
@@ -256,6 +273,8 @@
             break;
     }
     m_reading = false;
+    if (m_isYielding && m_busy && !m_disconnected)
+        m_error = {ErrorKind::ConnectionNeeded, "other callers needed the connection"};
     co_return std::nullopt;
 }
 
--- a/src/caller/callerstream.h
+++ b/src/caller/callerstream.h
@@ -85,6 +85,17 @@
     /// Makes read() return if no byte of a request has arrived. Used for a planned stop.
     void stopWhenIdle();
 
+    /// Returns for how long the connection has been open to no use: the time since it waits for a
+    /// request, less what the bytes that have arrived of it took at the slowest rate of
+    /// CallerLimits. Nothing while a request is being processed.
+    std::optional<Duration> unproductiveTime(Time now) const;
+
+    /// Ends the connection in favour of another caller: read() returns, and what has arrived of a
+    /// request is refused as not run.
+    void yield();
+    /// Whether the connection ends in favour of another caller, so that it is to be closed at once.
+    bool isYielding() const { return m_isYielding; }
+
     /// Sets a callback for when the caller disconnects. It is called at most once.
     void onDisconnected(std::function<void()> callback) { m_onDisconnected = std::move(callback); }
     void clearOnDisconnected() { m_onDisconnected = nullptr; }
@@ -125,6 +136,7 @@
     boost::asio::awaitable<bool> receiveInput(const RequestParser &parser);
     bool parseInput(RequestParser *parser);
     Time readDeadline(bool headerDone) const;
+    std::uint64_t arrivedBytes() const { return m_parsedBytes + m_input.size(); }
 
     boost::asio::ip::tcp::socket m_socket;
     /// Buffer of the pending read. Separate from m_input, which may move its bytes while they are
@@ -152,6 +164,7 @@
     bool m_isPaused = false; ///< there is no room for more of the request
     bool m_isAccountKnown = false; ///< m_lease is that of the account
     bool m_stopWhenIdle = false;
+    bool m_isYielding = false; ///< see yield()
 };
 
 } // namespace reachlead
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -3,12 +3,17 @@
 
 #include "forwarder.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <reachlead/log.h>
 #include <reachlead/sockettimeouts.h>
 
+#include "caller/yielding.h"
 #include "forwardcall.h"
 #include "refusal.h"
 
@@ -78,6 +83,26 @@
     setAckTimeout(socket, options.stallLimit);
 }
 
+/// Makes the connections yield that have been open longest to no use, if the limit is reached.
+/// Returns false if none makes room for a new connection.
+bool Forwarder::makeRoomForConnection()
+{
+    const std::size_t limit = m_options.maxConnections;
+    if (m_connections.size() < limit)
+        return true;
+    std::vector<YieldCandidate<std::shared_ptr<CallerStream>>> candidates;
+    const Time now = RuntimeClock::now();
+    for (const auto &caller : m_connections) {
+        if (const auto unproductive = caller->unproductiveTime(now))
+            candidates.push_back({*unproductive, caller});
+    }
+    m_context.counters.add(Counter::ConnectionsYielded,
+                           yieldConnections(std::move(candidates), limit));
+    const auto yielding = std::ranges::count_if(
+        m_connections, [](const auto &caller) { return caller->isYielding(); });
+    return isRoomLeft(m_connections.size(), static_cast<std::size_t>(yielding), limit);
+}
+
 asio::awaitable<void> Forwarder::acceptLoop()
 {
     while (m_acceptor.is_open()) {
@@ -92,7 +117,7 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        if (m_connections.size() >= m_options.maxConnections) {
+        if (!makeRoomForConnection()) {
             m_context.counters.refused(ErrorKind::OpenRequests);
             continue; // closed before any request is read, so the caller can retry safely
         }
@@ -112,7 +137,7 @@
     bool keepAlive = true;
     while (keepAlive)
         keepAlive = co_await serveOne(*caller);
-    if (!caller->isDisconnected())
+    if (!caller->isDisconnected() && !caller->isYielding())
         co_await caller->closeGracefully();
     caller->abort();
     m_connections.erase(caller);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -75,7 +75,9 @@
     struct Options
     {
         Endpoint listen;
-        std::size_t maxConnections = 3000; ///< from callers; further ones are closed
+        /// From callers. For each further one, the one that has been open longest to no use is
+        /// closed; if all have a request in progress, the new one is.
+        std::size_t maxConnections = 3000;
         /// What the kernel receives on a connection before it is read; 0: as the kernel decides.
         int receiveBufferBytes = 0;
     };
@@ -104,6 +106,7 @@
 private:
     void listen();
     boost::asio::awaitable<void> acceptLoop();
+    bool makeRoomForConnection();
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerStream> caller);
     boost::asio::awaitable<bool> serveOne(CallerStream &caller);
     const CallerLimits &limits() const;
@@ -113,7 +116,7 @@
     Options m_options;
     ForwardContext &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::set<std::shared_ptr<CallerStream>> m_connections;
+    std::set<std::shared_ptr<CallerStream>> m_connections; ///< with those that are yielding
 };
 
 } // namespace reachlead
--- a/src/include/reachlead/counters.h
+++ b/src/include/reachlead/counters.h
@@ -91,6 +91,7 @@
     PeerDatagramsSuperseded,
     RevisionsRejected, ///< of the store's objects
     AnswersRejected, ///< of engines, at their agents
+    ConnectionsYielded, ///< closed in favour of other callers before a request
     Size
 };
 
--- a/src/include/reachlead/error.h
+++ b/src/include/reachlead/error.h
@@ -80,6 +80,7 @@
     QueueWaitExpired,
     HeldForMoreUrgent,
     SettingsOutdated,
+    ConnectionNeeded,
     Size
 };
 
--- a/src/include/reachlead/routing.h
+++ b/src/include/reachlead/routing.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -119,6 +120,16 @@
     std::int64_t headerTimeoutMs = 3000;
     std::int64_t idleTimeoutMs = 15000;
 
+    /// The time that a request may take to arrive, whatever its size.
+    Duration arrivalSlack() const { return milliseconds(headerTimeoutMs + idleTimeoutMs); }
+    /// The time that so many bytes of a request may take at the slowest rate: that of a head of the
+    /// largest size which arrives within its time limit.
+    Duration maxArrivalTime(std::uint64_t bytes) const
+    {
+        return fromSeconds(static_cast<double>(bytes) * static_cast<double>(headerTimeoutMs)
+                           / 1000.0 / std::max<double>(1.0, maxHeaderBytes));
+    }
+
     bool operator==(const CallerLimits &) const = default;
     template <class Archive> void serialize(Archive &ar)
     {
--- a/src/libreachlead/counters.cpp
+++ b/src/libreachlead/counters.cpp
@@ -81,7 +81,8 @@
     "peer_datagrams_received",
     "peer_datagrams_superseded",
     "revisions_rejected",
-    "answers_rejected"};
+    "answers_rejected",
+    "connections_yielded"};
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Gauge::Size)> gaugeNames{
     "open_connections", "open_requests",
--- a/src/libreachlead/error.cpp
+++ b/src/libreachlead/error.cpp
@@ -104,6 +104,8 @@
      "More urgent calls of this service were turned away a short time ago."},
     {SettingsOutdated, "settings-outdated", 503, notRun, soon,
      "By the settings that this router has this would be denied, but they may be outdated."},
+    {ConnectionNeeded, "connection-needed", 503, notRun, soon,
+     "The connection was needed by other callers before the request had arrived."},
 }};
 
 constexpr bool isInEnumOrder()
