http: the ports of operators and load balancers have bounds

What was seen: 60 clients with bodies of 1 MB but for their last byte at the readiness or the operators' port made a gateway of 32 MB hold 44 and 46 MB; 1,200 idle connections used 1,221 of 1,024 descriptors.

Cause: the server took bodies of 8 MB on any number of connections.

Change: HttpServerLimits; at these ports a head of 4 KiB, a body of 16 KiB and 32 connections, of which the one that waited longest for a request is closed for a new one.

Why it works: few connections with small requests, and the newest, such as a load balancer's, has its place.

--- a/src/include/reachlead/http.h
+++ b/src/include/reachlead/http.h
@@ -6,7 +6,9 @@
 
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,6 +82,22 @@
 /// Percent-encodes a query value.
 std::string encodeQuery(std::string_view text);
 
+/// What a server takes from its clients.
+struct HttpServerLimits
+{
+    std::uint64_t bodyBytes = 8U << 20U;
+    std::uint32_t headerBytes = 8U << 10U;
+    /// For each further one, the one that has waited longest for a request is closed.
+    std::size_t connections = std::numeric_limits<std::size_t>::max();
+    int receiveBufferBytes = 0; ///< of the kernel, for each connection; 0: as the kernel decides
+};
+
+/// For the servers of load balancers and operators, whose requests are short and few.
+constexpr HttpServerLimits shortRequestLimits{.bodyBytes = 16U << 10U,
+                                              .headerBytes = 4U << 10U,
+                                              .connections = 32,
+                                              .receiveBufferBytes = 16 << 10};
+
 /// Serves responses that are complete before they are sent. Runs on the given io_context.
 class HttpServer
 {
@@ -87,7 +105,8 @@
     using Handler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)>;
 
     /// Starts listening; throws boost::system::system_error on failure.
-    HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, Handler handler);
+    HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, Handler handler,
+               const HttpServerLimits &limits = {});
     ~HttpServer();
 
     std::uint16_t port() const;
--- a/src/libreachlead/http.cpp
+++ b/src/libreachlead/http.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <list>
 #include <ranges>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -223,28 +224,70 @@
 
 // ---- server -----------------------------------------------------------------------------
 
+namespace {
+
+/// One connection of a client.
+struct ServerConnection
+{
+    explicit ServerConnection(tcp::socket socket) : stream(std::move(socket)) { }
+
+    beast::tcp_stream stream;
+    std::optional<Time> waitsSince = RuntimeClock::now(); ///< for a request; empty: it is served
+};
+
+} // namespace
+
 struct HttpServer::Shared
 {
+    Shared(asio::io_context &io, const Endpoint &endpoint, Handler h, const HttpServerLimits &l)
+        : acceptor(io), handler(std::move(h)), limits(l)
+    {
+        const tcp::endpoint at(asio::ip::make_address(endpoint.address), endpoint.port);
+        acceptor.open(at.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        // Connections inherit it before the peer learns how much it may send.
+        if (limits.receiveBufferBytes > 0)
+            acceptor.set_option(asio::socket_base::receive_buffer_size(limits.receiveBufferBytes));
+        acceptor.bind(at);
+        acceptor.listen();
+    }
+
+    /// Closes the connection that has waited longest for a request, if there are as many as may be.
+    void makeRoomForConnection()
+    {
+        if (connections.size() < limits.connections)
+            return;
+        // Those that are served come last.
+        const auto since = [](const auto &it) { return it->waitsSince.value_or(Time::max()); };
+        beast::error_code ignored;
+        const auto it = std::ranges::min_element(connections, {}, since);
+        (*it)->stream.socket().close(ignored);
+        connections.erase(it);
+    }
+
     tcp::acceptor acceptor;
     Handler handler;
+    HttpServerLimits limits;
+    std::list<std::shared_ptr<ServerConnection>> connections;
 };
 
 namespace {
 
 template <class SharedPtr>
-asio::awaitable<void> serveConnection(SharedPtr shared, tcp::socket socket)
+asio::awaitable<void> serveRequests(SharedPtr shared, std::shared_ptr<ServerConnection> connection)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::error_code ec;
-    stream.socket().set_option(tcp::no_delay(true), ec);
+    beast::tcp_stream &stream = connection->stream;
     beast::flat_buffer buf(maxUnparsedBytes);
     for (;;) {
+        connection->waitsSince = RuntimeClock::now();
         stream.expires_after(idleTimeout);
         http::request_parser<http::string_body> parser;
-        parser.body_limit(maxBodyBytes);
+        parser.header_limit(shared->limits.headerBytes);
+        parser.body_limit(shared->limits.bodyBytes);
         const auto [readError, read] = co_await http::async_read(stream, buf, parser, asTuple);
         if (readError)
-            break;
+            co_return;
+        connection->waitsSince.reset();
         stream.expires_never();
         const auto &request = parser.get();
         HttpRequest call{std::string(request.method_string()), std::string(request.target()),
@@ -258,9 +301,18 @@
         stream.expires_after(idleTimeout);
         const auto [writeError, written] = co_await http::async_write(stream, response, asTuple);
         if (writeError || !keepAlive)
-            break;
+            co_return;
     }
-    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+template <class SharedPtr>
+asio::awaitable<void> serveConnection(SharedPtr shared,
+                                      std::shared_ptr<ServerConnection> connection)
+{
+    co_await serveRequests(shared, connection);
+    beast::error_code ec;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    shared->connections.remove(connection);
 }
 
 template <class SharedPtr> asio::awaitable<void> acceptConnections(SharedPtr shared)
@@ -271,17 +323,20 @@
             co_return;
         if (ec)
             continue;
-        const auto executor = shared->acceptor.get_executor();
-        asio::co_spawn(executor, serveConnection(shared, std::move(socket)), asio::detached);
+        shared->makeRoomForConnection();
+        socket.set_option(tcp::no_delay(true), ec);
+        const auto connection = std::make_shared<ServerConnection>(std::move(socket));
+        shared->connections.push_back(connection);
+        asio::co_spawn(shared->acceptor.get_executor(), serveConnection(shared, connection),
+                       asio::detached);
     }
 }
 
 } // namespace
 
-HttpServer::HttpServer(asio::io_context &io, const Endpoint &endpoint, Handler handler)
-    : m_shared(std::make_shared<Shared>(
-          Shared{tcp::acceptor(io, {asio::ip::make_address(endpoint.address), endpoint.port}),
-                 std::move(handler)}))
+HttpServer::HttpServer(asio::io_context &io, const Endpoint &endpoint, Handler handler,
+                       const HttpServerLimits &limits)
+    : m_shared(std::make_shared<Shared>(io, endpoint, std::move(handler), limits))
 {
     asio::co_spawn(io, acceptConnections(m_shared), asio::detached);
 }
--- a/src/operators/adminserver.cpp
+++ b/src/operators/adminserver.cpp
@@ -31,10 +31,12 @@
     : m_options(std::move(options)), m_pages(std::move(pages))
 {
     m_server = std::make_unique<HttpServer>(
-        m_io, m_options.listen, [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
+        m_io, m_options.listen,
+        [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
             HttpResponse reply = handle(request);
             co_return reply;
-        });
+        },
+        shortRequestLimits);
     m_port = m_server->port();
     m_thread = std::thread([this] { m_io.run(); });
 }
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -82,10 +82,14 @@
       m_streamLink(m_io, m_state, m_peers, &m_counters),
       m_limitShareLink(m_io, m_state, m_peers, &m_counters),
       m_usageLink(m_io, usageOptions(settings, &m_counters), m_peers, usagePlatform(m_io)),
-      m_readyServer(m_io, settings.ready,
-                    [this](HttpRequest request) { return handleReady(std::move(request)); }),
-      m_operatorServer(m_io, settings.operators,
-                       [this](HttpRequest request) { return handleOperator(std::move(request)); }),
+      m_readyServer(
+          m_io, settings.ready,
+          [this](HttpRequest request) { return handleReady(std::move(request)); },
+          shortRequestLimits),
+      m_operatorServer(
+          m_io, settings.operators,
+          [this](HttpRequest request) { return handleOperator(std::move(request)); },
+          shortRequestLimits),
       m_source(source(m_io, &m_counters)), m_streamArchive(streamArchive(m_io)),
       m_reload(std::move(reload))
 {
