routers: requests are held within a share of the memory

What callers saw: 150 clients made a router hold 66 MB with bodies but for their last byte, 151 MB with whole ones, and 250 clients 88 MB with heads of short fields; the bound is 64 MB.

Cause: a router did not know its memory: 20,000 connections of 1 MB, and each body several times over on its way to the agent.

Change: [router] memory_mb (2,560). A quarter bounds the requests held, by the byte budget of gateways; half of it the connections. A head without room is refused at once, a body waits.

Why it works: a body finds room for its three copies before it is read. The defaults keep 20,000 connections.

--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 
+#include <reachlead/apikey.h>
 #include <reachlead/completion.h>
 #include <reachlead/log.h>
 
@@ -29,6 +30,20 @@
 constexpr std::string_view outcomeHeader = "Reachlead-Outcome";
 constexpr std::string_view kindHeader = "Reachlead-Kind";
 
+/// Bytes of a body are held as received, in the queue, and in the frame to the agent.
+constexpr std::uint64_t bodyCopies = 3;
+
+ByteCount headCost(const http::fields &fields)
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t lines = 0;
+    for (const auto &field : fields) {
+        bytes += field.name_string().size() + field.value().size();
+        ++lines;
+    }
+    return Pressure::headCost(bytes, lines);
+}
+
 std::string chunked(std::string_view data)
 {
     return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
@@ -39,7 +54,8 @@
 CallerConnection::CallerConnection(CallerServer &server, asio::ip::tcp::socket socket)
     : m_server(server), m_socket(std::move(socket)),
       m_buffer(server.m_options.maxHeaderBytes + maxUnparsedBytes),
-      m_deadline(m_socket.get_executor()), m_wakeup(m_socket.get_executor())
+      m_deadline(m_socket.get_executor()), m_wakeup(m_socket.get_executor()),
+      m_roomGranted(m_socket.get_executor())
 {
     beast::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -96,6 +112,7 @@
         ++m_server.m_busy;
         std::optional<Request> request = co_await readRequest();
         more = request && co_await serve(std::move(*request));
+        m_lease = {};
         --m_server.m_busy;
         m_idle = true;
     }
@@ -119,19 +136,13 @@
 /// closed.
 asio::awaitable<std::optional<CallerConnection::Request>> CallerConnection::readRequest()
 {
-    http::request_parser<http::string_body> parser;
+    Parser parser;
     parser.header_limit(m_server.m_options.maxHeaderBytes);
     parser.body_limit(m_server.m_options.maxBodyBytes);
     setDeadline(m_server.m_options.headerTimeout);
     auto [ec, n] = co_await http::async_read_header(m_socket, m_buffer, parser, asTuple);
-    if (!ec) {
-        if (toStringView(parser.get()[http::field::expect]) == "100-continue"
-            && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
-            co_return std::nullopt;
-        setDeadline(m_server.m_options.bodyTimeout);
-        const auto [bodyError, m] = co_await http::async_read(m_socket, m_buffer, parser, asTuple);
-        ec = bodyError;
-    }
+    if (!ec)
+        ec = co_await readBody(parser);
     clearDeadline();
     if (!ec)
         co_return parser.release();
@@ -139,6 +150,8 @@
     ErrorKind kind = ErrorKind::BadRequest;
     if (m_timedOut)
         kind = ErrorKind::SlowSender;
+    else if (ec == asio::error::no_buffer_space)
+        kind = ErrorKind::BufferSpaceFull;
     else if (ec == http::error::body_limit)
         kind = ErrorKind::BodyTooLarge;
     else if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
@@ -151,6 +164,51 @@
     co_return std::nullopt;
 }
 
+/// Reads the body as far as there is room for it. Fails with no_buffer_space if there is none in
+/// time. The head does not wait, as it is held already.
+asio::awaitable<boost::system::error_code> CallerConnection::readBody(Parser &parser)
+{
+    const ByteCount head = headCost(parser.get().base());
+    m_lease = m_server.m_pressure->lease(accountOf(parser));
+    if (!m_lease.resize(head))
+        co_return asio::error::no_buffer_space;
+    if (toStringView(parser.get()[http::field::expect]) == "100-continue"
+        && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+        co_return asio::error::broken_pipe;
+    setDeadline(m_server.m_options.bodyTimeout);
+    beast::error_code ec;
+    while (!parser.is_done() && !ec) {
+        const std::uint64_t arrived = parser.get().body().size() + m_buffer.size();
+        const std::uint64_t size =
+            std::max<std::uint64_t>(parser.content_length().value_or(0), arrived);
+        if (!co_await makeRoom(head + ByteCount{bodyCopies * size}))
+            co_return asio::error::no_buffer_space;
+        co_await http::async_read_some(m_socket, m_buffer, parser, storeError(&ec));
+    }
+    co_return ec;
+}
+
+/// Waits for room until the time limit of a header has passed; nothing is read meanwhile.
+asio::awaitable<bool> CallerConnection::makeRoom(ByteCount needed)
+{
+    if (needed <= m_lease.held())
+        co_return true;
+    const Time until = RuntimeClock::now() + m_server.m_options.headerTimeout;
+    const RoomRequest request(m_server.m_pressure, m_lease, needed, m_roomGranted);
+    while (!request.isGranted() && !m_timedOut && RuntimeClock::now() < until)
+        co_await m_roomGranted.waitUntil(until);
+    co_return request.isGranted();
+}
+
+/// Returns the account whose key the head contains; empty if there is none.
+AccountName CallerConnection::accountOf(const Parser &parser) const
+{
+    const PoliciesPtr policies = m_server.policies();
+    const AccountPolicy *account =
+        policies ? findAccountByKey(*policies, bearerKey(parser.get().base())) : nullptr;
+    return account != nullptr ? account->name : AccountName();
+}
+
 asio::awaitable<bool> CallerConnection::serve(Request request)
 {
     m_isHead = request.method() == http::verb::head;
--- a/src/caller/callerconnection.h
+++ b/src/caller/callerconnection.h
@@ -14,12 +14,16 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <reachlead/answerchannel.h>
 #include <reachlead/clock.h>
 
+#include <reachlead/signal.h>
+
 #include "caller/openai.h"
+#include "caller/pressure.h"
 
 namespace reachlead {
 
@@ -61,7 +65,12 @@
     };
 
     Awaitable<bool> waitForRequest();
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
     Awaitable<std::optional<Request>> readRequest();
+    Awaitable<boost::system::error_code> readBody(Parser &parser);
+    Awaitable<bool> makeRoom(ByteCount needed);
+    AccountName accountOf(const Parser &parser) const;
     Awaitable<bool> serve(Request request);
     Awaitable<bool> servePage(const Request &request, bool *served);
     Awaitable<bool> exchange(Exchange exchange);
@@ -97,6 +106,8 @@
     bool m_idle = true;
     bool m_isHead = false; ///< the method of the last request is HEAD: its answer has no body
     bool m_watching = false;
+    Signal m_roomGranted;
+    ByteLease m_lease; ///< of the request in progress
     AccountName m_countedAccount; ///< account whose connection limit counts this connection
 };
 
--- a/src/caller/callerconnection_admit.cpp
+++ b/src/caller/callerconnection_admit.cpp
@@ -62,11 +62,9 @@
                                                          const Policies &policies,
                                                          const AccountPolicy **account)
 {
-    constexpr std::string_view scheme = "Bearer ";
-    std::string_view key = headerValue(request, "Authorization");
-    if (!key.starts_with(scheme))
+    const std::string_view key = bearerKey(request);
+    if (key.empty())
         return {ErrorKind::KeyMissing, "expected Authorization: Bearer ACCOUNT:SECRET"};
-    key.remove_prefix(scheme.size());
     *account = findAccountByKey(policies, key);
     if (!*account)
         return {ErrorKind::KeyUnknown, ""};
--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -18,17 +18,27 @@
 
 CallerServer::CallerServer(Options options, CallerHooks hooks)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_work(m_io.get_executor()),
-      m_acceptor(
-          m_io,
-          tcp::endpoint(asio::ip::make_address(m_options.listen.address), m_options.listen.port)),
-      m_port(m_acceptor.local_endpoint().port()), m_ready(m_options.maxOpenRequests * 2, [this] {
-          asio::post(m_io, [this] { handleReady(); });
-      })
+      m_acceptor(m_io), m_ready(m_options.maxOpenRequests * 2,
+                                [this] { asio::post(m_io, [this] { handleReady(); }); }),
+      m_pressure(std::make_shared<Pressure>(m_options.pressure, *m_options.counters))
 {
-    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    listen();
     m_thread = std::thread([this] { run(); });
 }
 
+void CallerServer::listen()
+{
+    const tcp::endpoint at(asio::ip::make_address(m_options.listen.address), m_options.listen.port);
+    m_acceptor.open(at.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    // Connections inherit it before the peer learns how much it may send.
+    if (m_options.receiveBufferBytes > 0)
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(m_options.receiveBufferBytes));
+    m_acceptor.bind(at);
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    m_port = m_acceptor.local_endpoint().port();
+}
+
 CallerServer::~CallerServer()
 {
     join();
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -22,6 +22,8 @@
 #include <reachlead/http.h>
 #include <reachlead/ringbuffer.h>
 
+#include "caller/pressure.h"
+
 namespace reachlead {
 
 class CallerConnection;
@@ -52,6 +54,10 @@
         Duration bodyTimeout = seconds(30);
         Duration idleTimeout = seconds(75);
         Duration writeTimeout = seconds(30); ///< after which a stalled caller is disconnected
+        /// Bounds the bytes held for requests.
+        Pressure::Options pressure{.bounds = {.process = mebibytes(640), .call = mebibytes(640)}};
+        /// What the kernel receives on a connection before it is read; 0: as the kernel decides.
+        int receiveBufferBytes = 16 << 10;
     };
 
     CallerServer(Options options, CallerHooks hooks);
@@ -79,6 +85,7 @@
     friend class CallerConnection;
 
     void run();
+    void listen();
     void accept();
     void handleReady();
     bool acquireSlot(Tier tier);
@@ -107,6 +114,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     RingBuffer<AnswerChannelPtr> m_ready;
+    std::shared_ptr<Pressure> m_pressure; ///< used on the server's thread only
     std::thread m_thread;
 };
 
--- a/src/caller/headers.cpp
+++ b/src/caller/headers.cpp
@@ -19,4 +19,11 @@
         names, [&](std::string_view it) { return boost::algorithm::iequals(it, name); });
 }
 
+std::string_view bearerKey(const boost::beast::http::fields &fields)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view value = toStringView(fields[boost::beast::http::field::authorization]);
+    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string_view();
+}
+
 } // namespace reachlead
--- a/src/reachlead-router/routersettings.cpp
+++ b/src/reachlead-router/routersettings.cpp
@@ -3,6 +3,7 @@
 
 #include "routersettings.h"
 
+#include <algorithm>
 #include <array>
 
 #include "operators/daemon.h"
@@ -10,6 +11,16 @@
 
 namespace reachlead {
 
+namespace {
+
+/// Fraction of the memory that requests may take.
+constexpr std::uint64_t heldDivisor = 4;
+/// Connections per MB of half the memory: each takes its read buffer and what the kernel has
+/// received.
+constexpr std::int64_t connectionsPerMb = 16;
+
+} // namespace
+
 std::optional<std::string> RouterSettings::read(const IniFile &file)
 {
     using Reader = std::optional<std::string> (RouterSettings::*)(const IniFile &);
@@ -33,6 +44,7 @@
         .takeText("vm", &dispatcher.vm.text)
         .takeText("zone", &dispatcher.zone.text)
         .takeText("address", &dispatcher.address)
+        .takeInteger("memory_mb", 16, 1'000'000, &memoryMb)
         .takeText("fleet_key_file", &fleetKeyFile)
         .takeDuration("recovery_wait", milliseconds(100), seconds(60),
                       &dispatcher.tuning.recoveryWait)
@@ -63,7 +75,11 @@
         .takeDuration("idle_time", milliseconds(100), seconds(3600), &callers.idleTimeout)
         .takeDuration("write_time", milliseconds(100), seconds(600), &callers.writeTimeout);
     callers.maxOpenRequests = static_cast<std::size_t>(mostOpen);
-    callers.maxConnections = static_cast<std::size_t>(mostConnections);
+    callers.maxConnections =
+        static_cast<std::size_t>(std::min(mostConnections, memoryMb / 2 * connectionsPerMb));
+    callers.pressure.bounds.process = {mebibytes(static_cast<std::uint64_t>(memoryMb)).value
+                                       / heldDivisor};
+    callers.pressure.bounds.call = callers.pressure.bounds.process;
     callers.maxBodyBytes = static_cast<std::uint64_t>(largestBody);
     dispatcher.maxOpenRequests = callers.maxOpenRequests;
     return readEndpoint(file, reader, "callers", "listen", &callers.listen);
--- a/src/reachlead-router/routersettings.h
+++ b/src/reachlead-router/routersettings.h
@@ -26,6 +26,7 @@
     AdminServer::Options operators;
     Duration stopNotice = seconds(2); ///< between a failing health page and the last accept
     Duration stopLimit = seconds(120); ///< for requests in progress at a stop
+    std::int64_t memoryMb = 2560; ///< available to the process
     std::string fleetKeyFile; ///< empty: peers are not checked
     std::size_t logLevel = 1;
 
