routers: connections open to no use yield to new ones

What callers saw: as at gateways, clients that hold all connections with few bytes kept new callers out; no ordinary call was answered in 40 tries, in both cases.

Cause: further connections were closed, and those that were there first stayed.

Change: the rule of gateways, by the same function.

Evidence: crowd-router-slow-bodies failed before and passes. testsuite/hostile expected the old rule: that two of twelve idle connections above a limit of ten are closed unread. It is replaced by two checks: idle connections yield and are counted while the number stays ten, and beside ten requests in progress, new connections are closed and counted as before, and none of the ten is.

--- a/src/caller/callerconnection.cpp
+++ b/src/caller/callerconnection.cpp
@@ -79,6 +79,21 @@
     m_socket.close(ignored);
 }
 
+std::optional<Duration> CallerConnection::unproductiveTime(Time now) const
+{
+    if (!m_waitsSince || m_isYielding)
+        return std::nullopt;
+    return now - *m_waitsSince;
+}
+
+void CallerConnection::yield()
+{
+    m_isYielding = true;
+    m_roomGranted.notify();
+    beast::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 void CallerConnection::setDeadline(Duration timeout)
 {
     const std::uint64_t generation = ++m_deadlineGeneration;
@@ -105,12 +120,15 @@
     const auto self = shared_from_this();
     bool more = true;
     while (more && !m_server.m_closing) {
+        m_waitsSince = RuntimeClock::now();
         if (!co_await waitForRequest())
             break;
+        m_waitsSince = RuntimeClock::now();
         // A planned stop waits for a request from its first byte on.
         m_idle = false;
         ++m_server.m_busy;
         std::optional<Request> request = co_await readRequest();
+        m_waitsSince.reset();
         more = request && co_await serve(std::move(*request));
         m_lease = {};
         --m_server.m_busy;
@@ -129,7 +147,7 @@
     setDeadline(m_server.m_options.idleTimeout);
     const auto [ec] = co_await m_socket.async_wait(asio::socket_base::wait_read, asTuple);
     clearDeadline();
-    co_return !ec && !m_timedOut;
+    co_return !ec && !m_timedOut && !m_isYielding;
 }
 
 /// Reads one request. A malformed, too large or slow one is refused here, and the connection is
@@ -150,6 +168,8 @@
     ErrorKind kind = ErrorKind::BadRequest;
     if (m_timedOut)
         kind = ErrorKind::SlowSender;
+    else if (m_isYielding)
+        kind = ErrorKind::ConnectionNeeded;
     else if (ec == asio::error::no_buffer_space)
         kind = ErrorKind::BufferSpaceFull;
     else if (ec == http::error::body_limit)
@@ -177,7 +197,7 @@
         co_return asio::error::broken_pipe;
     setDeadline(m_server.m_options.bodyTimeout);
     beast::error_code ec;
-    while (!parser.is_done() && !ec) {
+    while (!parser.is_done() && !ec && !m_isYielding) {
         const std::uint64_t arrived = parser.get().body().size() + m_buffer.size();
         const std::uint64_t size =
             std::max<std::uint64_t>(parser.content_length().value_or(0), arrived);
@@ -185,6 +205,8 @@
             co_return asio::error::no_buffer_space;
         co_await http::async_read_some(m_socket, m_buffer, parser, storeError(&ec));
     }
+    if (!ec && !parser.is_done())
+        co_return asio::error::operation_aborted; // to yield
     co_return ec;
 }
 
@@ -195,7 +217,7 @@
         co_return true;
     const Time until = RuntimeClock::now() + m_server.m_options.headerTimeout;
     const RoomRequest request(m_server.m_pressure, m_lease, needed, m_roomGranted);
-    while (!request.isGranted() && !m_timedOut && RuntimeClock::now() < until)
+    while (!request.isGranted() && !m_timedOut && !m_isYielding && RuntimeClock::now() < until)
         co_await m_roomGranted.waitUntil(until);
     co_return request.isGranted();
 }
--- a/src/caller/callerconnection.h
+++ b/src/caller/callerconnection.h
@@ -42,6 +42,15 @@
     /// Closes the connection if no request is in progress.
     void closeIfIdle();
 
+    /// Returns for how long the connection has waited for a request, or for the rest of one;
+    /// nothing while a request is being processed.
+    std::optional<Duration> unproductiveTime(Time now) const;
+
+    /// Ends the connection in favour of another caller. What has arrived of a request is refused as
+    /// not run.
+    void yield();
+    bool isYielding() const { return m_isYielding; }
+
 private:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
     template <class T> using Awaitable = boost::asio::awaitable<T>;
@@ -102,6 +111,8 @@
     Timer m_wakeup; ///< cancelled when the request in progress has events
     std::uint64_t m_deadlineGeneration = 0;
     bool m_timedOut = false;
+    bool m_isYielding = false; ///< see yield()
+    std::optional<Time> m_waitsSince; ///< for a request or the rest of one; empty: it is processed
     bool m_disconnected = false;
     bool m_idle = true;
     bool m_isHead = false; ///< the method of the last request is HEAD: its answer has no body
--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -3,6 +3,8 @@
 
 #include "caller/callerserver.h"
 
+#include <algorithm>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -10,6 +12,7 @@
 #include <reachlead/log.h>
 
 #include "caller/callerconnection.h"
+#include "caller/yielding.h"
 
 namespace reachlead {
 
@@ -65,9 +68,8 @@
     m_acceptor.async_accept([this](boost::system::error_code ec, tcp::socket socket) {
         if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (!ec && m_connectionCount < m_options.maxConnections) {
+        if (!ec && makeRoomForConnection()) {
             const auto connection = std::make_shared<CallerConnection>(*this, std::move(socket));
-            std::erase_if(m_connections, [](const auto &weak) { return weak.expired(); });
             m_connections.push_back(connection);
             asio::co_spawn(
                 m_io, [connection]() -> asio::awaitable<void> { co_await connection->run(); },
@@ -81,6 +83,30 @@
     });
 }
 
+/// Makes the connections yield that have been open longest to no use, if the limit is reached.
+/// Returns false if none makes room for a new connection.
+bool CallerServer::makeRoomForConnection()
+{
+    std::erase_if(m_connections, [](const auto &weak) { return weak.expired(); });
+    const std::size_t limit = m_options.maxConnections;
+    if (m_connectionCount < limit)
+        return true;
+    std::vector<YieldCandidate<std::shared_ptr<CallerConnection>>> candidates;
+    const Time now = RuntimeClock::now();
+    for (const auto &weak : m_connections) {
+        const auto connection = weak.lock();
+        if (const auto unproductive = connection->unproductiveTime(now))
+            candidates.push_back({*unproductive, connection});
+    }
+    m_options.counters->add(Counter::ConnectionsYielded,
+                            yieldConnections(std::move(candidates), limit));
+    const auto yielding = std::ranges::count_if(m_connections, [](const auto &weak) {
+        const auto connection = weak.lock();
+        return connection && connection->isYielding();
+    });
+    return isRoomLeft(m_connectionCount, static_cast<std::size_t>(yielding), limit);
+}
+
 void CallerServer::notifyReady(AnswerChannelPtr channel)
 {
     if (!m_ready.push(std::move(channel)))
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -46,6 +46,8 @@
         Endpoint listen;
         Incarnation incarnation;
         Counters *counters = nullptr;
+        /// For each further one, the one that has been open longest to no use is closed; if all
+        /// have a request in progress, the new one is.
         std::size_t maxConnections = 20000;
         std::size_t maxOpenRequests = 8192; ///< open requests; lower tiers are limited to a part
         std::uint32_t maxHeaderBytes = 16U << 10U;
@@ -87,6 +89,7 @@
     void run();
     void listen();
     void accept();
+    bool makeRoomForConnection();
     void handleReady();
     bool acquireSlot(Tier tier);
     void releaseSlot();
