callerstream: room for a head is held with the account once the key is known

What callers saw: a call without a body whose head costs more than 16 KiB kept its room with callers that have no account, so a crowd without keys could take the room of callers with one, and the other way round.

Cause: with enough room taken for the head, nothing asked for room again at its end.

Change: the end of a head is itself a reason to move the room to the account.

--- a/src/caller/callerstream.cpp
+++ b/src/caller/callerstream.cpp
@@ -172,7 +172,9 @@
 bool CallerStream::needsRoom(const RequestParser &parser) const
 {
     const ByteCount size = requestSize(parser);
-    return size > maxUnboundedRequest && size + Pressure::callBuffers > m_lease.held();
+    const bool isWithAccount = !parser.is_header_done() || m_isAccountKnown;
+    return size > maxUnboundedRequest
+        && (size + Pressure::callBuffers > m_lease.held() || !isWithAccount);
 }
 
 /// Waits for room until the time limit of a header has passed. Nothing is read meanwhile.
