review: additional bytes without an id make an unsafe call run twice

Cause: UpstreamExchange::readHead() drops an answer as another call's only if it has an Attempt-Id that differs. Bytes that a faulty replica sends after a complete answer, and that read as a refusal without an id, are taken for the answer to the next call on the channel.

Nothing is fixed.

--- /dev/null
+++ b/review/support-2/run-case.bash
@@ -0,0 +1,20 @@
+# Copyright Contributors to the reachlead project.
+# SPDX-License-Identifier: Apache-2.0
+#
+# run_case FOLDER CASE: runs a case of the fixture; its record goes to FOLDER. Returns 1 if the rule
+# was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+run_case() {
+    local folder=$1 name=$2 code=0 work fixture=target/review-2/fixture
+    # As in the deploy file.
+    local gateway=target/build/bin/reachlead-gateway
+    if [[ ! -x $gateway || ! -x $fixture ]]; then
+        echo "build the deploy file and run review/build-2.sh first" >&2
+        return 2
+    fi
+    work=$(mktemp -d)
+    # The gateway ends with the fixture.
+    timeout --kill-after=5 110 "$fixture" "$name" "$gateway" "$work" "$folder/record.txt" || code=$?
+    rm -rf "$work"
+    [[ $code -le 1 ]] || code=2
+    return "$code"
+}
