--- a/review/support-2/run-case.bash
+++ b/review/support-2/run-case.bash
@@ -12,8 +12,12 @@
         return 2
     fi
     work=$(mktemp -d)
-    # The gateway ends with the fixture.
-    timeout --kill-after=5 110 "$fixture" "$name" "$gateway" "$work" "$folder/record.txt" || code=$?
+    # The gateway ends with the fixture, also if the script is ended early.
+    timeout --kill-after=5 110 "$fixture" "$name" "$gateway" "$work" "$folder/record.txt" &
+    local pid=$!
+    trap 'kill "$pid"; wait "$pid"; rm -rf "$work"; exit 2' TERM INT
+    wait "$pid" || code=$?
+    trap - TERM INT
     rm -rf "$work"
     [[ $code -le 1 ]] || code=2
     return "$code"
