--- a/review/support-2/fixture.cpp
+++ b/review/support-2/fixture.cpp
@@ -131,21 +131,26 @@
 
 // ---- requests that are never answered -----------------------------------------------------
 
-std::string trailerRequest(const std::string &attempt, std::size_t bytes)
+/// A request whose prompt parts take \p bytes of its head.
+std::string longHead(const std::string &attempt, std::size_t bytes)
 {
-    return "POST /save/x HTTP/1.1\r\n" + clientFields(attempt)
-        + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nNote:" + std::string(bytes, 'n')
-        + "\r\n\r\n";
+    std::string parts = "5c1e07a2:100";
+    for (int id = 0x91b000; parts.size() < bytes; ++id) {
+        char part[32];
+        std::snprintf(part, sizeof part, ",%x:1", static_cast<unsigned>(id));
+        parts += part;
+    }
+    return post("/save/x", clientFields(attempt) + "Prompt-Prefix: " + parts + "\r\n", "hi");
 }
 
-/// Clients send chunked requests with a long trailer. Requests that are unanswered at their route's
-/// timeoutMs must have an answer half a second later.
+/// Clients send requests with long heads, within the limits of the desired state. Those that are
+/// unanswered at their route's timeoutMs must have an answer half a second later.
 void unansweredRequests(const Setup &setup)
 {
     constexpr int callCount = 12;
     constexpr int moreCount = 1200;
     constexpr Millis timeout(2000);
-    const std::size_t bytes = setup.trouble ? 65'534 : 1000;
+    const std::size_t bytes = setup.trouble ? 70'000 : 60'000;
     Store store;
     std::vector<std::unique_ptr<Replica>> replicas;
     replicas.push_back(std::make_unique<Replica>(setup.record, "replica-1", answerPlainly));
@@ -153,6 +158,7 @@
     DesiredState state;
     state.routes =
         routeJson("save", "unsafe", R"("maxAttempts":1,"timeoutMs":2000,"targetLatencyMs":150)");
+    state.maxHeaderBytes = 131'072;
     state.writeTo(store);
     Gateway gateway(setup.gateway, setup.folder, store);
     gateway.waitUntilReady();
@@ -162,7 +168,7 @@
         clients.emplace_back([&, n] {
             const std::string attempt = "save-" + std::to_string(n + 1);
             Socket channel = Socket::connect(gateway.callers());
-            replies[n] = exchange(setup.record, channel, attempt, trailerRequest(attempt, bytes),
+            replies[n] = exchange(setup.record, channel, attempt, longHead(attempt, bytes),
                                   timeout + Millis(500));
         });
     }
@@ -182,7 +188,7 @@
     std::vector<Socket> channels;
     for (int n = 0; n < moreCount; ++n) {
         channels.push_back(Socket::connect(gateway.callers()));
-        channels.back().send(trailerRequest("more-" + std::to_string(n), bytes));
+        channels.back().send(longHead("more-" + std::to_string(n), bytes));
         if (channels.size() == 50) {
             pause(Millis(250));
             channels.clear();
@@ -195,9 +201,9 @@
                          + gateway.metric("reachlead_open_connections")
                          + ", ready: " + (gateway.isReady() ? "yes" : "no"));
     for (int n = 0; n < 5; ++n) {
-        const std::string attempt = "small-" + std::to_string(n + 1);
+        const std::string attempt = "shorter-" + std::to_string(n + 1);
         Socket channel = Socket::connect(gateway.callers());
-        exchange(setup.record, channel, attempt, post("/save/x", clientFields(attempt), "hi"),
+        exchange(setup.record, channel, attempt, longHead(attempt, 30'000),
                  std::chrono::seconds(4));
     }
     finish(setup, gateway, held);
--- a/review/support-2/platform.h
+++ b/review/support-2/platform.h
@@ -417,13 +417,15 @@
     std::uint64_t version = 1;
     std::string routes; ///< JSON objects, separated by commas
     std::string tenants = R"([{"name":"tenant-a","apiKeys":["key-a"]}])";
+    std::uint32_t maxHeaderBytes = 16'384;
 
     void writeTo(Store &store) const
     {
         store.put("config", "main",
                   R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
                       + R"(],"services":[{"name":"app","healthPath":"/health","maxConns":100}],)"
-                      + R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)"
+                      + R"("limits":{"maxHeaderBytes":)" + std::to_string(maxHeaderBytes)
+                      + R"(,"maxBodyBytes":4194304,)"
                       + R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":)" + tenants
                       + "}");
     }
