forwardcall: the state of one attempt is an object of its own

Cause: the buffered body was a member of the call, cleared only where it is next filled, and an event stream without events is delivered without filling it. The reason, the first byte and the room of an attempt outlived it the same way.

Change: ForwardAttempt holds what belongs to one send, and each send begins with a new one; what the caller has received stays with the call. What is delivered comes from the attempt, so that no earlier answer can be part of it.

--- a/src/forward/forwardcall.cpp
+++ b/src/forward/forwardcall.cpp
@@ -35,7 +35,8 @@
       m_request(std::move(request)), m_metadata(context.headerCodec.readCall(m_request)),
       m_table(context.state.table()), m_arrivedAt(RuntimeClock::now()),
       m_deadline(m_arrivedAt + defaultTimeout), m_timer(context.io), m_lease(caller.takeLease()),
-      m_headCost(caller.headCost()), m_wakeUp(context.io.get_executor())
+      m_headCost(caller.headCost()), m_wakeUp(context.io.get_executor()),
+      m_attempt(std::make_unique<ForwardAttempt>())
 {
     m_context.counters.add(Counter::RequestsAccepted);
     m_context.counters.adjust(Gauge::OpenRequests, 1);
@@ -122,8 +123,8 @@
     m_stop = why;
     m_wakeUp.notify();
     m_cancelWait.cancel();
-    if (m_channel)
-        m_channel->close();
+    if (m_attempt->channel)
+        m_attempt->channel->close();
     // Otherwise the call would last until the caller reads again.
     const bool isUnfinished = !m_isFinishing || why == Stop::CallerStalled;
     if (isUnfinished && m_caller.writes().isWriting())
@@ -219,14 +220,14 @@
     const Time now = RuntimeClock::now();
     if (const auto remaining = crashes.remainingQuarantine(digest(), now)) {
         m_retryAfter = remaining;
-        m_lastReason = "upstreams crashed while running this request, at any of the gateways";
+        m_refusalReason = "upstreams crashed while running this request, at any of the gateways";
         return ErrorKind::RequestQuarantined;
     }
     const auto remaining = crashes.remainingQuarantine(promptContents().parts, now);
     if (!remaining)
         return std::nullopt;
     m_retryAfter = remaining;
-    m_lastReason = "upstreams crashed as they began to answer on a part of this prompt";
+    m_refusalReason = "upstreams crashed as they began to answer on a part of this prompt";
     return ErrorKind::PromptPartQuarantined;
 }
 
@@ -264,7 +265,7 @@
     case ForwardStep::Deliver:
         co_return co_await deliverAnswer();
     case ForwardStep::Abort:
-        logResult("cut", decision.kind, m_exchange ? m_exchange->status() : 0);
+        logResult("cut", decision.kind, m_attempt->exchange ? m_attempt->exchange->status() : 0);
         m_caller.abort();
         co_return false;
     case ForwardStep::Refuse:
@@ -273,7 +274,7 @@
     case ForwardStep::Continue:
         break;
     }
-    const Error error{decision.kind, m_lastReason};
+    const Error error{decision.kind, reason()};
     co_return co_await refuse(error);
 }
 
@@ -283,15 +284,16 @@
         m_request.version() >= 11 && m_request.keep_alive() && !m_context.stopping;
     bool sent = false;
     if (m_headDelivered) {
-        if (m_isBodyComplete)
+        if (m_attempt->isBodyComplete)
             sent = co_await m_caller.finishAnswer();
     } else {
+        recordAnswerBegin();
         FullAnswer answer;
         answer.version(11);
-        copyEndToEnd(m_exchange->head(), &answer.base());
-        answer.result(m_exchange->status());
+        copyEndToEnd(m_attempt->exchange->head(), &answer.base());
+        answer.result(m_attempt->exchange->status());
         answer.keep_alive(keepAlive);
-        answer.body() = std::move(m_body);
+        answer.body() = std::move(m_attempt->body);
         if (m_request.method() == http::verb::head)
             answer.content_length(boost::none);
         else
@@ -300,15 +302,15 @@
     }
     m_context.counters.add(Counter::RequestsCompleted);
     m_context.latencies.recordLatency(LatencyKind::Whole, RuntimeClock::now() - m_arrivedAt);
-    logResult(sent ? "delivered" : "caller-lost", ErrorKind::None, m_exchange->status());
+    logResult(sent ? "delivered" : "caller-lost", ErrorKind::None, m_attempt->exchange->status());
     co_return sent &&keepAlive;
 }
 
 asio::awaitable<bool> ForwardCall::refuse(const Error &error)
 {
     m_context.counters.refused(error.kind);
-    if (m_lastReason.empty())
-        m_lastReason = error.reason;
+    if (reason().empty())
+        m_refusalReason = error.reason;
     if (m_caller.isDisconnected()) {
         logResult("caller-gone", error.kind, 0);
         co_return false;
@@ -361,22 +363,22 @@
         .with("config", m_table ? m_table->version() : 0)
         .with("registry", m_context.state.directory().revision().number)
         .with("state_age_ms", stateAgeMs())
-        .with("upstream", m_lastUpstream.text)
-        .with("version", m_lastVersion.text)
+        .with("upstream", m_attempt->upstream.text)
+        .with("version", m_attempt->version.text)
         .with("resumes", m_metadata.resumedAttempt)
         .with("resume_after", m_metadata.resumeAfter.value_or(0))
-        .with("cost", static_cast<std::int64_t>(m_lastCost))
-        .with("speed", m_lastSpeed)
-        .with("placed_by", m_placedBy.text)
+        .with("cost", static_cast<std::int64_t>(m_attempt->cost))
+        .with("speed", m_attempt->speed)
+        .with("placed_by", m_attempt->placedBy.text)
         .with("placing_ms", static_cast<std::int64_t>(toMillis(m_placementDuration)))
         .with("waited_ms", static_cast<std::int64_t>(toMillis(m_waited)))
-        .with("fetch_from", m_fetchFrom ? m_fetchFrom->text() : "-")
+        .with("fetch_from", m_attempt->fetchFrom ? m_attempt->fetchFrom->text() : "-")
         .with("sends", m_sends)
         .with("misses", m_connectFailures)
         .with("absences", m_connectRefusals)
         .with("prompt", m_metadata.promptTokens)
-        .with("to_read", m_prefillTokens)
-        .with("ahead", m_tokensToFirstEvent)
+        .with("to_read", m_attempt->prefillTokens)
+        .with("ahead", m_attempt->tokensToFirstEvent)
         .with("come_back_ms",
               m_retryAfter ? static_cast<std::int64_t>(toMillis(*m_retryAfter)) : -1)
         .with("events", m_events.eventCount())
@@ -388,7 +390,7 @@
                             : -1)
         .with("ms", static_cast<std::int64_t>(toMillis(now - m_arrivedAt)))
         .with("ms_left", static_cast<std::int64_t>(toMillis(m_deadline - now)))
-        .with("reason", m_lastReason);
+        .with("reason", reason());
 }
 
 } // namespace reachlead
--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -17,8 +17,8 @@
 #include <reachlead/eventsplitter.h>
 #include <reachlead/forwardpolicy.h>
 
+#include "forwardattempt.h"
 #include "forwarder.h"
-#include "upstream/upstreamexchange.h"
 
 namespace reachlead {
 
@@ -78,7 +78,7 @@
     boost::asio::awaitable<PlacementResult> choose();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendOnce();
     boost::asio::awaitable<std::optional<ForwardDecision>> sendTo(UpstreamEntry entry);
-    void beginSend(const UpstreamEntry &entry, const Selection &selection);
+    void beginSend(const UpstreamEntry &entry, const Selection &selection, const VmName &placedBy);
     boost::asio::awaitable<UpstreamChannelPtr> openChannel(const UpstreamEntry &entry);
     boost::asio::awaitable<SendResult> exchange(const UpstreamEntry &entry);
     boost::asio::awaitable<SendResult> receiveAnswer();
@@ -101,10 +101,15 @@
     void recordBegin();
     void applyNotice();
     void recordFirstByte();
+    void recordAnswerBegin();
     void recordExecutionStart();
     void recordTokenGap(Time now);
     std::string_view missedTarget() const;
-    bool hasBegun() const { return m_headDelivered || m_isExecutionStarted; }
+    bool hasBegun() const { return m_headDelivered || m_attempt->firstByteAt; }
+    const std::string &reason() const
+    {
+        return m_refusalReason.empty() ? m_attempt->reason : m_refusalReason;
+    }
     RequestContent content() const;
     PartContent partContent(const PromptPart &part) const;
     std::span<const PromptPart> sharedParts() const;
@@ -174,6 +179,7 @@
     ErrorKind m_quarantine = ErrorKind::None; ///< of Stop::Quarantined
     std::shared_ptr<int> m_lifetime = std::make_shared<int>(); ///< expires with this object
 
+    std::unique_ptr<ForwardAttempt> m_attempt; ///< the last one; an empty one before the first
     std::set<UpstreamId> m_tried;
     unsigned m_sends = 0; ///< attempts that may have reached an upstream
     unsigned m_connectFailures = 0; ///< as in ForwardState
@@ -184,39 +190,19 @@
     std::optional<SoftwareVersion> m_sharedVersion; ///< last recorded for other gateways
     bool m_wasMoved = false; ///< another version was recorded before
     bool m_mayHaveRun = false;
-    UpstreamId m_lastUpstream;
-    SoftwareVersion m_lastVersion; ///< of m_lastUpstream, as known when the call was sent
-    std::string m_lastReason;
-    bool m_isConnectionRefused = false; ///< by the last upstream
-    double m_lastCost = 0;
-    double m_lastSpeed = 1.0; ///< as UpstreamSpeeds::speed() when the call was sent
-    VmName m_placedBy; ///< the gateway that selected the last upstream
+    std::string m_refusalReason; ///< why the call is not sent, or not sent again
     Duration m_placementDuration{}; ///< total duration of upstream selections
     Duration m_waited{}; ///< for an upstream with room
     CancelSignal m_cancelWait;
-    TokenCount m_prefillTokens = 0; ///< expected by the last selection
-    TokenCount m_tokensToFirstEvent = 0; ///< as in Selection, of the current send
-    Time m_sentAt{}; ///< of the current send
-    bool m_awaitsFirstEvent = false; ///< the current send has no event yet
     std::optional<Duration> m_retryAfter; ///< of an early refusal or a quarantine
-    TokenCount m_pendingPrefillTokens = 0; ///< of the current send, until its first event
-    bool m_isShortPrompt = false; ///< as in Selection
-    std::optional<Endpoint> m_fetchFrom; ///< of the current send: whose cache to copy from
-
-    std::optional<BackupLedger::Reservation> m_backup; ///< the engine that is sent the run's memory
-    std::optional<RunCopy> m_continueFrom; ///< of the current send
-    bool m_continuesNext = false; ///< the next send goes on from the copy at m_backup
+    bool m_continuesNext = false; ///< the next send goes on from the copy of the last attempt
     unsigned m_continuations = 0; ///< sends that went on from a copy; included in m_sends
 
-    UpstreamChannelPtr m_channel; ///< of the current send
-    std::optional<UpstreamExchange> m_exchange;
-    EventSplitter m_events;
-    std::string m_body;
+    EventSplitter m_events; ///< of all attempts: a stream may go on in the next one
     bool m_headDelivered = false;
-    bool m_isBodyComplete = false; ///< a chunked answer was passed on up to its end
     bool m_isBodyRelayed = false; ///< bytes of a body that is no event stream were passed on
     bool m_isExecutionStarted = false; ///< an upstream is known to have started execution
-    std::optional<Time> m_firstByteAt;
+    std::optional<Time> m_firstByteAt; ///< of the answer that is passed on
     Time m_lastEventAt{}; ///< when events were last passed on
     Duration m_maxTokenGap{}; ///< longest time between events passed on
     std::uint64_t m_prefillTokensAtMaxGap = 0; ///< queued at the engine when that gap ended
--- a/src/forward/forwardcall_answer.cpp
+++ b/src/forward/forwardcall_answer.cpp
@@ -51,7 +51,7 @@
 
 SendResult ForwardCall::failureResult() const
 {
-    return m_exchange->isCorrupt() ? SendResult::Corrupt : SendResult::Lost;
+    return m_attempt->exchange->isCorrupt() ? SendResult::Corrupt : SendResult::Lost;
 }
 
 /// Ends the send because the connection to the caller failed, which says nothing about the
@@ -65,8 +65,8 @@
 /// Classifies the send by the head of the answer alone.
 SendResult ForwardCall::classifyHead() const
 {
-    const unsigned status = m_exchange->status();
-    const AnswerMetadata &metadata = m_exchange->metadata();
+    const unsigned status = m_attempt->exchange->status();
+    const AnswerMetadata &metadata = m_attempt->exchange->metadata();
     if (metadata.notRun)
         return SendResult::RefusedNotRun;
     if (promisesNotRun(status))
@@ -82,17 +82,20 @@
     const SendResult headResult = classifyHead();
     applyNotice();
     if (headResult == SendResult::Corrupt) {
-        m_lastReason = "the answer lacks the upstream's signature or its confirmation of a refusal";
+        m_attempt->reason =
+            "the answer lacks the upstream's signature or its confirmation of a refusal";
         co_return headResult; // its body is not read, as it may have no end
     }
     if (headResult == SendResult::RefusedNotRun) {
-        m_lastReason = fmt::format("the upstream refused with {}", m_exchange->status());
-        const bool isWhole = m_headDelivered || co_await m_exchange->discardBody();
+        m_attempt->reason =
+            fmt::format("the upstream refused with {}", m_attempt->exchange->status());
+        const bool isWhole = m_headDelivered || co_await m_attempt->exchange->discardBody();
         co_return isWhole ? headResult : failureResult();
     }
     // An error answer is not a run, whatever its type.
-    const bool isRun = headResult == SendResult::Complete && isSuccessful(m_exchange->status());
-    if (isRun && isEventStream(m_exchange->head()))
+    const bool isRun =
+        headResult == SendResult::Complete && isSuccessful(m_attempt->exchange->status());
+    if (isRun && isEventStream(m_attempt->exchange->head()))
         co_return co_await relayEvents();
     if (m_headDelivered)
         co_return headResult == SendResult::Complete ? SendResult::Corrupt : headResult;
@@ -103,10 +106,10 @@
 /// Applies the notice in the answer to the gateway's state, whatever the result of the call.
 void ForwardCall::applyNotice()
 {
-    const std::optional<UpstreamNotice> &notice = m_exchange->metadata().notice;
+    const std::optional<UpstreamNotice> &notice = m_attempt->exchange->metadata().notice;
     if (!notice)
         return;
-    const auto changes = m_context.state.applyNotice(m_lastUpstream, *notice);
+    const auto changes = m_context.state.applyNotice(m_attempt->upstream, *notice);
     if (changes.hasNewLimit)
         m_context.counters.add(Counter::LimitsReceived);
     if (changes.isNewlyLeaving)
@@ -118,23 +121,22 @@
 /// Buffers the answer until it is complete; passes it on once it exceeds maxBufferedBytes.
 asio::awaitable<SendResult> ForwardCall::bufferAnswer()
 {
-    m_body.clear();
     while (true) {
-        const auto piece = co_await m_exchange->readSome();
+        const auto piece = co_await m_attempt->exchange->readSome();
         if (!piece)
             co_return failureResult();
         // An upstream that is killed closes its connections.
-        if (piece->empty() && m_body.empty() && isSuccessful(m_exchange->status())
-            && m_exchange->endsWithConnection()) {
-            m_lastReason = "the connection ended before the body";
+        if (piece->empty() && m_attempt->body.empty() && isSuccessful(m_attempt->exchange->status())
+            && m_attempt->exchange->endsWithConnection()) {
+            m_attempt->reason = "the connection ended before the body";
             co_return SendResult::Lost;
         }
         recordFirstByte();
         if (piece->empty())
             co_return SendResult::Complete;
-        m_body += *piece;
-        if (m_body.size() > maxBufferedBytes || !tryRoom({m_body.size()})) {
-            std::string first = std::move(m_body);
+        m_attempt->body += *piece;
+        if (m_attempt->body.size() > maxBufferedBytes || !tryRoom({m_attempt->body.size()})) {
+            std::string first = std::move(m_attempt->body);
             co_return co_await relayBody(std::move(first));
         }
     }
@@ -149,13 +151,13 @@
         sent = co_await m_caller.sendChunk(*piece);
         tryRoom({}); // what was buffered before is sent
         if (sent)
-            piece = co_await m_exchange->readSome();
+            piece = co_await m_attempt->exchange->readSome();
     }
     if (!sent)
         co_return callerLost();
     if (!piece)
         co_return failureResult();
-    m_isBodyComplete = true;
+    m_attempt->isBodyComplete = true;
     co_return SendResult::Complete;
 }
 
@@ -184,7 +186,7 @@
     m_events.beginAnswer(isStream ? EventCheck::OfOneRun : EventCheck::None, requestedPosition());
     const std::uint64_t eventsBefore = m_events.eventCount();
     while (true) {
-        const auto piece = co_await m_exchange->readSome();
+        const auto piece = co_await m_attempt->exchange->readSome();
         if (!piece)
             co_return failureResult();
         if (piece->empty())
@@ -200,22 +202,22 @@
             co_return rejectEvent(*m_events.rejection());
     }
     if (m_events.hasPartialEvent()) {
-        m_lastReason = "the stream ended inside an event";
+        m_attempt->reason = "the stream ended inside an event";
         co_return SendResult::Lost;
     }
     // An upstream that is killed closes its connections.
-    if (m_events.eventCount() == eventsBefore && m_exchange->endsWithConnection()) {
-        m_lastReason = "the connection ended before the first event";
+    if (m_events.eventCount() == eventsBefore && m_attempt->exchange->endsWithConnection()) {
+        m_attempt->reason = "the connection ended before the first event";
         co_return SendResult::Lost;
     }
     if (lacksFirstEvent()) {
-        m_lastReason = "the stream ended before its first event";
-        m_exchange->reject(m_lastReason);
+        m_attempt->reason = "the stream ended before its first event";
+        m_attempt->exchange->reject(m_attempt->reason);
         co_return SendResult::Corrupt;
     }
     if (!m_headDelivered)
         co_return SendResult::Complete; // no events: delivered as an empty answer
-    m_isBodyComplete = true;
+    m_attempt->isBodyComplete = true;
     co_return SendResult::Complete;
 }
 
@@ -233,8 +235,8 @@
 {
     LogLine(LogLevel::Warn, "event-rejected")
         .with("attempt", m_metadata.attemptId)
-        .with("upstream", m_lastUpstream.text)
-        .with("version", m_lastVersion.text)
+        .with("upstream", m_attempt->upstream.text)
+        .with("version", m_attempt->version.text)
         .with("fault", toString(rejection.fault))
         .with("due", formatId(rejection.due))
         .with("seen", formatId(rejection.seen))
@@ -246,8 +248,8 @@
 {
     m_context.counters.rejected(rejection.fault);
     logRejection(rejection);
-    m_lastReason = fmt::format("an event was rejected: {}", toString(rejection.fault));
-    m_exchange->reject(m_lastReason);
+    m_attempt->reason = fmt::format("an event was rejected: {}", toString(rejection.fault));
+    m_attempt->exchange->reject(m_attempt->reason);
     const bool isInDoubt = isCallersPositionInDoubt(rejection.fault);
     return isInDoubt ? SendResult::Unmatched : SendResult::Corrupt;
 }
@@ -275,7 +277,7 @@
     m_maxTokenGap = gap;
     if (gap > milliseconds(m_route->gapTargetMs))
         m_prefillTokensAtMaxGap =
-            m_context.state.upstreams().load(m_lastUpstream, now).prefillTokens;
+            m_context.state.upstreams().load(m_attempt->upstream, now).prefillTokens;
 }
 
 /// Returns which target of the route a delivered stream missed: `first` for the first event,
@@ -293,26 +295,32 @@
 
 void ForwardCall::recordFirstByte()
 {
-    if (m_pendingPrefillTokens > 0)
-        m_context.state.upstreams().firstEvent(m_lastUpstream,
-                                               std::exchange(m_pendingPrefillTokens, 0));
+    if (m_attempt->pendingPrefillTokens > 0)
+        m_context.state.upstreams().firstEvent(m_attempt->upstream,
+                                               std::exchange(m_attempt->pendingPrefillTokens, 0));
     recordExecutionStart();
-    if (std::exchange(m_awaitsFirstEvent, false)) {
-        m_context.state.upstreams().recordPrefill(m_service, m_lastUpstream, m_tokensToFirstEvent,
-                                                  RuntimeClock::now() - m_sentAt,
-                                                  RuntimeClock::now());
+    if (std::exchange(m_attempt->awaitsFirstEvent, false)) {
+        m_context.state.upstreams().recordPrefill(
+            m_service, m_attempt->upstream, m_attempt->tokensToFirstEvent,
+            RuntimeClock::now() - m_attempt->sentAt, RuntimeClock::now());
         recordBegin();
     }
+    if (!m_attempt->firstByteAt)
+        m_attempt->firstByteAt = RuntimeClock::now();
+}
+
+/// Called when the first part of an answer is about to be passed on.
+void ForwardCall::recordAnswerBegin()
+{
+    m_firstByteAt = m_attempt->firstByteAt;
     if (m_firstByteAt)
-        return;
-    m_firstByteAt = RuntimeClock::now();
-    m_context.latencies.recordLatency(LatencyKind::FirstByte, *m_firstByteAt - m_arrivedAt);
+        m_context.latencies.recordLatency(LatencyKind::FirstByte, *m_firstByteAt - m_arrivedAt);
 }
 
 /// Reports that an upstream has begun to answer on the shared parts of the prompt.
 void ForwardCall::recordBegin()
 {
-    const bool isSuccess = isSuccessful(m_exchange->status());
+    const bool isSuccess = isSuccessful(m_attempt->exchange->status());
     if (isSuccess && m_context.onPartsBegan && !sharedParts().empty())
         m_context.onPartsBegan(promptContents());
 }
@@ -320,7 +328,7 @@
 /// Counts the call for its account, once however many times it is sent.
 void ForwardCall::recordExecutionStart()
 {
-    const bool isRefused = m_exchange && m_exchange->metadata().notRun;
+    const bool isRefused = m_attempt->exchange && m_attempt->exchange->metadata().notRun;
     if (isRefused || std::exchange(m_isExecutionStarted, true))
         return;
     if (m_account != nullptr && m_context.onExecutionStarted)
@@ -330,6 +338,7 @@
 asio::awaitable<bool> ForwardCall::sendHead()
 {
     m_headDelivered = true;
+    recordAnswerBegin();
     // A named variable, as GCC 12 destroys temporaries in co_await expressions twice (GCC bug 98056
     // and related ones).
     AnswerHead head = makeHead();
@@ -340,8 +349,8 @@
 {
     AnswerHead head;
     head.version(11);
-    copyEndToEnd(m_exchange->head(), &head.base());
-    head.result(m_exchange->status());
+    copyEndToEnd(m_attempt->exchange->head(), &head.base());
+    head.result(m_attempt->exchange->status());
     const bool chunked = m_request.version() >= 11;
     head.chunked(chunked);
     head.keep_alive(chunked && m_request.keep_alive() && !m_context.stopping);
--- a/src/forward/forwardcall_backups.cpp
+++ b/src/forward/forwardcall_backups.cpp
@@ -38,14 +38,14 @@
 /// Selects the engine that is sent a copy of the run on \p entry as it grows, if any.
 void ForwardCall::chooseBackup(const UpstreamEntry &entry)
 {
-    m_backup.reset();
     const ServiceInfo *service = m_table->service(m_service);
     if (service == nullptr || !service->engineBacksUpRuns || m_route->kind != RouteKind::Stream
         || m_metadata.attemptId.empty())
         return;
     RunOutlook run;
     run.isResumable = m_route->resumable;
-    run.isAtRisk = m_continueFrom || !m_context.state.upstreams().isHealthy(entry.id, m_sentAt);
+    run.isAtRisk = m_attempt->continueFrom
+        || !m_context.state.upstreams().isHealthy(entry.id, m_attempt->sentAt);
     run.promptTokens = m_metadata.promptTokens;
     run.outputTokens = m_metadata.estimatedOutputTokens.value_or(m_metadata.maxOutputTokens);
     if (!isBackupWorthwhile(m_context.backupSettings, run))
@@ -55,21 +55,22 @@
                                            backupCandidates());
     if (!engine)
         return;
-    m_backup.emplace(m_context.backups, *engine, run.tokens());
+    m_attempt->backup.emplace(m_context.backups, *engine, run.tokens());
     m_context.counters.add(Counter::RunsBackedUp);
 }
 
-/// The engine that holds a copy of the run that was sent last; null if there is none, or if it may
+/// The engine that holds a copy of the run of the last attempt; null if there is none, or if it may
 /// not go on with the run.
 const UpstreamEntry *ForwardCall::copyHolder() const
 {
-    if (!m_backup)
+    if (!m_attempt->backup)
         return nullptr;
     GatewayState &state = m_context.state;
-    const UpstreamEntry *entry = state.directory().find(m_backup->engine());
+    const UpstreamEntry *entry = state.directory().find(m_attempt->backup->engine());
     const Time now = RuntimeClock::now();
     const bool goesOn = entry != nullptr && state.directory().takesWork(*entry)
-        && entry->softwareVersion == m_lastVersion && state.upstreams().isHealthy(entry->id, now)
+        && entry->softwareVersion == m_attempt->version
+        && state.upstreams().isHealthy(entry->id, now)
         && !state.upstreams().backoffs().isBackedOff(entry->id, now);
     return goesOn ? entry : nullptr;
 }
@@ -85,15 +86,15 @@
     const UpstreamEntry entry = *holder;
     LogLine(LogLevel::Info, "run-continued")
         .with("attempt", m_metadata.attemptId)
-        .with("from", m_lastUpstream.text)
+        .with("from", m_attempt->upstream.text)
         .with("at", entry.id.text)
         .with("version", entry.softwareVersion.text)
         .with("events", m_events.eventCount());
-    m_continueFrom = RunCopy{entry.address, m_metadata.attemptId};
     Selection selection;
     selection.upstream = entry.id;
-    selection.isShortPrompt = m_isShortPrompt;
-    beginSend(entry, selection);
+    selection.isShortPrompt = m_attempt->isShortPrompt;
+    beginSend(entry, selection, m_context.state.vm());
+    m_attempt->continueFrom = RunCopy{entry.address, m_metadata.attemptId};
     chooseBackup(entry);
     co_return co_await sendTo(entry);
 }
@@ -101,15 +102,15 @@
 /// Counts the result of a send that went on from a copy.
 void ForwardCall::recordContinuation(SendResult result)
 {
-    if (!m_continueFrom)
+    if (!m_attempt->continueFrom)
         return;
     const bool isRefused =
         result == SendResult::RefusedNotRun || result == SendResult::NotConnected;
     m_context.counters.add(isRefused ? Counter::ContinuationsRefused : Counter::RunsContinued);
     if (isRefused)
-        m_lastReason = "the engine with the copy of the run did not go on with it";
+        m_attempt->reason = "the engine with the copy of the run did not go on with it";
     if (isRefused)
-        m_backup.reset(); // no run that feeds it
+        m_attempt->backup.reset(); // no run that feeds it
 }
 
 } // namespace reachlead
--- a/src/forward/forwardcall_room.cpp
+++ b/src/forward/forwardcall_room.cpp
@@ -84,7 +84,7 @@
     LogLine(LogLevel::Info, "caller-stalled")
         .with("attempt", m_metadata.attemptId)
         .with("account", m_account != nullptr ? m_account->name.text : "-")
-        .with("upstream", m_lastUpstream.text)
+        .with("upstream", m_attempt->upstream.text)
         .with("for_ms", static_cast<std::int64_t>(toMillis(m_caller.writes().longestWait(now))))
         .with("lost", m_stop == Stop::CallerStalled)
         .with("events", m_events.eventCount());
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -100,7 +100,6 @@
         query.cancel = &m_cancelWait;
     }
     placed = co_await m_context.selector->select(std::move(query));
-    m_placedBy = placed.placedBy;
     m_waited += placed.waited;
     m_placementDuration += placed.duration;
     co_return placed;
@@ -160,47 +159,49 @@
     const PlacementResult placed = co_await choose();
     const std::optional<Selection> &selection = placed.selection;
     if (placed.isWithdrawn) {
-        m_lastReason = "the call was ended while it waited for an upstream";
+        m_refusalReason = "the call was ended while it waited for an upstream";
         co_return ForwardDecision{ForwardStep::Refuse, stopKind(true)};
     }
     if (placed.retryAfter) {
         m_retryAfter = placed.retryAfter;
-        m_lastReason = placed.refusal == ErrorKind::HeldForMoreUrgent
+        m_refusalReason = placed.refusal == ErrorKind::HeldForMoreUrgent
             ? "more urgent calls of the service were refused a short time ago"
             : "the engines' queues are too long for the target latency";
         co_return ForwardDecision{ForwardStep::Refuse, placed.refusal};
     }
     if (!selection) {
-        m_lastReason = "no upstream of the service takes work";
+        m_refusalReason = "no upstream of the service takes work";
         const ErrorKind kind = m_mayHaveRun ? ErrorKind::OutcomeUnknown : unavailableKind();
         const ForwardStep step = m_mayHaveRun ? ForwardStep::Fail : ForwardStep::Refuse;
         co_return ForwardDecision{m_headDelivered ? ForwardStep::Abort : step, kind};
     }
     const UpstreamEntry entry = *state.directory().find(selection->upstream);
-    m_continueFrom.reset();
-    beginSend(entry, *selection);
+    beginSend(entry, *selection, placed.placedBy);
     chooseBackup(entry);
     co_return co_await sendTo(entry);
 }
 
-/// Records that the call is about to be sent to an upstream.
-void ForwardCall::beginSend(const UpstreamEntry &entry, const Selection &selection)
+/// Begins an attempt: nothing of the last one is kept but what the caller has received of it.
+void ForwardCall::beginSend(const UpstreamEntry &entry, const Selection &selection,
+                            const VmName &placedBy)
 {
     GatewayState &state = m_context.state;
+    m_attempt = std::make_unique<ForwardAttempt>();
+    m_events.dropPartialEvent();
+    tryRoom({}); // that of the last answer
     m_tried.insert(entry.id);
-    m_lastUpstream = entry.id;
-    m_lastVersion = entry.softwareVersion;
-    m_lastCost = selection.cost;
-    m_lastSpeed = state.upstreams().speeds().speed(m_service, entry.id, RuntimeClock::now());
-    m_pendingPrefillTokens = selection.prefillTokens;
-    m_prefillTokens = selection.prefillTokens;
-    m_tokensToFirstEvent = selection.tokensToFirstEvent;
-    m_sentAt = RuntimeClock::now();
-    m_awaitsFirstEvent = true;
-    m_isShortPrompt = selection.isShortPrompt;
-    m_fetchFrom.reset();
+    m_attempt->placedBy = placedBy;
+    m_attempt->upstream = entry.id;
+    m_attempt->version = entry.softwareVersion;
+    m_attempt->cost = selection.cost;
+    m_attempt->speed = state.upstreams().speeds().speed(m_service, entry.id, RuntimeClock::now());
+    m_attempt->pendingPrefillTokens = selection.prefillTokens;
+    m_attempt->prefillTokens = selection.prefillTokens;
+    m_attempt->tokensToFirstEvent = selection.tokensToFirstEvent;
+    m_attempt->sentAt = RuntimeClock::now();
+    m_attempt->isShortPrompt = selection.isShortPrompt;
     if (selection.fetchFrom)
-        m_fetchFrom = state.directory().find(*selection.fetchFrom)->address;
+        m_attempt->fetchFrom = state.directory().find(*selection.fetchFrom)->address;
     state.upstreams().sent(entry.id, makeSelectionQuery(), selection, RuntimeClock::now());
 }
 
@@ -229,7 +230,7 @@
         .with("after", toString(result))
         .with("upstream", entry.id.text)
         .with("version", entry.softwareVersion.text)
-        .with("reason", m_lastReason)
+        .with("reason", m_attempt->reason)
         .with("sends", m_sends)
         .with("ms_left", static_cast<std::int64_t>(toMillis(timeLeft())));
     co_return std::nullopt;
@@ -243,7 +244,7 @@
     now.resumable = m_route->resumable && !m_isBodyRelayed;
     now.headDelivered = m_headDelivered;
     now.sends = m_sends;
-    now.hasCopy = !m_awaitsFirstEvent && !m_isBodyRelayed && copyHolder() != nullptr;
+    now.hasCopy = !m_attempt->awaitsFirstEvent && !m_isBodyRelayed && copyHolder() != nullptr;
     now.continuations = m_continuations;
     now.maxAttempts = m_route->maxAttempts;
     now.connectFailures = m_connectFailures;
@@ -274,9 +275,9 @@
     const Duration limit = std::min<Duration>(connectTimeout, timeLeft());
     ConnectFailure failure;
     UpstreamChannelPtr channel = co_await m_context.pool.connect(entry, limit, &failure);
-    m_isConnectionRefused = failure.connectionRefused;
+    m_attempt->isConnectionRefused = failure.connectionRefused;
     if (!channel)
-        m_lastReason = failure.reason;
+        m_attempt->reason = failure.reason;
     else
         m_context.latencies.recordLatency(LatencyKind::Connect, RuntimeClock::now() - began);
     co_return channel;
@@ -284,29 +285,28 @@
 
 asio::awaitable<SendResult> ForwardCall::exchange(const UpstreamEntry &entry)
 {
-    m_exchange.reset();
-    m_channel = co_await openChannel(entry);
-    if (!m_channel || m_stop != Stop::None) {
-        ++(m_isConnectionRefused ? m_connectRefusals : m_connectFailures);
+    m_attempt->channel = co_await openChannel(entry);
+    if (!m_attempt->channel || m_stop != Stop::None) {
+        ++(m_attempt->isConnectionRefused ? m_connectRefusals : m_connectFailures);
         co_return SendResult::NotConnected;
     }
     if (!checkVersion(entry)) {
-        m_lastReason = "the upstream has another software version now";
+        m_attempt->reason = "the upstream has another software version now";
         co_return SendResult::NotConnected;
     }
     if (m_sends == 0)
         m_context.state.retries().recordFirstSend(m_service, RuntimeClock::now());
     ++m_sends;
-    m_continuations += m_continueFrom ? 1 : 0;
+    m_continuations += m_attempt->continueFrom ? 1 : 0;
     m_context.counters.add(Counter::Dispatched);
     recordStream();
-    m_exchange.emplace(m_channel, m_context.headerCodec);
+    m_attempt->exchange.emplace(m_attempt->channel, m_context.headerCodec);
     const UpstreamCall call = makeCall(entry);
-    bool isOk = co_await m_exchange->write(call);
+    bool isOk = co_await m_attempt->exchange->write(call);
     if (isOk)
-        isOk = co_await m_exchange->readHead();
+        isOk = co_await m_attempt->exchange->readHead();
     const bool isStalled = m_context.pressure && m_stop == Stop::Expired
-        && m_exchange->isUpstreamStalled(m_context.pressure->options().stallTime);
+        && m_attempt->exchange->isUpstreamStalled(m_context.pressure->options().stallTime);
     if (!isOk)
         co_return isStalled ? SendResult::Stalled : failureResult();
     co_return co_await receiveAnswer();
@@ -329,8 +329,8 @@
         metadata.account = m_account->name;
     metadata.urgency = m_table->urgencyRank(*m_route, m_account);
     metadata.resumeAfter = m_events.lastId();
-    metadata.fetchFrom = m_fetchFrom;
-    metadata.continueFrom = m_continueFrom;
+    metadata.fetchFrom = m_attempt->fetchFrom;
+    metadata.continueFrom = m_attempt->continueFrom;
     if (const UpstreamEntry *backup = copyHolder())
         metadata.backUpAt = backup->address;
     m_context.headerCodec.writeSend(m_request, metadata, &call.fields);
@@ -340,36 +340,37 @@
 void ForwardCall::recordResult(const UpstreamEntry &entry, SendResult result)
 {
     UpstreamTable &table = m_context.state.upstreams();
-    table.ended(entry.id, std::exchange(m_pendingPrefillTokens, 0), m_isShortPrompt);
-    if (m_exchange && m_lastReason.empty())
-        m_lastReason = m_exchange->reason();
+    table.ended(entry.id, std::exchange(m_attempt->pendingPrefillTokens, 0),
+                m_attempt->isShortPrompt);
+    if (m_attempt->exchange && m_attempt->reason.empty())
+        m_attempt->reason = m_attempt->exchange->reason();
     const bool isStoppedHere = m_stop != Stop::None;
     if (result == SendResult::Complete && m_context.onRequestCleared && mayBeSuspect()
         && m_context.state.crashes().isSuspect(digest()))
         m_context.onRequestCleared(digest());
     if (result == SendResult::Complete && !m_metadata.prompt.empty())
-        table.recordCallDuration(m_service, RuntimeClock::now() - m_sentAt);
+        table.recordCallDuration(m_service, RuntimeClock::now() - m_attempt->sentAt);
     if (result == SendResult::Complete && m_metadata.prompt.empty())
-        table.recordPlainCall(m_service, entry.id, RuntimeClock::now() - m_sentAt,
+        table.recordPlainCall(m_service, entry.id, RuntimeClock::now() - m_attempt->sentAt,
                               RuntimeClock::now());
     if (result == SendResult::Complete || result == SendResult::ServerError)
         table.succeeded(entry.id);
-    else if (std::exchange(m_isConnectionRefused, false))
+    else if (m_attempt->isConnectionRefused)
         table.connectionRefused(entry.id, RuntimeClock::now());
     else if (result == SendResult::Stalled || (blamesUpstream(result) && !isStoppedHere))
         table.failed(entry.id, RuntimeClock::now());
-    else if (result == SendResult::RefusedNotRun && m_exchange->metadata().isMisdirected)
+    else if (result == SendResult::RefusedNotRun && m_attempt->exchange->metadata().isMisdirected)
         table.replaced(entry.id);
-    if (!m_channel)
+    if (!m_attempt->channel)
         return;
-    if (m_exchange && m_exchange->isReusable() && !isStoppedHere) {
-        if (const auto limit = m_exchange->keepAliveTimeout())
-            m_channel->idleTimeout = *limit;
-        m_context.pool.giveBack(entry.id, m_channel);
+    if (m_attempt->exchange && m_attempt->exchange->isReusable() && !isStoppedHere) {
+        if (const auto limit = m_attempt->exchange->keepAliveTimeout())
+            m_attempt->channel->idleTimeout = *limit;
+        m_context.pool.giveBack(entry.id, m_attempt->channel);
     } else {
-        m_channel->close();
+        m_attempt->channel->close();
     }
-    m_channel.reset();
+    m_attempt->channel.reset();
 }
 
 /// Logs that the call lost its upstream. The digest in the log line identifies a request that is
@@ -386,12 +387,13 @@
         .with("born", entry.id.startedAt)
         .with("version", entry.softwareVersion.text)
         .with("events", m_events.eventCount())
-        .with("ahead", m_tokensToFirstEvent)
+        .with("ahead", m_attempt->tokensToFirstEvent)
         .with("running", m_context.state.upstreams().load(entry.id, RuntimeClock::now()).running)
-        .with("ms", static_cast<std::int64_t>(toMillis(RuntimeClock::now() - m_sentAt)));
+        .with("ms", static_cast<std::int64_t>(toMillis(RuntimeClock::now() - m_attempt->sentAt)));
     if (m_context.crashDetector != nullptr)
         m_context.crashDetector->connectionLost(
-            entry, {digest(), promptContents(), hasBegun(), {m_sentAt, RuntimeClock::now()}});
+            entry,
+            {digest(), promptContents(), hasBegun(), {m_attempt->sentAt, RuntimeClock::now()}});
 }
 
 } // namespace reachlead
--- a/src/forward/forwardcall_streams.cpp
+++ b/src/forward/forwardcall_streams.cpp
@@ -171,8 +171,8 @@
 {
     const UpstreamEntry *current = m_context.state.directory().find(entry.id);
     if (current != nullptr)
-        m_lastVersion = current->softwareVersion;
-    return !m_binding || m_binding->version == m_lastVersion;
+        m_attempt->version = current->softwareVersion;
+    return !m_binding || m_binding->version == m_attempt->version;
 }
 
 /// Shares the version that is about to run a stream, early enough that it is known elsewhere before
@@ -180,11 +180,11 @@
 void ForwardCall::recordStream()
 {
     const bool isResumable = m_route->kind == RouteKind::Stream && m_route->resumable;
-    if (!isResumable || m_metadata.attemptId.empty() || m_sharedVersion == m_lastVersion)
+    if (!isResumable || m_metadata.attemptId.empty() || m_sharedVersion == m_attempt->version)
         return;
     m_wasMoved = m_sharedVersion.has_value();
-    m_sharedVersion = m_lastVersion;
-    shareBinding(m_metadata.attemptId, {m_service, m_lastVersion, m_sends});
+    m_sharedVersion = m_attempt->version;
+    shareBinding(m_metadata.attemptId, {m_service, m_attempt->version, m_sends});
 }
 
 void ForwardCall::shareBinding(std::string_view attemptId, const StreamBinding &binding)
@@ -202,7 +202,7 @@
 {
     if (m_binding)
         return;
-    m_binding = StreamBinding{m_service, m_lastVersion, m_sends};
+    m_binding = StreamBinding{m_service, m_attempt->version, m_sends};
     // A gateway that missed the datagram of a move would report the version of the earlier send.
     if (m_wasMoved)
         shareBinding(m_metadata.attemptId, *m_binding);
--- a/src/include/reachlead/eventsplitter.h
+++ b/src/include/reachlead/eventsplitter.h
@@ -32,6 +32,9 @@
     /// incomplete event is discarded.
     void beginAnswer(EventCheck check, std::optional<std::uint64_t> position);
 
+    /// Ends an answer: discards what is left of an incomplete event.
+    void dropPartialEvent() { m_held = {}; }
+
     /// Appends bytes and returns those up to the end of the last complete event, or up to the first
     /// event that is rejected. Nothing may be fed after a rejection until an answer begins.
     std::string feed(std::string_view bytes);
