tests: part of an answer to a request that is still being written

It does not happen here: a failed write ends the attempt before anything is read, and a status out of range makes the answer corrupt.

--- a/src/upstream/cutcall_test.cpp
+++ b/src/upstream/cutcall_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(streamCutAnywhereIsNotComplete);
     CPPUNIT_TEST(informationalAnswerIsNotTheAnswer);
     CPPUNIT_TEST(statusThatIsNoneIsNoAnswer);
+    CPPUNIT_TEST(partOfAnAnswerToAnUnreadRequestIsNoAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     using tcp = boost::asio::ip::tcp;
@@ -82,8 +83,8 @@
         {
             std::string reason;
             return run<std::optional<HttpResponse>>([&] {
-                return httpCall(address(), HttpRequest{method, "/", {}, "ask"}, timeout, &reason,
-                                progress);
+                return httpCall(address(), HttpRequest{method, "/", {}, requestBody}, timeout,
+                                &reason, progress);
             });
         }
 
@@ -106,7 +107,7 @@
             SseCall call(io.get_executor(), address(), {});
             std::string reason = co_await call.connect();
             CPPUNIT_ASSERT_EQUAL(std::string(), reason);
-            HttpRequest request{"POST", "/", {}, "{}"};
+            HttpRequest request{"POST", "/", {}, requestBody};
             reason = co_await call.send(std::move(request));
             if (!reason.empty())
                 co_return streamed;
@@ -125,6 +126,7 @@
 
         boost::asio::io_context io{1};
         tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
+        std::string requestBody = "ask"; ///< the first 4 KB are read
         std::string answer;
         bool isReset = false;
     };
@@ -235,6 +237,24 @@
             CPPUNIT_ASSERT_MESSAGE(status, progress == CallProgress::Sent);
         }
     }
+
+    /// The connection is reset while the request is still being written.
+    void partOfAnAnswerToAnUnreadRequestIsNoAnswer()
+    {
+        Fixture fixture;
+        fixture.requestBody.assign(8U << 20U, 'b');
+        for (const std::string framing :
+             {"", "Transfer-Encoding: chunked\r\n", "Content-Length: 9\r\n"}) {
+            fixture.answer = fmt::format("HTTP/1.1 200 OK\r\n{}\r\n4\r\npart\r\n", framing);
+            for (const bool isReset : {false, true}) {
+                fixture.isReset = isReset;
+                CallProgress progress{};
+                CPPUNIT_ASSERT_MESSAGE(framing, !fixture.callService("POST", &progress));
+                CPPUNIT_ASSERT_MESSAGE(framing, progress == CallProgress::Sent);
+                CPPUNIT_ASSERT_MESSAGE(framing, !fixture.callEngine().isComplete);
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CutCallTest);
