router: requests left at the end of a planned stop get an answer

Callers saw: a router that is stopped closes the connections of requests that are still in progress when its stop limit passes; the caller of a call that may not be repeated finds 'Empty reply from server' (curl 52), a stream ends without a reason (curl 18).

Cause: RouterDaemon::stop() waited for the busy connections and then destroyed the callers' server, which closes them; the core, which knows what became of each request, was not told.

Change: RouterCore::endRequests() finishes each request before the process exits: outcome-unknown if it was sent to an agent, router-stopping (not run) if it never was; the router waits up to 0.5 s for the callers to have the answers.

--- a/src/include/reachlead/routercore.h
+++ b/src/include/reachlead/routercore.h
@@ -178,6 +178,9 @@
     void submitRequest(CallerRequest request, Time now);
     /// The caller disconnected. The request is cancelled, also at its agent.
     void callerDisconnected(const RequestId &id, Time now);
+    /// Refuses new requests, and ends those in progress with an answer: the process is about to
+    /// exit.
+    void endRequests(Time now);
     /// The caller consumed \p tokens of its answer.
     void callerConsumed(const RequestId &id, std::uint64_t tokens);
 
--- a/src/libreachlead/routercore_answers.cpp
+++ b/src/libreachlead/routercore_answers.cpp
@@ -4,6 +4,9 @@
 #include "routercore_pvt.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
+#include <vector>
 
 namespace reachlead {
 
@@ -354,6 +357,24 @@
     dispatchAllQueued(now);
 }
 
+void RouterCore::endRequests(Time now)
+{
+    stop();
+    std::vector<RequestId> ids;
+    std::ranges::copy(m_requests | std::views::keys, std::back_inserter(ids));
+    for (const RequestId &id : ids) {
+        Request &request = *findRequest(id);
+        const bool mayHaveRun = !request.agent.text.empty() || request.mayHaveRun;
+        const Outcome sent = request.tokens > 0 ? Outcome::Ran : Outcome::Unknown;
+        cancelAtAgent(request);
+        if (Agent *agent = findAgent(request.agent))
+            agent->circuit.abandoned();
+        AnswerResult end{mayHaveRun ? ErrorKind::OutcomeUnknown : ErrorKind::RouterStopping,
+                         mayHaveRun ? sent : Outcome::NotRun, "the router exits", request.tokens};
+        finish(request, std::move(end), now);
+    }
+}
+
 void RouterCore::callerConsumed(const RequestId &id, std::uint64_t tokens)
 {
     Request *request = findRequest(id);
--- a/src/libreachlead/routercore_test.cpp
+++ b/src/libreachlead/routercore_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(nothingIsStartedTooLate);
     CPPUNIT_TEST(higherTierMayPreempt);
     CPPUNIT_TEST(disconnectCancelsAtTheAgent);
+    CPPUNIT_TEST(requestsAreEndedWithAnAnswer);
     CPPUNIT_TEST(refusalsReportTheirKind);
     CPPUNIT_TEST(leavingAgentGetsNoRequests);
     CPPUNIT_TEST(outOfOrderLoadIsDropped);
@@ -699,6 +700,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_core->openRequests());
     }
 
+    /// At the end of a planned stop each caller gets an answer, and only one whose request was
+    /// never sent is told that it did not run.
+    void requestsAreEndedWithAnAnswer()
+    {
+        connect("a", 2);
+        const RequestId running = submit("brief");
+        receive("a", Chunk{running, 1, 0, 1, "t"});
+        const RequestId sentOnly = submit("brief");
+        const RequestId queued = submit("brief");
+        m_core->endRequests(m_now);
+        collect();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_core->openRequests());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sent<Cancel>().size());
+        std::map<RequestId, AnswerResult> ends;
+        for (const RouterAction &action : m_actions) {
+            if (const auto *send = std::get_if<SendToCaller>(&action))
+                ends.emplace(send->id, std::get<AnswerResult>(send->event));
+        }
+        CPPUNIT_ASSERT(ends.at(running).outcome == Outcome::Ran);
+        CPPUNIT_ASSERT(ends.at(sentOnly).outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT(ends.at(sentOnly).kind == ErrorKind::OutcomeUnknown);
+        CPPUNIT_ASSERT(ends.at(queued).outcome == Outcome::NotRun);
+        CPPUNIT_ASSERT(ends.at(queued).kind == ErrorKind::RouterStopping);
+        submit("brief");
+        CPPUNIT_ASSERT(singleResult().kind == ErrorKind::RouterStopping);
+    }
+
     void refusalsReportTheirKind()
     {
         submit();
--- a/src/reachlead-router/routerdaemon.cpp
+++ b/src/reachlead-router/routerdaemon.cpp
@@ -18,6 +18,9 @@
 
 constexpr milliseconds stopPoll{20};
 
+/// For the answers to requests that are ended at a stop.
+constexpr milliseconds finalAnswerPeriod{500};
+
 json::object toJson(const AgentStatus &agent)
 {
     return {{"agent", agent.name.text},      {"zone", agent.zone.text},
@@ -96,8 +99,26 @@
     const auto limit = RuntimeClock::now() + m_settings.stopLimit;
     while (m_callers->busyConnections() > 0 && RuntimeClock::now() < limit)
         std::this_thread::sleep_for(stopPoll);
+    const std::size_t ended = m_callers->busyConnections();
+    if (ended > 0)
+        endRequests();
     const std::size_t left = m_callers->busyConnections();
-    LogLine(left == 0 ? LogLevel::Info : LogLevel::Warn, "stopped").with("cut_off", left);
+    LogLine(ended == 0 ? LogLevel::Info : LogLevel::Warn, "stopped")
+        .with("ended", ended)
+        .with("cut_off", left);
+}
+
+/// Answers the requests that are still in progress, and waits until the callers have the answers.
+void RouterDaemon::endRequests()
+{
+    const std::function<bool(RouterCore &)> end = [](RouterCore &core) {
+        core.endRequests(RuntimeClock::now());
+        return true;
+    };
+    m_dispatcher->query<bool>(end).get();
+    const auto limit = RuntimeClock::now() + finalAnswerPeriod;
+    while (m_callers->busyConnections() > 0 && RuntimeClock::now() < limit)
+        std::this_thread::sleep_for(stopPoll);
 }
 
 std::map<std::string, AdminServer::Page> RouterDaemon::pages()
--- a/src/reachlead-router/routerdaemon.h
+++ b/src/reachlead-router/routerdaemon.h
@@ -20,13 +20,15 @@
     ~RouterDaemon();
 
     /// Stops gracefully: fails the health page, lets the balancer notice, stops accepting, and
-    /// lets every request in progress finish within the stop limit.
+    /// lets every request in progress finish within the stop limit. The callers of those that do
+    /// not are told so.
     void stop();
 
     std::uint16_t callerPort() const { return m_callers->port(); }
     std::uint16_t operatorPort() const { return m_operators->port(); }
 
 private:
+    void endRequests();
     std::map<std::string, AdminServer::Page> pages();
     std::string status();
     std::string route(const std::string &target);
