forwardcall: a stopping gateway begins no call that cannot end

Callers saw: of calls that arrive while a gateway stops and whose upstream takes longer than what is left of its grace, some get 504 near its end; of one that may not be repeated nobody knows whether it ran, though it could have been refused as not run at once and served by another gateway.

Cause: between the stop signal and the end of the notice period all calls are begun.

Change: CallDurations keeps the average duration of each service's calls; while the gateway stops, a call is refused (router-stopping) if that is longer than the time left. Not if its own deadline comes first, if it may have run before, or if it is a stream that may be resumed.

--- a/src/forward/forwardcall.h
+++ b/src/forward/forwardcall.h
@@ -73,6 +73,7 @@
     // Sends
     std::optional<ErrorKind> quarantineKind();
     std::optional<ForwardDecision> checkQuarantine();
+    bool outlastsProcess() const;
     SelectionQuery makeSelectionQuery() const;
     std::uint64_t requestKey() const;
     boost::asio::awaitable<PlacementResult> choose();
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -148,6 +148,17 @@
     return ForwardDecision{ForwardStep::Refuse, *kind};
 }
 
+/// True if this process is about to exit, and calls of the service usually take longer than it has
+/// left. Streams that may be resumed are begun nevertheless, as they go on elsewhere.
+bool ForwardCall::outlastsProcess() const
+{
+    const bool goesOnElsewhere = m_route->kind == RouteKind::Stream && m_route->resumable;
+    if (!m_context.endsAt || m_deadline <= *m_context.endsAt || goesOnElsewhere || m_mayHaveRun)
+        return false;
+    const std::optional<Duration> usual = m_context.callDurations.average(m_service);
+    return usual && RuntimeClock::now() + *usual > *m_context.endsAt;
+}
+
 /// Selects an upstream and sends once. Returns the decision that ends the call; none: send again.
 asio::awaitable<std::optional<ForwardDecision>> ForwardCall::sendOnce()
 {
@@ -155,6 +166,10 @@
         co_return decision;
     if (std::exchange(m_continuesNext, false))
         co_return co_await continueRun();
+    if (outlastsProcess()) {
+        m_refusalReason = "calls of the service usually take longer than this process has left";
+        co_return ForwardDecision{ForwardStep::Refuse, ErrorKind::RouterStopping};
+    }
     const GatewayState &state = m_context.state;
     const PlacementResult placed = co_await choose();
     const std::optional<Selection> &selection = placed.selection;
@@ -348,6 +363,8 @@
     if (result == SendResult::Complete && m_context.onRequestCleared && mayBeSuspect()
         && m_context.state.crashes().isSuspect(digest()))
         m_context.onRequestCleared(digest());
+    if (result == SendResult::Complete)
+        m_context.callDurations.record(m_service, RuntimeClock::now() - m_attempt->sentAt);
     if (result == SendResult::Complete && !m_metadata.prompt.empty())
         table.recordCallDuration(m_service, RuntimeClock::now() - m_attempt->sentAt);
     if (result == SendResult::Complete && m_metadata.prompt.empty())
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -170,9 +170,10 @@
     co_return co_await call.refuse(error);
 }
 
-void Forwarder::beginStop()
+void Forwarder::beginStop(Time endsAt)
 {
     m_context.stopping = true;
+    m_context.endsAt = endsAt;
 }
 
 void Forwarder::closeIdle()
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -8,12 +8,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <reachlead/calldurations.h>
 #include <reachlead/counters.h>
 #include <reachlead/crashtracker.h>
 #include <reachlead/gatewaystate.h>
@@ -64,7 +66,9 @@
     BackupSettings backupSettings{};
     BackupLedger backups{};
     RankOutcomes rankOutcomes{};
+    CallDurations callDurations{};
     bool stopping = false;
+    std::optional<Time> endsAt = std::nullopt; ///< when a stop ends the calls left; set with it
     bool acceptsRequests = true; ///< if false, new requests are refused as not run
 };
 
@@ -85,8 +89,8 @@
     Forwarder(const Options &options, ForwardContext &context);
 
     /// Starts a graceful stop: answers announce that the connection will be closed, and calls in
-    /// progress continue.
-    void beginStop();
+    /// progress continue. The caller of this function ends the calls that are left at \p endsAt.
+    void beginStop(Time endsAt);
     /// Stops accepting connections and requests, and closes idle connections.
     void closeIdle();
 
--- a/src/reachlead-gateway/gatewaydaemon.cpp
+++ b/src/reachlead-gateway/gatewaydaemon.cpp
@@ -179,7 +179,7 @@
     const Time startedAt = RuntimeClock::now();
     const Time limit =
         startedAt + fromSeconds(toSeconds(m_settings.stopLimit) * terminationFraction);
-    m_forwarder.beginStop();
+    m_forwarder.beginStop(limit);
     m_placementLink.beginStop();
     co_await sleepFor(m_io, std::min<Duration>(stopNoticePeriod, limit - startedAt));
     m_forwarder.closeIdle();
