--- a/src/forward/forwardattempt.h
+++ b/src/forward/forwardattempt.h
@@ -32,19 +32,19 @@
     TokenCount tokensToFirstEvent = 0; ///< as in Selection
     bool isShortPrompt = false; ///< as in Selection
     std::optional<Endpoint> fetchFrom; ///< whose cache to copy from
-    std::optional<RunCopy> continueFrom;
+    std::optional<RunCopy> continueFrom; ///< the copy that the run goes on from
     std::optional<BackupLedger::Reservation> backup; ///< the engine that is sent the run's memory
 
     Time sentAt{};
-    bool awaitsFirstEvent = true;
+    bool awaitsFirstEvent = true; ///< no event was received yet
     bool isConnectionRefused = false;
     UpstreamChannelPtr channel;
     std::optional<UpstreamExchange> exchange;
 
     std::string body; ///< of an answer that is delivered once it is complete
-    bool isBodyComplete = false; ///< the answer was passed on up to its end
+    bool isBodyComplete = false; ///< a chunked answer was passed on up to its end
     std::optional<Time> firstByteAt; ///< of the body
-    std::string reason; ///< why it failed
+    std::string reason; ///< why the attempt failed
 };
 
 } // namespace reachlead
--- a/src/forward/forwardcall_send.cpp
+++ b/src/forward/forwardcall_send.cpp
@@ -203,7 +203,7 @@
     GatewayState &state = m_context.state;
     m_attempt = std::make_unique<ForwardAttempt>();
     m_events.dropPartialEvent();
-    tryRoom({}); // that of the last answer
+    tryRoom({}); // releases the room of the last answer
     m_tried.insert(entry.id);
     m_attempt->placedBy = placedBy;
     m_attempt->upstream = entry.id;
